--- /dev/null
+++ b/crates/client/src/site/yaml.rs
@@ -0,0 +1,41 @@
+use std::io;
+use world::Contract;
+use world::Kind;
+
+/// Writes a configuration as documents that `apply` takes again. Names are
+/// quoted, so that none is read as something else.
+pub(crate) fn write_documents(contract: &Contract, out: &mut impl io::Write) -> io::Result<()> {
+    writeln!(out, "classes:")?;
+    for class in &contract.classes {
+        writeln!(out, "  - name: {:?}", class.name)?;
+        writeln!(out, "    first_ms: {}", class.first_ms)?;
+        writeln!(out, "    token_ms: {}", class.token_ms)?;
+        writeln!(out, "    waits: {}", class.waits)?;
+    }
+    writeln!(out, "organisations:")?;
+    for organisation in &contract.organisations {
+        writeln!(out, "  - name: {:?}", organisation.name)?;
+        writeln!(out, "    rate: {}", organisation.rate)?;
+        writeln!(out, "    burst: {}", organisation.burst)?;
+    }
+    writeln!(out, "upstreams:")?;
+    for upstream in &contract.upstreams {
+        writeln!(out, "  - name: {:?}", upstream.name)?;
+        match &upstream.kind {
+            Kind::Service => writeln!(out, "    kind: service")?,
+            Kind::Model { model, class } => {
+                writeln!(out, "    kind: model")?;
+                writeln!(out, "    model: {model:?}")?;
+                writeln!(out, "    class: {class:?}")?;
+            }
+        }
+    }
+    writeln!(out, "routes:")?;
+    for route in &contract.routes {
+        writeln!(out, "  - path: {:?}", route.path)?;
+        writeln!(out, "    upstream: {:?}", route.upstream)?;
+        writeln!(out, "    open: {}", route.open)?;
+        writeln!(out, "    idempotent: {}", route.idempotent)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/agent/job.rs
@@ -0,0 +1,93 @@
+use route::Ticket;
+use std::time;
+use tokio::sync::mpsc;
+use wire::border;
+
+/// Where the entry that asked hears of its job.
+pub(crate) type DecodeOut = mpsc::UnboundedSender<border::DecodeEvent>;
+/// Where the entry that asked hears of its job.
+pub(crate) type PrefillOut = mpsc::UnboundedSender<border::PrefillEvent>;
+
+/// What happens at an agent's desk.
+pub(crate) enum Event {
+    /// An entry bids for a seat.
+    Bid(Ticket, border::Bid, DecodeOut),
+    /// The entry that holds a seat starts it; the answer tells whether it may.
+    Start(border::Start, mpsc::UnboundedSender<bool>),
+    /// An entry asks for a prefill.
+    Prefill(Ticket, border::Prefill, PrefillOut),
+    /// The entry has dropped its job or has gone itself.
+    Left(Ticket),
+    /// The engine has imported a result, after this time.
+    Imported(Ticket, time::Duration),
+    /// The engine gave a token.
+    Token(Ticket, engine::Token),
+    /// The engine's stream ended.
+    StreamEnd(Ticket, Result<(), engine::EngineError>),
+    /// The engine's prefill ended, after this time.
+    Prefilled(
+        Ticket,
+        Result<engine::Prefilled, engine::EngineError>,
+        time::Duration,
+    ),
+    /// The engine has freed what a ticket held.
+    Freed(Ticket),
+    /// The process stops.
+    Drain,
+}
+
+/// One entry's work at this agent.
+pub(crate) enum Job {
+    Decode(DecodeJob),
+    Prefill(PrefillJob),
+}
+
+/// A bid, and what becomes of it.
+pub(crate) struct DecodeJob {
+    /// The request's id at the engine.
+    pub id: String,
+    pub request: String,
+    pub attempt: u32,
+    pub pieces: u32,
+    pub out: DecodeOut,
+    pub stage: DecodeStage,
+    /// Its wait, then its stream, as spans.
+    pub hop: Option<trace::Hop>,
+    pub parent: String,
+}
+
+/// Where a bid is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DecodeStage {
+    Waiting,
+    /// The seat is held; the engine knows nothing yet.
+    Granted,
+    /// The engine imports.
+    Importing,
+    /// The engine streams; counts the tokens it has given.
+    Streaming(u32),
+    /// The engine has been told to free it.
+    Cancelling,
+}
+
+/// A prompt, and what becomes of it.
+pub(crate) struct PrefillJob {
+    /// The request's id at the engine.
+    pub id: String,
+    pub ask: border::Prefill,
+    pub out: PrefillOut,
+    pub stage: PrefillStage,
+    pub hop: Option<trace::Hop>,
+}
+
+/// Where a prompt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PrefillStage {
+    Waiting,
+    /// The engine works.
+    Running,
+    /// The result waits for its import.
+    Ready,
+    /// The engine has been told to free it.
+    Cancelling,
+}
--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,10 @@
+//! The process beside one upstream: the only one that talks to it.
+
+mod desk;
+mod job;
+mod methods;
+mod plain;
+mod serve;
+mod worker;
+
+pub(crate) use serve::serve;
--- /dev/null
+++ b/crates/daemon/src/agent/serve.rs
@@ -0,0 +1,105 @@
+use crate::agent::desk::Desk;
+use crate::agent::job::Event;
+use crate::agent::methods::Methods;
+use crate::agent::plain::Plain;
+use crate::app::Admin;
+use crate::app::Heart;
+use crate::app::StartError;
+use crate::app::Stop;
+use jsonrpsee::server;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+use wire::LoadState;
+use wire::api::AgentServer;
+use wire::api::PeerServer;
+use wire::border;
+use world::Role;
+
+const IDLE_LOOK: time::Duration = time::Duration::from_millis(20);
+/// Peers hear of the drain before the connections close.
+const LAST_WORDS: time::Duration = time::Duration::from_millis(400);
+
+/// Serves as an agent until stopped and empty.
+pub(crate) async fn serve(
+    settings: sync::Arc<conf::Settings>,
+    admin: &Admin,
+    stop: Stop,
+) -> Result<(), StartError> {
+    let upstream = settings
+        .upstream
+        .as_ref()
+        .ok_or_else(|| StartError::Usage("an agent needs an upstream".into()))?;
+    let heart = Heart::new(LoadState::default());
+    let (desk, inbox) = Desk::new(settings.host.clone(), upstream, heart.clone());
+    let plain = sync::Arc::new(Plain::new(upstream, heart.clone()));
+    let methods = Methods {
+        hello: hello(&settings, &upstream.name),
+        heart,
+        desk: inbox.clone(),
+        plain: plain.clone(),
+        tickets: sync::Arc::new(atomic::AtomicU64::new(1)),
+    };
+    let listening = listen(&settings, methods).await?;
+    let desk = match settings.role {
+        Role::Prefill | Role::Decode => Some(start_desk(desk)?),
+        Role::Service | Role::Entry => None,
+    };
+    stop.wait().await;
+    trace::Line::new("draining").info();
+    admin.retire();
+    plain.drain();
+    // A desk that is there to hear this ends once its last job has.
+    let _ = inbox.send(Event::Drain);
+    while desk.as_ref().is_some_and(|d| !d.is_finished()) || !plain.is_idle() {
+        tokio::time::sleep(IDLE_LOOK).await;
+    }
+    tokio::time::sleep(LAST_WORDS).await;
+    listening.stop();
+    Ok(())
+}
+
+fn start_desk(desk: Desk) -> Result<thread::JoinHandle<()>, StartError> {
+    thread::Builder::new()
+        .name("desk".into())
+        .spawn(move || {
+            // Nothing is granted before the leftovers are swept.
+            desk.sweep();
+            desk.run();
+        })
+        .map_err(StartError::System)
+}
+
+async fn listen(settings: &conf::Settings, methods: Methods) -> Result<wire::Server, StartError> {
+    let mut module = server::RpcModule::new(());
+    module
+        .merge(PeerServer::into_rpc(methods.clone()))
+        .and_then(|()| module.merge(AgentServer::into_rpc(methods)))
+        .map_err(|e| StartError::System(std::io::Error::other(e)))?;
+    let secrets = wire::Secrets::new(settings.secrets.iter().cloned());
+    wire::Server::start(settings.listen, secrets, module)
+        .await
+        .map_err(|source| StartError::Listen {
+            address: settings.listen,
+            source,
+        })
+}
+
+fn hello(settings: &conf::Settings, upstream: &str) -> border::Hello {
+    border::Hello {
+        host: settings.host.to_string(),
+        zone: settings.zone.to_string(),
+        role: match settings.role {
+            Role::Entry => border::Role::Entry,
+            Role::Prefill => border::Role::Prefill,
+            Role::Decode => border::Role::Decode,
+            Role::Service => border::Role::Service,
+        },
+        upstream: upstream.to_owned(),
+        incarnation: rand::random(),
+        revision: 0,
+        epoch: 0,
+        draining: false,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/worker.rs
@@ -0,0 +1,96 @@
+//! Blocking calls to the engine, each on a thread of its own.
+
+use crate::agent::job::Event;
+use crossbeam::channel;
+use route::Ticket;
+use std::io;
+use std::thread;
+use std::time;
+
+/// A transfer is tried again while the result may still live.
+const IMPORT_TRIES: u32 = 2;
+const CANCEL_WAIT: time::Duration = time::Duration::from_millis(100);
+/// An engine that does not answer for so long holds nothing any more.
+const CANCEL_TRIES: u32 = 50;
+
+/// Where workers report.
+pub(crate) type Desk = channel::Sender<Event>;
+
+/// Imports a result and streams its answer.
+pub(crate) fn decode(
+    model: engine::Model,
+    ticket: Ticket,
+    import: engine::Import,
+    resume: engine::Resume,
+    desk: Desk,
+) -> io::Result<()> {
+    spawn("decode", move || {
+        let began = time::Instant::now();
+        if let Err(error) = import_result(&model, &import) {
+            let _ = desk.send(Event::StreamEnd(ticket, Err(error)));
+            return;
+        }
+        let _ = desk.send(Event::Imported(ticket, began.elapsed()));
+        let tokens = desk.clone();
+        let ended = model.stream(&resume, |token| {
+            tokens.send(Event::Token(ticket, token)).is_ok()
+        });
+        let _ = desk.send(Event::StreamEnd(ticket, ended));
+    })
+}
+
+fn import_result(
+    model: &engine::Model,
+    import: &engine::Import,
+) -> Result<(), engine::EngineError> {
+    let mut result = model.import(import);
+    for _ in 1..IMPORT_TRIES {
+        match result {
+            Err(engine::EngineError::Stalled) => {
+                // What the first try holds must go before the second.
+                let _ = model.cancel(&import.request);
+                result = model.import(import);
+            }
+            other => return other,
+        }
+    }
+    result
+}
+
+/// Works through a prompt.
+pub(crate) fn prefill(
+    model: engine::Model,
+    ticket: Ticket,
+    ask: engine::Prefill,
+    desk: Desk,
+) -> io::Result<()> {
+    spawn("prefill", move || {
+        let began = time::Instant::now();
+        let result = model.prefill(&ask);
+        let _ = desk.send(Event::Prefilled(ticket, result, began.elapsed()));
+    })
+}
+
+/// Frees what the engine holds of a request, however often that takes.
+pub(crate) fn cancel(
+    model: engine::Model,
+    ticket: Ticket,
+    id: String,
+    desk: Desk,
+) -> io::Result<()> {
+    spawn("cancel", move || {
+        for _ in 0..CANCEL_TRIES {
+            match model.cancel(&id) {
+                // An engine that is gone holds nothing.
+                Ok(()) | Err(engine::EngineError::Gone(_)) => break,
+                Err(_) => thread::sleep(CANCEL_WAIT),
+            }
+        }
+        let _ = desk.send(Event::Freed(ticket));
+    })
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.into()).spawn(work)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/app/launch.rs
@@ -0,0 +1,42 @@
+use crate::app::errors::StartError;
+
+const BRIEF: &str = "usage: hornbeampitchd [options] SETTINGS.yaml";
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Launch {
+    /// Serve by the settings in this file.
+    Serve(String),
+    /// Only check the settings in this file.
+    Check(String),
+    /// Print this text.
+    Print(String),
+}
+
+impl Launch {
+    /// Reads the command line's words.
+    pub(crate) fn read(words: &[String]) -> Result<Self, StartError> {
+        let mut options = getopts::Options::new();
+        options.optflag("h", "help", "print this help");
+        options.optflag("V", "version", "print the version");
+        options.optflag("c", "check", "check the settings and exit");
+        let matches = options
+            .parse(words)
+            .map_err(|e| StartError::Usage(format!("{e}\n{BRIEF}")))?;
+        if matches.opt_present("help") {
+            return Ok(Launch::Print(options.usage(BRIEF)));
+        }
+        if matches.opt_present("version") {
+            let text = format!("hornbeampitchd {}\n", env!("CARGO_PKG_VERSION"));
+            return Ok(Launch::Print(text));
+        }
+        let [path] = matches.free.as_slice() else {
+            let text = format!("expected one settings file\n{BRIEF}");
+            return Err(StartError::Usage(text));
+        };
+        match matches.opt_present("check") {
+            true => Ok(Launch::Check(path.clone())),
+            false => Ok(Launch::Serve(path.clone())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/app/program.rs
@@ -0,0 +1,78 @@
+use crate::agent;
+use crate::app::Admin;
+use crate::app::StartError;
+use crate::app::Stop;
+use crate::app::launch::Launch;
+use crate::entry;
+use std::fs;
+use std::process;
+use std::sync;
+use tokio::runtime;
+use world::Role;
+
+/// Threads that carry I/O; decisions take microseconds between.
+const IO_THREADS: usize = 2;
+
+/// Runs the daemon with the words of its command line.
+pub fn run(words: &[String]) -> process::ExitCode {
+    match start(words) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}", error.to_string().trim_end());
+            process::ExitCode::from(error.code())
+        }
+    }
+}
+
+fn start(words: &[String]) -> Result<(), StartError> {
+    match Launch::read(words)? {
+        Launch::Print(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        Launch::Check(path) => {
+            read_settings(&path)?;
+            println!("{path}: valid");
+            Ok(())
+        }
+        Launch::Serve(path) => serve(read_settings(&path)?),
+    }
+}
+
+fn read_settings(path: &str) -> Result<conf::Settings, StartError> {
+    let text = fs::read_to_string(path).map_err(|source| StartError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    conf::Settings::read_text(path, &text).map_err(StartError::Settings)
+}
+
+fn serve(settings: conf::Settings) -> Result<(), StartError> {
+    trace::start_logging(&settings.log);
+    let stop = Stop::listen().map_err(StartError::System)?;
+    let _tracing = trace::start_tracing(settings.traces, &settings.host, settings.role.word());
+    let admin = Admin::start(settings.admin)?;
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .enable_all()
+        .build()
+        .map_err(StartError::System)?;
+    trace::Line::new("started")
+        .with("host", &settings.host)
+        .with("zone", &settings.zone)
+        .with("role", settings.role.word())
+        .with("listen", settings.listen)
+        .info();
+    let settings = sync::Arc::new(settings);
+    let result = match settings.role {
+        Role::Entry => runtime.block_on(entry::serve(settings.clone(), &admin, stop)),
+        Role::Prefill | Role::Decode | Role::Service => {
+            runtime.block_on(agent::serve(settings.clone(), &admin, stop))
+        }
+    };
+    runtime.shutdown_background();
+    trace::Line::new("stopped")
+        .with("host", &settings.host)
+        .info();
+    result
+}
--- /dev/null
+++ b/crates/daemon/src/app/stop.rs
@@ -0,0 +1,33 @@
+use signal_hook::consts;
+use signal_hook::iterator;
+use std::io;
+use std::thread;
+use tokio::sync::watch;
+
+/// Tells when the platform asks the process to stop.
+pub(crate) struct Stop {
+    asked: watch::Receiver<bool>,
+}
+
+impl Stop {
+    /// Listens for the platform's signals.
+    pub(crate) fn listen() -> io::Result<Self> {
+        let (tell, asked) = watch::channel(false);
+        let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
+        thread::Builder::new()
+            .name("signals".into())
+            .spawn(move || {
+                for _ in signals.forever() {
+                    // Nobody listens any more once the process is stopping.
+                    let _ = tell.send(true);
+                }
+            })?;
+        Ok(Self { asked })
+    }
+
+    /// Waits for the first signal.
+    pub(crate) async fn wait(mut self) {
+        // The sender lives as long as the process.
+        let _ = self.asked.wait_for(|asked| *asked).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/methods.rs
@@ -0,0 +1,91 @@
+//! What peers may call at an entry.
+
+use crate::entry::core::Entry;
+use jsonrpsee::core;
+use jsonrpsee::server;
+use std::sync;
+use std::time;
+use wire::api::EntryServer;
+use wire::api::PeerServer;
+use wire::border;
+
+/// The entry's side of [`wire::api`].
+#[derive(Clone)]
+pub(crate) struct Methods {
+    pub entry: sync::Arc<Entry>,
+}
+
+#[core::async_trait]
+impl PeerServer for Methods {
+    async fn hello(&self) -> core::RpcResult<border::Hello> {
+        let settings = &self.entry.settings;
+        let load = self.entry.heart.get();
+        Ok(border::Hello {
+            host: settings.host.to_string(),
+            zone: settings.zone.to_string(),
+            role: border::Role::Entry,
+            upstream: String::new(),
+            incarnation: self.entry.incarnation,
+            revision: load.revision,
+            epoch: load.epoch,
+            draining: load.draining,
+        })
+    }
+
+    async fn snapshot(&self) -> core::RpcResult<border::Snapshot> {
+        let current = self.entry.contract();
+        let document = current.and_then(|c| serde_json::to_string(&*c).ok());
+        let allowances = self.entry.allowances.lock();
+        let division = allowances.epochs.division();
+        let division = division.and_then(|d| serde_json::to_string(d).ok());
+        Ok(border::Snapshot {
+            document: document.unwrap_or_default(),
+            division: division.unwrap_or_default(),
+        })
+    }
+
+    async fn load(&self, pending: server::PendingSubscriptionSink) -> core::SubscriptionResult {
+        self.entry.heart.report(pending).await
+    }
+}
+
+#[core::async_trait]
+impl EntryServer for Methods {
+    async fn lend(&self, loan: border::Loan) -> core::RpcResult<border::Lent> {
+        if !self.entry.trusted() {
+            return Ok(border::Lent { tokens: 0 });
+        }
+        let id = quota::ChargeId(loan.charge);
+        let now = time::Instant::now();
+        let mut allowances = self.entry.allowances.lock();
+        let lent = allowances
+            .escrow
+            .lend(&loan.organisation, &id, loan.tokens as f64, now);
+        Ok(border::Lent {
+            tokens: lent as u64,
+        })
+    }
+
+    async fn settle(&self, settle: border::Settle) -> core::RpcResult<bool> {
+        let id = quota::ChargeId(settle.charge);
+        let now = time::Instant::now();
+        let mut allowances = self.entry.allowances.lock();
+        allowances
+            .escrow
+            .settle(&settle.organisation, &id, settle.used as f64, now);
+        Ok(true)
+    }
+
+    async fn crash(&self, crash: border::Crash) -> core::RpcResult<bool> {
+        let Some(digest) = route::Digest::parse(&crash.digest) else {
+            return Ok(false);
+        };
+        let id = route::CrashId {
+            host: crash.host.into(),
+            count: crash.count,
+        };
+        let now = time::Instant::now();
+        let mut decisions = self.entry.decisions.lock();
+        Ok(decisions.quarantine.note(digest, id, now))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/mod.rs
@@ -0,0 +1,17 @@
+//! The process that callers reach: it knows keys, admits, chooses and relays.
+
+mod admit;
+mod ask;
+mod core;
+mod errors;
+mod feeds;
+mod http;
+mod methods;
+mod model;
+mod peers;
+mod plain;
+mod reply;
+mod runner;
+mod serve;
+
+pub(crate) use serve::serve;
--- /dev/null
+++ b/crates/daemon/src/entry/peers.rs
@@ -0,0 +1,422 @@
+//! Links to peers, and the tick that keeps this entry's views true.
+
+use crate::entry::core::Entry;
+use crate::entry::feeds::DivisionRecord;
+use member::Action;
+use member::Event;
+use member::Identity;
+use member::Pulse;
+use member::Roster;
+use member::Standing;
+use parking_lot::Mutex;
+use std::collections;
+use std::sync;
+use std::time;
+use wire::LoadState;
+use wire::api::PeerClient;
+use wire::border;
+use world::Host;
+use world::Name;
+use world::Role;
+
+/// Silence after which a peer off the list is proven gone. It is longer than a
+/// paused peer can go on without noticing its pause; see [`Pulse::PAUSE`].
+const GUARD: time::Duration = time::Duration::from_secs(10);
+/// How often a changed set of entries may be proposed as a new epoch.
+const PROPOSE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// All links of this entry.
+pub(crate) struct Peers {
+    roster: Mutex<Roster>,
+    links: Mutex<collections::BTreeMap<Name, Linked>>,
+    listed: Mutex<Option<Vec<Host>>>,
+    heard: Mutex<collections::BTreeMap<Name, time::Instant>>,
+    division: Mutex<u64>,
+    proposed: Mutex<Option<time::Instant>>,
+}
+
+#[derive(Clone)]
+struct Linked {
+    link: sync::Arc<wire::Link>,
+    role: Role,
+    abort: tokio::task::AbortHandle,
+}
+
+impl Peers {
+    pub(crate) fn new(me: Name, seed: u64) -> Self {
+        Self {
+            roster: Mutex::new(Roster::new(me, seed)),
+            links: Mutex::default(),
+            listed: Mutex::default(),
+            heard: Mutex::default(),
+            division: Mutex::new(0),
+            proposed: Mutex::default(),
+        }
+    }
+
+    /// Takes the platform's list; it is worked in with the next tick.
+    pub(crate) fn list(&self, hosts: Vec<Host>) {
+        *self.listed.lock() = Some(hosts);
+    }
+
+    /// Takes the hosts that operators are emptying.
+    pub(crate) fn drain(&self, hosts: &[Name]) {
+        self.roster.lock().drain(hosts.iter().cloned());
+    }
+
+    /// The open link to a host.
+    pub(crate) fn link(&self, host: &str) -> Option<sync::Arc<wire::Link>> {
+        self.links.lock().get(host).map(|l| l.link.clone())
+    }
+
+    /// The open links to other entries.
+    pub(crate) fn entries(&self) -> Vec<(Name, sync::Arc<wire::Link>)> {
+        self.links
+            .lock()
+            .iter()
+            .filter(|(_, l)| l.role == Role::Entry)
+            .map(|(name, l)| (name.clone(), l.link.clone()))
+            .collect()
+    }
+}
+
+/// Ticks for as long as the process lives.
+pub(crate) async fn run(entry: sync::Arc<Entry>) {
+    let mut interval = tokio::time::interval(Pulse::INTERVAL);
+    loop {
+        interval.tick().await;
+        tick(&entry);
+    }
+}
+
+fn tick(entry: &sync::Arc<Entry>) {
+    let now = time::Instant::now();
+    if entry.pulse.lock().beat(now) {
+        trace::Line::new("pause_noticed").warn();
+        let entry = entry.clone();
+        tokio::task::spawn_blocking(move || recheck(&entry));
+    }
+    let listed = entry.peers.listed.lock().take();
+    let event = listed.map_or(Event::Tick, Event::Listed);
+    step(entry, event, now);
+    refresh_standings(entry, now);
+    bury_gone(entry, now);
+    propose_division(entry, now);
+}
+
+/// Reads configuration and epoch again after a pause; until then nothing is
+/// decided.
+fn recheck(entry: &Entry) {
+    let client = store::Client::new(entry.settings.store);
+    while client.get(store::EPOCH_KEY).is_err() {
+        if entry.peers.entries().len() > 1 {
+            break;
+        }
+        std::thread::sleep(time::Duration::from_millis(200));
+    }
+    entry.pulse.lock().checked();
+    trace::Line::new("pause_checked").info();
+}
+
+fn step(entry: &sync::Arc<Entry>, event: Event, now: time::Instant) {
+    let actions = entry.peers.roster.lock().step(event, now);
+    for action in actions {
+        match action {
+            Action::Open(host) => {
+                tokio::spawn(keep_link(entry.clone(), host));
+            }
+            Action::Close(name) => close(entry, &name),
+        }
+    }
+}
+
+fn close(entry: &Entry, name: &Name) {
+    if let Some(linked) = entry.peers.links.lock().remove(name) {
+        linked.abort.abort();
+    }
+    entry.decisions.lock().fleet.leave(name);
+    trace::Line::new("peer_closed").with("peer", name).info();
+}
+
+/// Opens a link and listens to its reports until it breaks.
+async fn keep_link(entry: sync::Arc<Entry>, host: Host) {
+    let name = host.name.clone();
+    match open(&entry, &host).await {
+        Some((link, hello)) => {
+            let task = tokio::spawn(listen(entry.clone(), host, link.clone(), hello.clone()));
+            let linked = Linked {
+                link,
+                role: role_of(hello.role),
+                abort: task.abort_handle(),
+            };
+            entry.peers.links.lock().insert(name.clone(), linked);
+            // An aborted task has been closed by the roster already.
+            if task.await.is_ok() {
+                entry.peers.links.lock().remove(&name);
+                entry.decisions.lock().fleet.leave(&name);
+                trace::Line::new("peer_lost").with("peer", &name).info();
+                step(&entry, Event::Closed(name), time::Instant::now());
+            }
+        }
+        None => step(&entry, Event::Failed(name), time::Instant::now()),
+    }
+}
+
+async fn open(entry: &Entry, host: &Host) -> Option<(sync::Arc<wire::Link>, border::Hello)> {
+    let link = wire::open(host.address, &entry.secrets).await.ok()?;
+    let hello = tokio::time::timeout(HELLO_TIMEOUT, link.hello()).await;
+    let hello = hello.ok()?.ok()?;
+    // An address may have passed to another host since the list was read.
+    if *hello.host != *host.name {
+        return None;
+    }
+    Some((sync::Arc::new(link), hello))
+}
+
+async fn listen(
+    entry: sync::Arc<Entry>,
+    host: Host,
+    link: sync::Arc<wire::Link>,
+    hello: border::Hello,
+) {
+    let Ok(mut reports) = link.load().await else {
+        return;
+    };
+    let identity = Identity {
+        role: role_of(hello.role),
+        upstream: hello.upstream.as_str().into(),
+        incarnation: hello.incarnation,
+    };
+    trace::Line::new("peer_joined")
+        .with("peer", &host.name)
+        .with("role", identity.role.word())
+        .info();
+    if identity.role == Role::Entry {
+        let mut allowances = entry.allowances.lock();
+        allowances.epochs.restart(&host.name);
+    } else {
+        let view = route::View::new(host.zone.clone(), identity.role, identity.upstream.clone());
+        entry.decisions.lock().fleet.join(host.name.clone(), view);
+    }
+    let opened = Event::Opened(host.name.clone(), identity.clone());
+    step(&entry, opened, time::Instant::now());
+    let mut listener = wire::Listener::default();
+    while let Some(Ok(report)) = reports.next().await {
+        let Some(state) = listener.take(&report) else {
+            return;
+        };
+        take_report(&entry, &host.name, identity.role, &link, state);
+    }
+}
+
+fn take_report(
+    entry: &sync::Arc<Entry>,
+    name: &Name,
+    role: Role,
+    link: &sync::Arc<wire::Link>,
+    state: LoadState,
+) {
+    let now = time::Instant::now();
+    entry.peers.heard.lock().insert(name.clone(), now);
+    let heard = Event::Heard(name.clone(), state.draining);
+    step(entry, heard, now);
+    if role != Role::Entry {
+        let report = route::Report {
+            seats: state.seats,
+            pieces: state.pieces,
+            waiting: state.waiting,
+            backlog: state.backlog,
+            pace: state.pace,
+        };
+        entry.decisions.lock().fleet.report(name, report);
+        return;
+    }
+    entry.freshness.lock().hear(now);
+    let (part, epoch) = {
+        let mut allowances = entry.allowances.lock();
+        let before = allowances.epochs.part();
+        allowances.epochs.hear(name, state.epoch);
+        let changed = allowances.epochs.part() != before;
+        (changed, allowances.epochs.epoch())
+    };
+    if part {
+        entry.redivide();
+    }
+    let behind = entry.adoption.lock().revision() < state.revision || epoch < state.epoch;
+    if behind {
+        tokio::spawn(catch_up(entry.clone(), link.clone()));
+    }
+}
+
+/// Takes from a peer what the store has not told, as in an outage.
+async fn catch_up(entry: sync::Arc<Entry>, link: sync::Arc<wire::Link>) {
+    let Ok(Ok(snapshot)) = tokio::time::timeout(HELLO_TIMEOUT, link.snapshot()).await else {
+        return;
+    };
+    if let Ok(revised) = serde_json::from_str(&snapshot.document) {
+        entry.offer(revised);
+    }
+    if let Ok(division) = serde_json::from_str(&snapshot.division) {
+        entry.adopt(division, None);
+    }
+}
+
+impl Entry {
+    /// Takes a division of allowances, from the store with its revision there
+    /// or from a peer.
+    pub(crate) fn adopt(&self, division: quota::Division, revision: Option<u64>) {
+        if let Some(revision) = revision {
+            let mut known = self.peers.division.lock();
+            *known = (*known).max(revision);
+        }
+        let epoch = {
+            let mut allowances = self.allowances.lock();
+            allowances.epochs.adopt(division);
+            allowances.epochs.epoch()
+        };
+        self.redivide();
+        trace::Line::new("division_adopted")
+            .with("epoch", epoch)
+            .with("part", self.allowances.lock().epochs.part())
+            .info();
+    }
+}
+
+fn refresh_standings(entry: &Entry, now: time::Instant) {
+    let roster = entry.peers.roster.lock();
+    let standings: Vec<(Name, bool)> = roster
+        .linked()
+        .map(|(host, _)| {
+            let standing = roster.standing(&host.name, now);
+            (host.name.clone(), standing == Standing::Serving)
+        })
+        .collect();
+    drop(roster);
+    let mut decisions = entry.decisions.lock();
+    for (name, serving) in standings {
+        decisions.fleet.stand(&name, serving);
+    }
+}
+
+/// Notes which holders of slices are proven gone.
+fn bury_gone(entry: &Entry, now: time::Instant) {
+    let Some(holders) = holders(entry) else {
+        return;
+    };
+    let mut changed = false;
+    for name in holders {
+        if name == entry.settings.host || entry.peers.roster.lock().listed(&name) {
+            continue;
+        }
+        let silent = {
+            let mut heard = entry.peers.heard.lock();
+            let last = *heard.entry(name.clone()).or_insert(now);
+            now.saturating_duration_since(last) > GUARD
+        };
+        if silent {
+            entry.allowances.lock().epochs.bury(&name);
+            changed = true;
+        }
+    }
+    if changed {
+        entry.redivide();
+    }
+}
+
+fn holders(entry: &Entry) -> Option<collections::BTreeSet<Name>> {
+    let allowances = entry.allowances.lock();
+    let division = allowances.epochs.division()?;
+    Some(division.holders.union(&division.prior).cloned().collect())
+}
+
+/// Proposes a division where entries have come or gone. The least of the live
+/// names proposes, so that the others need not race; CAS decides all the same.
+fn propose_division(entry: &sync::Arc<Entry>, now: time::Instant) {
+    let live = live_entries(entry, now);
+    if live.first() != Some(&entry.settings.host) {
+        return;
+    }
+    let Some(division) = entry.allowances.lock().epochs.propose(&live) else {
+        return;
+    };
+    {
+        let mut proposed = entry.peers.proposed.lock();
+        let recently = proposed.is_some_and(|at| now - at < PROPOSE_INTERVAL);
+        if recently {
+            return;
+        }
+        *proposed = Some(now);
+    }
+    let entry = entry.clone();
+    tokio::task::spawn_blocking(move || write_division(&entry, division));
+}
+
+/// Entries that should hold slices: those that beat, and holders that are not
+/// proven gone, who may be paused and come back.
+fn live_entries(entry: &Entry, now: time::Instant) -> collections::BTreeSet<Name> {
+    let roster = entry.peers.roster.lock();
+    let mut live: collections::BTreeSet<Name> = roster
+        .linked()
+        .filter(|(host, identity)| {
+            identity.role == Role::Entry
+                && matches!(
+                    roster.standing(&host.name, now),
+                    Standing::Serving | Standing::Suspect
+                )
+        })
+        .map(|(host, _)| host.name.clone())
+        .collect();
+    let allowances = entry.allowances.lock();
+    let heard = entry.peers.heard.lock();
+    if let Some(division) = allowances.epochs.division() {
+        let paused = division.holders.iter().filter(|h| {
+            let listed = roster.listed(h);
+            let silent = heard
+                .get(*h)
+                .is_none_or(|at| now.saturating_duration_since(*at) > GUARD);
+            let leaving = roster.standing(h, now) == Standing::Leaving;
+            (listed || !silent) && !leaving
+        });
+        live.extend(paused.cloned());
+    }
+    if entry.heart.get().draining || roster.leaving(&entry.settings.host) {
+        live.remove(&entry.settings.host);
+    } else {
+        live.insert(entry.settings.host.clone());
+    }
+    live
+}
+
+fn write_division(entry: &Entry, division: quota::Division) {
+    let client = store::Client::new(entry.settings.store);
+    let known = *entry.peers.division.lock();
+    let record = DivisionRecord {
+        division,
+        writer: format!("{}-{:x}", entry.settings.host, rand::random::<u64>()),
+    };
+    let Ok(value) = serde_json::to_vec(&record) else {
+        return;
+    };
+    match client.swap_surely(store::EPOCH_KEY, known, &value) {
+        Ok(store::Swap::Done(revision)) => entry.adopt(record.division, Some(revision)),
+        Ok(store::Swap::Lost(Some(now))) => {
+            if let Ok(record) = serde_json::from_slice::<DivisionRecord>(&now.value) {
+                entry.adopt(record.division, Some(now.revision));
+            }
+        }
+        Ok(store::Swap::Lost(None)) => {}
+        Err(error) => trace::Line::new("division_unwritten")
+            .with("error", error)
+            .debug(),
+    }
+}
+
+fn role_of(role: border::Role) -> Role {
+    match role {
+        border::Role::Entry => Role::Entry,
+        border::Role::Prefill => Role::Prefill,
+        border::Role::Decode => Role::Decode,
+        border::Role::Service => Role::Service,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/runner.rs
@@ -0,0 +1,448 @@
+//! Carries out what a journey decides.
+
+use crate::entry::admit::Charge;
+use crate::entry::ask::Ask;
+use crate::entry::core::Decisions;
+use crate::entry::core::Entry;
+use route::Action;
+use route::Event;
+use route::Failure;
+use route::Fault;
+use route::Journey;
+use route::Pick;
+use std::collections;
+use std::sync;
+use std::time;
+use tokio::sync::mpsc;
+use tokio::task;
+use wire::api::AgentClient;
+use wire::api::EntryClient;
+use wire::border;
+use world::Name;
+
+/// What the caller's side of a request hears.
+#[derive(Debug)]
+pub(crate) enum Output {
+    /// The next token's text.
+    Text(String),
+    /// The answer is whole: how it ended and its tokens.
+    Finish(String, u32),
+    /// There will be no whole answer. The flag tells that nothing has run.
+    Fail(Failure, bool),
+}
+
+/// One request and all that is open for it.
+pub(crate) struct Runner {
+    entry: sync::Arc<Entry>,
+    ask: sync::Arc<Ask>,
+    request: String,
+    key: Name,
+    organisation: Name,
+    due: time::Instant,
+    journey: Journey,
+    charge: Charge,
+    events: mpsc::UnboundedReceiver<Event>,
+    sender: mpsc::UnboundedSender<Event>,
+    seats: collections::BTreeMap<(u32, Name), task::AbortHandle>,
+    prefill: Option<Prefilling>,
+    answer: String,
+    output: mpsc::UnboundedSender<Output>,
+    hop: trace::Hop,
+}
+
+/// An open prefill, and its result once it is ready.
+struct Prefilling {
+    run: u32,
+    abort: task::AbortHandle,
+    ready: sync::Arc<sync::OnceLock<Ready>>,
+}
+
+/// Where a result can be fetched.
+#[derive(Clone, Debug)]
+struct Ready {
+    source: String,
+    kv: String,
+}
+
+/// Who asks.
+pub(crate) struct Caller {
+    pub request: String,
+    pub key: Name,
+    pub organisation: Name,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        entry: sync::Arc<Entry>,
+        ask: sync::Arc<Ask>,
+        caller: Caller,
+        charge: Charge,
+        output: mpsc::UnboundedSender<Output>,
+        hop: trace::Hop,
+    ) -> Self {
+        let (sender, events) = mpsc::unbounded_channel();
+        let work = route::Work {
+            upstream: ask.upstream.clone(),
+            digest: route::Digest::of_content(&ask.model, &ask.prompt),
+            blocks: route::Blocks::of_prompt(&ask.prompt),
+            tokens: ask.tokens,
+            max: ask.max,
+            pieces: route::pieces_for(ask.tokens, u64::from(ask.max)),
+        };
+        Self {
+            due: time::Instant::now() + ask.class.first(),
+            journey: Journey::new(work),
+            request: caller.request,
+            key: caller.key,
+            organisation: caller.organisation,
+            entry,
+            ask,
+            charge,
+            events,
+            sender,
+            seats: collections::BTreeMap::new(),
+            prefill: None,
+            answer: String::new(),
+            output,
+            hop,
+        }
+    }
+
+    /// Runs the request to its end.
+    pub(crate) async fn run(mut self) {
+        let mut revision = self.entry.revision.subscribe();
+        let actions = self.decide(None);
+        let mut over = self.act(actions);
+        while !over {
+            let event = tokio::select! {
+                event = self.events.recv() => event,
+                () = self.output.closed() => Some(Event::Gone),
+                changed = revision.changed() => {
+                    let withdrawn = changed.is_ok() && !self.entry.in_force(&self.key);
+                    withdrawn.then_some(Event::Withdrawn)
+                }
+            };
+            let Some(event) = event else { continue };
+            let actions = self.decide(Some(event));
+            over = self.act(actions);
+        }
+        let wasted = self.journey.wasted();
+        metrics::counter!("hornbeampitch_wasted_prefill_tokens_total").increment(wasted);
+    }
+
+    /// Asks the journey, under the lock that all decisions share.
+    fn decide(&mut self, event: Option<Event>) -> Vec<Action> {
+        let mut decisions = self.entry.decisions.lock();
+        let Decisions {
+            fleet,
+            budget,
+            quarantine,
+            ..
+        } = &mut *decisions;
+        let mut cx = route::Context {
+            fleet,
+            budget,
+            quarantine,
+            now: time::Instant::now(),
+        };
+        match event {
+            None => self.journey.start(&mut cx),
+            Some(event) => self.journey.step(event, &mut cx),
+        }
+    }
+
+    /// Carries actions out; tells whether the request is over.
+    fn act(&mut self, actions: Vec<Action>) -> bool {
+        let mut over = false;
+        for action in actions {
+            match action {
+                Action::Bid(round, host) => self.bid(round, host),
+                Action::Drop(round, host) => self.drop_seat(round, &host),
+                Action::Prefill(run, pick) => self.start_prefill(run, pick),
+                Action::DropPrefill(run) => self.drop_prefill(run),
+                Action::Start(round, host, offset) => self.start(round, host, offset),
+                Action::Emit(text) => self.emit(text),
+                Action::Finish(finish, tokens) => {
+                    self.finish(finish, tokens);
+                    over = true;
+                }
+                Action::Fail(failure) => {
+                    self.fail(failure);
+                    over = true;
+                }
+                Action::Report(digest, id) => self.report_crash(digest, &id),
+                Action::Wake(wait) => self.wake(wait),
+            }
+        }
+        over
+    }
+
+    fn bid(&mut self, round: u32, host: Name) {
+        let bid = border::Bid {
+            request: self.request.clone(),
+            attempt: round,
+            organisation: self.organisation.to_string(),
+            upstream: self.ask.upstream.to_string(),
+            pieces: route::pieces_for(self.ask.tokens, u64::from(self.ask.max)),
+            urgency: self.urgency(),
+            trace: self.hop.traceparent(),
+        };
+        let link = self.entry.peers.link(&host);
+        let events = self.sender.clone();
+        let name = host.clone();
+        let task = tokio::spawn(async move {
+            let fault = match link {
+                Some(link) => follow_seat(&link, bid, round, &name, &events).await,
+                None => Fault::Lost,
+            };
+            let _ = events.send(Event::DecodeFault(round, name, fault));
+        });
+        self.seats.insert((round, host), task.abort_handle());
+    }
+
+    /// Ends a subscription, which frees all that its agent holds for it.
+    fn drop_seat(&mut self, round: u32, host: &Name) {
+        if let Some(abort) = self.seats.remove(&(round, host.clone())) {
+            abort.abort();
+        }
+    }
+
+    fn start_prefill(&mut self, run: u32, pick: Pick) {
+        let ask = border::Prefill {
+            request: self.request.clone(),
+            attempt: run,
+            organisation: self.organisation.to_string(),
+            model: self.ask.model.to_string(),
+            prompt: format!("{}{}", self.ask.prompt, self.answer),
+            tokens: self.ask.tokens.saturating_sub(pick.cached).max(1),
+            urgency: self.urgency(),
+            trace: self.hop.traceparent(),
+        };
+        let link = self.entry.peers.link(&pick.host);
+        let events = self.sender.clone();
+        let ready = sync::Arc::new(sync::OnceLock::new());
+        let found = ready.clone();
+        let task = tokio::spawn(async move {
+            let fault = match link {
+                Some(link) => follow_prefill(&link, ask, run, &found, &events).await,
+                None => Fault::Lost,
+            };
+            let _ = events.send(Event::PrefillFault(run, fault));
+        });
+        self.charge.spend(self.ask.tokens);
+        self.prefill = Some(Prefilling {
+            run,
+            abort: task.abort_handle(),
+            ready,
+        });
+    }
+
+    fn drop_prefill(&mut self, run: u32) {
+        if let Some(prefill) = self.prefill.take_if(|p| p.run == run) {
+            prefill.abort.abort();
+        }
+    }
+
+    fn start(&mut self, round: u32, host: Name, offset: u32) {
+        let ready = self.prefill.as_ref().and_then(|p| p.ready.get().cloned());
+        let Some(ready) = ready else {
+            let _ = self
+                .sender
+                .send(Event::DecodeFault(round, host, Fault::Lost));
+            return;
+        };
+        let start = border::Start {
+            request: self.request.clone(),
+            attempt: round,
+            source: ready.source,
+            kv: ready.kv,
+            model: self.ask.model.to_string(),
+            prompt: self.ask.prompt.clone(),
+            max: self.ask.max,
+            offset,
+        };
+        let link = self.entry.peers.link(&host);
+        let events = self.sender.clone();
+        tokio::spawn(async move {
+            let started = match link {
+                Some(link) => link.start(start).await.unwrap_or(false),
+                None => false,
+            };
+            if !started {
+                let _ = events.send(Event::DecodeFault(round, host, Fault::Lost));
+            }
+        });
+    }
+
+    fn emit(&mut self, text: String) {
+        self.answer += &text;
+        let emitted = u64::from(self.journey.emitted());
+        if emitted == 1 {
+            let slack = self.due.saturating_duration_since(time::Instant::now());
+            let met = !slack.is_zero();
+            metrics::counter!("hornbeampitch_first_token_total", "met" => met.to_string())
+                .increment(1);
+        }
+        self.charge.spend(self.ask.tokens + emitted);
+        // A caller that has gone is noticed by the closed channel.
+        let _ = self.output.send(Output::Text(text));
+    }
+
+    fn finish(&mut self, finish: String, tokens: u32) {
+        let used = self.ask.tokens + u64::from(tokens);
+        self.entry
+            .decisions
+            .lock()
+            .shares
+            .serve(&self.organisation, used, time::Instant::now());
+        self.line("answered").with("tokens", tokens).info();
+        let _ = self.output.send(Output::Finish(finish, tokens));
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        self.hop.fail(&failure.to_string());
+        self.line("unanswered")
+            .with("reason", failure)
+            .with("emitted", self.journey.emitted())
+            .info();
+        let untouched = self.journey.untouched();
+        let _ = self.output.send(Output::Fail(failure, untouched));
+    }
+
+    fn wake(&self, wait: time::Duration) {
+        let events = self.sender.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            let _ = events.send(Event::Wake);
+        });
+    }
+
+    fn urgency(&self) -> border::Urgency {
+        let now = time::Instant::now();
+        let slack = self.due.saturating_duration_since(now).as_millis();
+        let rate = self
+            .entry
+            .contract()
+            .and_then(|c| c.contract.organisation(&self.organisation).map(|o| o.rate))
+            .unwrap_or(1);
+        let share = self
+            .entry
+            .decisions
+            .lock()
+            .shares
+            .share(&self.organisation, rate, now);
+        border::Urgency {
+            slack: i64::try_from(slack).unwrap_or(i64::MAX),
+            waits: self.ask.class.waits,
+            share,
+        }
+    }
+
+    /// Tells all other entries of a crash, since a resend may come in anywhere.
+    fn report_crash(&self, digest: route::Digest, id: &route::CrashId) {
+        self.line("crash_noted")
+            .with("digest", digest)
+            .with("host", &id.host)
+            .warn();
+        for (_, link) in self.entry.peers.entries() {
+            let crash = border::Crash {
+                digest: digest.to_string(),
+                host: id.host.to_string(),
+                count: id.count,
+            };
+            tokio::spawn(async move {
+                // An entry that is away hears of the next crash.
+                let _ = link.crash(crash).await;
+            });
+        }
+    }
+
+    fn line(&self, event: &str) -> trace::Line {
+        trace::Line::new(event)
+            .with("request", &self.request)
+            .with("organisation", &self.organisation)
+            .with("class", &self.ask.class.name)
+    }
+}
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        for abort in self.seats.values() {
+            abort.abort();
+        }
+        if let Some(prefill) = &self.prefill {
+            prefill.abort.abort();
+        }
+    }
+}
+
+/// Follows one bid to its end; returns why it ended.
+async fn follow_seat(
+    link: &wire::Link,
+    bid: border::Bid,
+    round: u32,
+    host: &Name,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Fault {
+    let Ok(mut told) = link.decode(bid).await else {
+        return Fault::Lost;
+    };
+    while let Some(Ok(event)) = told.next().await {
+        let event = match event {
+            border::DecodeEvent::Granted => Event::Granted(round, host.clone()),
+            border::DecodeEvent::Imported { micros } => {
+                Event::Imported(round, time::Duration::from_micros(micros))
+            }
+            border::DecodeEvent::Chunk { offset, text } => Event::Chunk(round, offset, text),
+            border::DecodeEvent::End { finish, tokens } => Event::End(round, finish, tokens),
+            border::DecodeEvent::Fault { fault } => return fault_of(&fault),
+        };
+        if events.send(event).is_err() {
+            return Fault::Lost;
+        }
+    }
+    Fault::Lost
+}
+
+/// Follows one prefill to its end; returns why it ended.
+async fn follow_prefill(
+    link: &wire::Link,
+    ask: border::Prefill,
+    run: u32,
+    ready: &sync::OnceLock<Ready>,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Fault {
+    let Ok(mut told) = link.prefill(ask).await else {
+        return Fault::Lost;
+    };
+    while let Some(Ok(event)) = told.next().await {
+        match event {
+            border::PrefillEvent::Started => {}
+            border::PrefillEvent::Ready {
+                source,
+                kv,
+                cached,
+                tokens,
+                ..
+            } => {
+                let _ = ready.set(Ready { source, kv });
+                if events.send(Event::Ready(run, tokens, cached)).is_err() {
+                    return Fault::Lost;
+                }
+            }
+            border::PrefillEvent::Fault { fault } => return fault_of(&fault),
+        }
+    }
+    Fault::Lost
+}
+
+fn fault_of(fault: &border::Fault) -> Fault {
+    match fault.kind {
+        border::FaultKind::Draining => Fault::Draining,
+        border::FaultKind::Stalled => Fault::Stalled,
+        border::FaultKind::Lost => Fault::Lost,
+        border::FaultKind::Crashed => Fault::Crashed(fault.crash.unwrap_or(0)),
+        border::FaultKind::Expired => Fault::Expired,
+        border::FaultKind::Invalid | border::FaultKind::Quarantined => Fault::Invalid,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,9 @@
+//! The daemon `hornbeampitchd`; its role comes from its settings file.
+
+use std::env;
+use std::process;
+
+fn main() -> process::ExitCode {
+    let words: Vec<String> = env::args().skip(1).collect();
+    daemon::run(&words)
+}
--- /dev/null
+++ b/crates/engine/src/errors.rs
@@ -0,0 +1,51 @@
+//! What can go wrong at an engine.
+
+/// Why an engine's call failed.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum EngineError {
+    /// The connection was refused or broke: the engine may have died.
+    #[display("the engine is gone: {_0}")]
+    Gone(#[error(not(source))] String),
+    /// The engine is connected but nothing came for too long.
+    #[display("the engine has stalled")]
+    Stalled,
+    /// The prefilled result had died before it was imported.
+    #[display("the prefilled result has expired")]
+    Expired,
+    /// The request was cancelled.
+    #[display("the request was cancelled")]
+    Cancelled,
+    /// The order carried an old fencing number.
+    #[display("the engine has seen a newer fencing number")]
+    Fenced,
+    /// The engine refused for another reason.
+    #[display("the engine refused with status {_0}")]
+    Refused(#[error(not(source))] u16),
+}
+
+impl EngineError {
+    pub(crate) fn of_status(status: u16) -> Self {
+        match status {
+            409 => EngineError::Fenced,
+            410 => EngineError::Expired,
+            499 => EngineError::Cancelled,
+            other => EngineError::Refused(other),
+        }
+    }
+
+    pub(crate) fn of_http(error: ureq::Error) -> Self {
+        match error {
+            ureq::Error::Timeout(ureq::Timeout::Connect) => EngineError::Gone(error.to_string()),
+            ureq::Error::Timeout(_) => EngineError::Stalled,
+            ureq::Error::Io(io) => Self::of_io(&io),
+            other => EngineError::Gone(other.to_string()),
+        }
+    }
+
+    pub(crate) fn of_io(error: &std::io::Error) -> Self {
+        match error.kind() {
+            std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => EngineError::Stalled,
+            _ => EngineError::Gone(error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/lab.rs
@@ -0,0 +1,357 @@
+//! One organisation's whole site on loopback: stand-ins, and real daemons as
+//! processes of their own.
+
+use crate::engine::Engine;
+use crate::engine::EngineConfig;
+use crate::hosts::Hosts;
+use crate::service::Service;
+use crate::store::Store;
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+use world::Host;
+use world::HostState;
+use world::Role;
+
+/// Shared by the processes of a lab.
+pub const SECRET: &str = "a-secret-of-this-lab-only";
+
+/// How many of what stand where.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// The availability zones.
+    pub zones: Vec<&'static str>,
+    /// Entries.
+    pub entries: usize,
+    /// Prefill engines.
+    pub prefills: usize,
+    /// Decode engines.
+    pub decodes: usize,
+    /// Plain services.
+    pub services: usize,
+    /// The model's upstream.
+    pub model: &'static str,
+    /// The services' upstream.
+    pub service: &'static str,
+    /// How placement is decided.
+    pub policy: &'static str,
+    /// What the engines are like.
+    pub engine: EngineConfig,
+}
+
+impl Shape {
+    /// Four zones, nine engines and four services.
+    pub fn te_awa_ridge() -> Self {
+        Self {
+            zones: vec!["ruahine", "tararua", "kaimanawa", "whanganui"],
+            entries: 3,
+            prefills: 3,
+            decodes: 6,
+            services: 4,
+            model: "summary",
+            service: "dispatch",
+            policy: "goodput",
+            engine: EngineConfig::default(),
+        }
+    }
+
+    /// Three zones, eighteen engines and three services.
+    pub fn souss() -> Self {
+        Self {
+            zones: vec!["agadir", "taroudant", "tiznit"],
+            entries: 3,
+            prefills: 6,
+            decodes: 12,
+            services: 3,
+            model: "redaction",
+            service: "counter",
+            policy: "goodput",
+            engine: EngineConfig::default(),
+        }
+    }
+
+    /// The least that serves: for tests of one failure at a time.
+    pub fn small() -> Self {
+        Self {
+            zones: vec!["ruahine", "tararua"],
+            entries: 1,
+            prefills: 1,
+            decodes: 2,
+            services: 1,
+            ..Self::te_awa_ridge()
+        }
+    }
+}
+
+/// A daemon's process.
+pub struct Daemon {
+    /// Its host's name.
+    pub host: String,
+    /// Where peers reach it.
+    pub listen: net::SocketAddr,
+    /// Where operators read its metrics.
+    pub admin: net::SocketAddr,
+    /// Where callers reach it; entries only.
+    pub callers: Option<net::SocketAddr>,
+    settings: path::PathBuf,
+    log: path::PathBuf,
+    child: Option<process::Child>,
+}
+
+/// The site.
+pub struct Lab {
+    /// The key-value service.
+    pub store: Store,
+    /// The list of hosts.
+    pub hosts: Hosts,
+    /// Prefill engines, in the order of their agents.
+    pub prefills: Vec<Engine>,
+    /// Decode engines, in the order of their agents.
+    pub decodes: Vec<Engine>,
+    /// Plain services, in the order of their agents.
+    pub services: Vec<Service>,
+    /// Entries first, then agents of prefills, decodes and services.
+    pub daemons: Vec<Daemon>,
+    /// Where settings and logs are written.
+    pub folder: path::PathBuf,
+    shape: Shape,
+    program: path::PathBuf,
+    words: Vec<String>,
+}
+
+/// Finds a port that is free now.
+pub fn free_address() -> net::SocketAddr {
+    let bound = net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    bound.local_addr().expect("a bound socket has an address")
+}
+
+impl Lab {
+    /// Starts everything. `program` with `words` before the settings' path is
+    /// the daemon.
+    pub fn start(shape: Shape, program: &path::Path, words: &[&str]) -> Self {
+        let mut lab = Self::prepare(shape, program, words);
+        for i in 0..lab.daemons.len() {
+            lab.spawn(i);
+        }
+        lab
+    }
+
+    /// Starts the stand-ins and writes the settings, but starts no daemon.
+    pub fn prepare(shape: Shape, program: &path::Path, words: &[&str]) -> Self {
+        let unique = format!("hornbeampitch-{}-{}", process::id(), free_address().port());
+        let folder = std::env::temp_dir().join(unique);
+        fs::create_dir_all(&folder).expect("the temporary folder takes files");
+        let any = || ([127, 0, 0, 1], 0).into();
+        let engines = |n: usize| -> Vec<Engine> {
+            (0..n)
+                .map(|_| Engine::start(any(), shape.engine.clone()))
+                .collect()
+        };
+        let mut lab = Self {
+            store: Store::start(any()),
+            hosts: Hosts::start(),
+            prefills: engines(shape.prefills),
+            decodes: engines(shape.decodes),
+            services: (0..shape.services).map(|_| Service::start(any())).collect(),
+            daemons: Vec::new(),
+            folder,
+            program: program.to_owned(),
+            words: words.iter().map(|w| (*w).to_owned()).collect(),
+            shape,
+        };
+        lab.lay_out();
+        lab
+    }
+
+    fn lay_out(&mut self) {
+        for _ in 0..self.shape.entries {
+            self.add(Role::Entry, None);
+        }
+        let prefills: Vec<_> = self.prefills.iter().map(Engine::address).collect();
+        let decodes: Vec<_> = self.decodes.iter().map(Engine::address).collect();
+        let services: Vec<_> = self.services.iter().map(Service::address).collect();
+        for address in prefills {
+            self.add(Role::Prefill, Some(address));
+        }
+        for address in decodes {
+            self.add(Role::Decode, Some(address));
+        }
+        for address in services {
+            self.add(Role::Service, Some(address));
+        }
+    }
+
+    /// Writes the settings of one more daemon and lists its host.
+    pub fn add(&mut self, role: Role, upstream: Option<net::SocketAddr>) -> usize {
+        let same = self
+            .daemons
+            .iter()
+            .filter(|d| d.host.starts_with(role.word()))
+            .count();
+        let host = format!("{}-{}", role.word(), same + 1);
+        let zone = self.shape.zones[same % self.shape.zones.len()];
+        let daemon = Daemon {
+            listen: free_address(),
+            admin: free_address(),
+            callers: (role == Role::Entry).then(free_address),
+            settings: self.folder.join(format!("{host}.yaml")),
+            log: self.folder.join(format!("{host}.log")),
+            child: None,
+            host: host.clone(),
+        };
+        let text = self.settings_text(&daemon, zone, role, upstream);
+        fs::write(&daemon.settings, text).expect("the temporary folder takes files");
+        self.hosts.add(Host {
+            name: host.into(),
+            address: daemon.listen,
+            zone: zone.into(),
+            state: HostState::Live,
+        });
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    fn settings_text(
+        &self,
+        daemon: &Daemon,
+        zone: &str,
+        role: Role,
+        upstream: Option<net::SocketAddr>,
+    ) -> String {
+        let mut text = format!(
+            "host: {}\nzone: {zone}\nrole: {}\nlisten: {}\nadmin: {}\nstore: {}\nhosts: {}\nsecrets:\n  - {SECRET}\nlog: info\n",
+            daemon.host,
+            role.word(),
+            daemon.listen,
+            daemon.admin,
+            self.store.address(),
+            self.hosts.address(),
+        );
+        if let Some(callers) = daemon.callers {
+            text += &format!("callers: {callers}\npolicy: {}\n", self.shape.policy);
+        }
+        if let Some(address) = upstream {
+            let name = match role {
+                Role::Service => self.shape.service,
+                Role::Entry | Role::Prefill | Role::Decode => self.shape.model,
+            };
+            let engine = &self.shape.engine;
+            text += &format!(
+                "upstream:\n  name: {name}\n  address: {address}\n  fencing: {}\n  seats: {}\n  pieces: {}\n",
+                engine.fencing, engine.seats, engine.pieces
+            );
+        }
+        text
+    }
+
+    /// Starts a daemon's process.
+    pub fn spawn(&mut self, i: usize) {
+        let daemon = &mut self.daemons[i];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&daemon.log)
+            .expect("the temporary folder takes files");
+        let child = process::Command::new(&self.program)
+            .args(&self.words)
+            .arg(&daemon.settings)
+            .stdin(process::Stdio::null())
+            .stdout(log.try_clone().expect("a file can be shared"))
+            .stderr(log)
+            .spawn()
+            .expect("the daemon's program can be started");
+        daemon.child = Some(child);
+    }
+
+    /// Finds a daemon by its host's name.
+    pub fn find(&self, host: &str) -> usize {
+        let found = self.daemons.iter().position(|d| d.host == host);
+        found.expect("the lab has this host")
+    }
+
+    /// Where callers reach the n-th entry.
+    pub fn callers(&self, n: usize) -> net::SocketAddr {
+        self.daemons[n].callers.expect("entries come first")
+    }
+
+    /// What the client needs to know of this site, as its settings file.
+    pub fn client_settings(&self) -> path::PathBuf {
+        let path = self.folder.join("client.yaml");
+        let text = format!(
+            "store: {}\nhosts: {}\nsecrets:\n  - {SECRET}\n",
+            self.store.address(),
+            self.hosts.address()
+        );
+        fs::write(&path, text).expect("the temporary folder takes files");
+        path
+    }
+
+    /// Requests that hold memory at any engine.
+    pub fn held(&self) -> Vec<String> {
+        let engines = self.prefills.iter().chain(&self.decodes);
+        engines.flat_map(Engine::held).collect()
+    }
+
+    /// Waits until a condition holds; gives false where it never does.
+    pub fn wait(&self, limit: time::Duration, condition: impl Fn(&Self) -> bool) -> bool {
+        let end = time::Instant::now() + limit;
+        while time::Instant::now() < end {
+            if condition(self) {
+                return true;
+            }
+            thread::sleep(time::Duration::from_millis(10));
+        }
+        condition(self)
+    }
+}
+
+impl Daemon {
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// The process, if it was started and not killed.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(process::Child::id)
+    }
+
+    /// Waits for the process to end by itself; gives its exit code.
+    pub fn join(&mut self, limit: time::Duration) -> Option<i32> {
+        let end = time::Instant::now() + limit;
+        let child = self.child.as_mut()?;
+        while time::Instant::now() < end {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.child = None;
+                return status.code();
+            }
+            thread::sleep(time::Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// What the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        if !thread::panicking() {
+            // Left behind only where a test failed and its logs are wanted.
+            let _: io::Result<()> = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,19 @@
+//! Small stand-ins for the outside systems, for tests and the demo only.
+//!
+//! Each serves the protocol of the real system on loopback, from a runtime of
+//! its own, so that a test can kill it as a host's failure would.
+
+mod answer;
+mod engine;
+mod hosts;
+mod lab;
+mod service;
+mod site;
+mod store;
+
+pub use answer::{answer_text, answer_tokens, prompt_tokens};
+pub use engine::{Engine, EngineConfig, Stats};
+pub use hosts::Hosts;
+pub use lab::{Daemon, Lab, Shape, free_address};
+pub use service::{Execution, Service, Trouble};
+pub use store::{Calls, Mode, Store};
--- /dev/null
+++ b/crates/quota/src/escrow.rs
@@ -0,0 +1,123 @@
+use crate::bucket::Bucket;
+use crate::bucket::ChargeId;
+use std::collections;
+use std::time;
+use world::Name;
+use world::Organisation;
+
+/// Whether a request is within its organisation's allowance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It was charged.
+    Admitted,
+    /// This entry's slice lacks so many tokens; peers may lend them.
+    Short(f64),
+    /// It needs more than the organisation's whole burst.
+    TooLarge,
+}
+
+/// This entry's slices of all organisations' allowances.
+#[derive(Clone, Debug)]
+pub struct Escrow {
+    part: f64,
+    slices: collections::BTreeMap<Name, Slice>,
+}
+
+#[derive(Clone, Debug)]
+struct Slice {
+    organisation: Organisation,
+    bucket: Bucket,
+}
+
+impl Escrow {
+    /// Begins without slices.
+    pub fn new() -> Self {
+        Self {
+            part: 0.0,
+            slices: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes the organisations of a configuration and this entry's part.
+    pub fn divide(&mut self, organisations: &[Organisation], part: f64, now: time::Instant) {
+        self.part = part;
+        self.slices
+            .retain(|name, _| organisations.iter().any(|o| o.name == *name));
+        for organisation in organisations {
+            let rate = organisation.rate as f64 * part;
+            let burst = organisation.burst as f64 * part;
+            let slice = self
+                .slices
+                .entry(organisation.name.clone())
+                .or_insert_with(|| Slice {
+                    organisation: organisation.clone(),
+                    bucket: Bucket::new(rate, burst, now),
+                });
+            slice.organisation = organisation.clone();
+            slice.bucket.resize(rate, burst, now);
+        }
+    }
+
+    /// Charges a request, with `lent` tokens that peers have subtracted.
+    pub fn charge(
+        &mut self,
+        organisation: &str,
+        id: &ChargeId,
+        tokens: u64,
+        lent: f64,
+        now: time::Instant,
+    ) -> Admission {
+        let Some(slice) = self.slices.get_mut(organisation) else {
+            return Admission::TooLarge;
+        };
+        if tokens > slice.organisation.burst {
+            return Admission::TooLarge;
+        }
+        let own = (tokens as f64 - lent).max(0.0);
+        if slice.bucket.charge(id.clone(), own, now) {
+            return Admission::Admitted;
+        }
+        Admission::Short(own - slice.bucket.level(now))
+    }
+
+    /// Lends tokens to a peer.
+    pub fn lend(
+        &mut self,
+        organisation: &str,
+        id: &ChargeId,
+        tokens: f64,
+        now: time::Instant,
+    ) -> f64 {
+        match self.slices.get_mut(organisation) {
+            Some(slice) => slice.bucket.lend(id.clone(), tokens, now),
+            None => 0.0,
+        }
+    }
+
+    /// Settles a charge or a loan to what was used.
+    pub fn settle(&mut self, organisation: &str, id: &ChargeId, used: f64, now: time::Instant) {
+        if let Some(slice) = self.slices.get_mut(organisation) {
+            slice.bucket.settle(id, used, now);
+        }
+    }
+
+    /// Expects when the whole organisation will have `missing` tokens more.
+    pub fn wait(&self, organisation: &str, missing: f64) -> time::Duration {
+        let rate = self
+            .slices
+            .get(organisation)
+            .map_or(1.0, |s| s.organisation.rate as f64);
+        time::Duration::from_secs_f64((missing / rate.max(1.0)).clamp(0.0, 86_400.0))
+    }
+
+    /// The part of every allowance that this entry may spend.
+    pub fn part(&self) -> f64 {
+        self.part
+    }
+}
+
+impl Default for Escrow {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/route/src/fleet.rs
@@ -0,0 +1,309 @@
+use crate::links::Links;
+use crate::prefix::Blocks;
+use crate::prefix::Prefixes;
+use conf::Policy;
+use std::cmp;
+use std::collections;
+use std::time;
+use world::Name;
+use world::Role;
+
+/// Decode agents that one request bids at; the first to grant wins.
+const BIDS: usize = 4;
+
+/// An agent's load as it was last reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Free decode seats.
+    pub seats: u32,
+    /// Free pieces of engine memory.
+    pub pieces: u32,
+    /// Bids that wait.
+    pub waiting: u32,
+    /// Prompt tokens that wait.
+    pub backlog: u64,
+    /// Measured speed, in tokens per second.
+    pub pace: f64,
+}
+
+/// What an entry believes of one agent.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Its availability zone.
+    pub zone: Name,
+    /// Its role.
+    pub role: Role,
+    /// Its upstream.
+    pub upstream: Name,
+    /// Whether it may be given work.
+    pub serving: bool,
+    /// Its load.
+    pub report: Report,
+    /// Bids sent since the report.
+    sent_bids: u32,
+    /// Prompt tokens sent since the report.
+    sent_tokens: u64,
+    /// Suspects of crashes that run there now.
+    suspects: u32,
+}
+
+impl View {
+    /// Begins with an agent that has reported nothing yet.
+    pub fn new(zone: Name, role: Role, upstream: Name) -> Self {
+        Self {
+            zone,
+            role,
+            upstream,
+            serving: true,
+            report: Report::default(),
+            sent_bids: 0,
+            sent_tokens: 0,
+            suspects: 0,
+        }
+    }
+}
+
+/// A prefill agent that was chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The agent's host.
+    pub host: Name,
+    /// Tokens that it has probably cached.
+    pub cached: u64,
+}
+
+/// All agents as one entry sees them. The views may be stale: agents decide.
+pub struct Fleet {
+    policy: Policy,
+    views: collections::BTreeMap<Name, View>,
+    prefixes: Prefixes,
+    links: Links,
+    turn: usize,
+}
+
+impl Fleet {
+    /// Begins without agents.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            views: collections::BTreeMap::new(),
+            prefixes: Prefixes::default(),
+            links: Links::default(),
+            turn: 0,
+        }
+    }
+
+    /// Takes a new agent, or one that started anew.
+    pub fn join(&mut self, host: Name, view: View) {
+        self.prefixes.forget(&host);
+        self.views.insert(host, view);
+    }
+
+    /// Forgets an agent.
+    pub fn leave(&mut self, host: &str) {
+        self.prefixes.forget(host);
+        self.views.remove(host);
+    }
+
+    /// Takes a report.
+    pub fn report(&mut self, host: &str, report: Report) {
+        if let Some(view) = self.views.get_mut(host) {
+            view.report = report;
+            view.sent_bids = 0;
+            view.sent_tokens = 0;
+        }
+    }
+
+    /// Notes whether an agent may be given work.
+    pub fn stand(&mut self, host: &str, serving: bool) {
+        if let Some(view) = self.views.get_mut(host) {
+            view.serving = serving;
+        }
+    }
+
+    /// Finds an agent.
+    pub fn view(&self, host: &str) -> Option<&View> {
+        self.views.get(host)
+    }
+
+    /// All agents in the order of their names.
+    pub fn views(&self) -> impl Iterator<Item = (&Name, &View)> {
+        self.views.iter()
+    }
+
+    /// Counts the agents that may be given work.
+    pub fn serving(&self, upstream: &str, role: Role) -> usize {
+        self.candidates(upstream, role).count()
+    }
+
+    /// Chooses decode agents to bid at. A suspect of a crash goes where no
+    /// other suspect runs, so that the guilty one is found.
+    pub fn choose_decode(&mut self, upstream: &str, pieces: u32, suspect: bool) -> Vec<Name> {
+        let mut hosts: Vec<Name> = self
+            .candidates(upstream, Role::Decode)
+            .filter(|(_, v)| !suspect || v.suspects == 0)
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.rotate(&mut hosts);
+        let most = match self.policy {
+            Policy::Goodput if !suspect => BIDS,
+            _ => 1,
+        };
+        match self.policy {
+            Policy::RoundRobin => {}
+            Policy::LeastLoaded | Policy::Prefix | Policy::Goodput => {
+                hosts.sort_by_key(|name| decode_load(&self.views[name], pieces));
+            }
+        }
+        hosts.truncate(most);
+        for name in &hosts {
+            if let Some(view) = self.views.get_mut(name) {
+                view.sent_bids += 1;
+            }
+        }
+        hosts
+    }
+
+    /// Finds another agent with a free seat for one that waits elsewhere.
+    pub fn choose_free(&mut self, upstream: &str, pieces: u32, bids: &[Name]) -> Option<Name> {
+        let (name, _) = self
+            .candidates(upstream, Role::Decode)
+            .filter(|(name, _)| !bids.contains(name))
+            .find(|(_, v)| v.report.seats > v.sent_bids && v.report.pieces >= pieces)?;
+        let name = name.clone();
+        if let Some(view) = self.views.get_mut(&name) {
+            view.sent_bids += 1;
+        }
+        Some(name)
+    }
+
+    /// Chooses where to prefill for a seat at `decode`, apart from `not`.
+    pub fn choose_prefill(
+        &mut self,
+        upstream: &str,
+        decode: &str,
+        tokens: u64,
+        blocks: &Blocks,
+        not: Option<&Name>,
+    ) -> Option<Pick> {
+        let mut hosts: Vec<Name> = self
+            .candidates(upstream, Role::Prefill)
+            .map(|(name, _)| name.clone())
+            .collect();
+        if hosts.len() > 1 {
+            hosts.retain(|h| Some(h) != not);
+        }
+        self.rotate(&mut hosts);
+        let zone = self.views.get(decode).map(|v| v.zone.clone());
+        let best = match self.policy {
+            Policy::RoundRobin => hosts.into_iter().next(),
+            Policy::LeastLoaded => hosts.into_iter().min_by_key(|h| self.queue(h)),
+            Policy::Prefix => hosts
+                .into_iter()
+                .min_by_key(|h| (cmp::Reverse(self.prefixes.expect(h, blocks)), self.queue(h))),
+            Policy::Goodput => hosts
+                .into_iter()
+                .min_by_key(|h| self.expect_prefill(h, zone.as_ref(), tokens, blocks)),
+        }?;
+        let cached = self.prefixes.expect(&best, blocks).min(tokens);
+        if let Some(view) = self.views.get_mut(&best) {
+            view.sent_tokens += tokens - cached;
+        }
+        self.prefixes.learn(&best, blocks);
+        Some(Pick { host: best, cached })
+    }
+
+    /// Expects the time from now until a prompt's result is at a decode zone.
+    pub fn expect_prefill(
+        &self,
+        host: &str,
+        zone: Option<&Name>,
+        tokens: u64,
+        blocks: &Blocks,
+    ) -> time::Duration {
+        let Some(view) = self.views.get(host) else {
+            return time::Duration::MAX;
+        };
+        let fresh = tokens.saturating_sub(self.prefixes.expect(host, blocks));
+        let ahead = view.report.backlog + view.sent_tokens;
+        let pace = view.report.pace.max(1.0);
+        let work = time::Duration::from_secs_f64((ahead + fresh) as f64 / pace);
+        let transfer = zone.map_or(time::Duration::ZERO, |zone| {
+            self.links.expect(&view.zone, zone, tokens)
+        });
+        work + transfer
+    }
+
+    /// Learns from a finished prefill how much was cached.
+    pub fn prefilled(&mut self, host: &Name, blocks: &Blocks, expected: u64, cached: u64) {
+        if cached < expected {
+            self.prefixes.correct(host, blocks, cached);
+            self.prefixes.learn(host, blocks);
+        }
+    }
+
+    /// Learns from a finished transfer.
+    pub fn transferred(&mut self, from: &str, to: &str, tokens: u64, took: time::Duration) {
+        let zones = (self.views.get(from), self.views.get(to));
+        if let (Some(from), Some(to)) = zones {
+            let (from, to) = (from.zone.clone(), to.zone.clone());
+            self.links.measure(&from, &to, tokens, took);
+        }
+    }
+
+    /// Notes that a suspect of a crash begins or ends at a host.
+    pub fn suspect(&mut self, host: &str, begins: bool) {
+        if let Some(view) = self.views.get_mut(host) {
+            view.suspects = match begins {
+                true => view.suspects + 1,
+                false => view.suspects.saturating_sub(1),
+            };
+        }
+    }
+
+    /// Chooses an agent of a plain service: the least busy in its turn.
+    pub fn choose_service(&mut self, upstream: &str, not: &[Name]) -> Option<Name> {
+        let mut hosts = self.services(upstream);
+        hosts.retain(|h| !not.contains(h));
+        self.rotate(&mut hosts);
+        hosts.sort_by_key(|name| self.views[name].report.waiting);
+        hosts.into_iter().next()
+    }
+
+    /// Lists the agents of a plain service that may be given work.
+    pub fn services(&self, upstream: &str) -> Vec<Name> {
+        self.candidates(upstream, Role::Service)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    fn candidates(&self, upstream: &str, role: Role) -> impl Iterator<Item = (&Name, &View)> {
+        self.views
+            .iter()
+            .filter(move |(_, v)| v.serving && v.role == role && &*v.upstream == upstream)
+    }
+
+    fn queue(&self, host: &str) -> u64 {
+        self.views
+            .get(host)
+            .map_or(u64::MAX, |v| v.report.backlog + v.sent_tokens)
+    }
+
+    /// Begins each choice one further, so that equals are used in turn.
+    fn rotate(&mut self, hosts: &mut [Name]) {
+        if hosts.is_empty() {
+            return;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let by = self.turn % hosts.len();
+        hosts.rotate_left(by);
+    }
+}
+
+/// Orders decode agents: those with room first, then by what waits.
+fn decode_load(view: &View, pieces: u32) -> (bool, u32, cmp::Reverse<u32>) {
+    let free = view.report.seats.saturating_sub(view.sent_bids);
+    let room = free > 0 && view.report.pieces >= pieces;
+    let waiting = view.report.waiting + view.sent_bids;
+    (!room, waiting, cmp::Reverse(free))
+}
--- /dev/null
+++ b/crates/route/src/urgency.rs
@@ -0,0 +1,48 @@
+use std::time;
+
+/// Slacks closer than this count as equal, so that fairness decides.
+const QUANTUM: time::Duration = time::Duration::from_millis(50);
+
+/// How pressing a request is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Urgency {
+    /// When its first token is due.
+    pub due: time::Instant,
+    /// Whether its class yields to others.
+    pub waits: bool,
+    /// The part of its allowance that its organisation has used lately.
+    pub share: f64,
+}
+
+/// The order in which waiting work is taken; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    band: Band,
+    slack: u128,
+    share: u64,
+}
+
+/// Work that can still meet its target goes before work that cannot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Band {
+    Pressed,
+    Yielding,
+    Late,
+}
+
+impl Urgency {
+    /// Ranks the request at `now`, if it still needs `work` to its first token.
+    pub(crate) fn rank(&self, now: time::Instant, work: time::Duration) -> Rank {
+        let slack = self.due.saturating_duration_since(now + work);
+        let band = match (slack.is_zero(), self.waits) {
+            (true, _) => Band::Late,
+            (false, true) => Band::Yielding,
+            (false, false) => Band::Pressed,
+        };
+        Rank {
+            band,
+            slack: slack.as_nanos() / QUANTUM.as_nanos(),
+            share: (self.share.max(0.0) * 1_000.0) as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/schema/examples/generate.rs
@@ -0,0 +1,22 @@
+//! Prints the border types for the schema file named by the first argument.
+
+use std::env;
+use std::fs;
+use std::process;
+
+fn main() -> process::ExitCode {
+    let Some(path) = env::args().nth(1) else {
+        eprintln!("usage: generate SCHEMA.json > BORDER.rs");
+        return process::ExitCode::from(2);
+    };
+    match fs::read_to_string(&path) {
+        Ok(text) => {
+            print!("{}", schema::border_source(&text));
+            process::ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{path}: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,28 @@
+//! Client of the platform's key-value service, over its JSON interface.
+//!
+//! The calls are those of etcd's gateway that this project needs: range, txn
+//! with one comparison, lease and watch. Each call is counted against a budget,
+//! since the service's rates grow more slowly than the fleet; see
+//! docs/DESIGN.md, "Store".
+
+mod backoff;
+mod budget;
+mod client;
+mod errors;
+mod message;
+mod watch;
+
+pub use backoff::Backoff;
+pub use budget::Budget;
+pub use client::{Client, Swap, Versioned};
+pub use errors::StoreError;
+pub use watch::Watch;
+
+/// Where the configuration lies.
+pub const CONF_KEY: &str = "hornbeampitch/conf";
+/// Where the division of allowances among entries lies.
+pub const EPOCH_KEY: &str = "hornbeampitch/epoch";
+/// Where fencing numbers lie, one for each upstream host.
+pub const FENCE_PREFIX: &str = "hornbeampitch/fence/";
+/// Where claims of calls that may run only once lie, by shard.
+pub const ONCE_PREFIX: &str = "hornbeampitch/once/";
--- /dev/null
+++ b/crates/trace/src/lib.rs
@@ -0,0 +1,8 @@
+//! What operators see: one log line for each event, one span for each hop.
+
+mod hop;
+mod line;
+mod sender;
+
+pub use hop::{Hop, Tracing, start_tracing};
+pub use line::{Line, start_logging};
--- /dev/null
+++ b/crates/trace/src/sender.rs
@@ -0,0 +1,37 @@
+//! Carries spans to the collector by the project's own HTTP library.
+
+use opentelemetry_http::HttpError;
+use std::time;
+
+const SEND_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+#[derive(Clone, Debug)]
+pub(crate) struct Sender {
+    agent: ureq::Agent,
+}
+
+impl Sender {
+    pub(crate) fn new() -> Self {
+        let agent = ureq::Agent::config_builder()
+            .timeout_global(Some(SEND_TIMEOUT))
+            .http_status_as_error(false)
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+}
+
+#[async_trait::async_trait]
+impl opentelemetry_http::HttpClient for Sender {
+    async fn send_bytes(
+        &self,
+        request: http::Request<bytes::Bytes>,
+    ) -> Result<http::Response<bytes::Bytes>, HttpError> {
+        let request = request.map(|body| body.to_vec());
+        // The exporter runs on a thread of its own, so blocking harms nobody.
+        let response = self.agent.run(request)?;
+        let (head, mut body) = response.into_parts();
+        let bytes = body.read_to_vec()?;
+        Ok(http::Response::from_parts(head, bytes.into()))
+    }
+}
--- /dev/null
+++ b/crates/web/src/lib.rs
@@ -0,0 +1,13 @@
+//! HTTP towards callers: a server whose streams leave as they come and whose
+//! stop cuts off nobody.
+//!
+//! Why this is `hyper` and not `astra` is told, with the measurement, in
+//! docs/LIBRARIES.md.
+
+mod body;
+mod server;
+
+pub use body::{Body, Feed, body_channel, read_body, whole};
+pub use hyper::body::Incoming;
+pub use hyper::{Method, Request, Response, StatusCode, header};
+pub use server::{Handler, Server};
--- /dev/null
+++ b/crates/world/src/contract.rs
@@ -0,0 +1,68 @@
+use crate::Class;
+use crate::Kind;
+use crate::Name;
+use crate::Organisation;
+use crate::Route;
+use crate::Upstream;
+
+/// A caller's key as the system keeps it: its secret part only as a hash.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Key {
+    /// The public part, by which the key is found and withdrawn.
+    pub id: Name,
+    /// Whose key it is.
+    pub organisation: Name,
+    /// SHA-256 of the secret part, in hexadecimal.
+    pub hash: Name,
+}
+
+/// Everything that operators have agreed with organisations, as one set that
+/// is accepted or refused whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Contract {
+    /// Classes of work.
+    pub classes: Vec<Class>,
+    /// Organisations and their allowances.
+    pub organisations: Vec<Organisation>,
+    /// Pools of engines and services.
+    pub upstreams: Vec<Upstream>,
+    /// Paths of plain services.
+    pub routes: Vec<Route>,
+    /// Keys in force.
+    pub keys: Vec<Key>,
+    /// Hosts that operators are emptying.
+    #[serde(default)]
+    pub drained: Vec<Name>,
+}
+
+impl Contract {
+    /// Finds a class by name.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().find(|c| &*c.name == name)
+    }
+
+    /// Finds an organisation by name.
+    pub fn organisation(&self, name: &str) -> Option<&Organisation> {
+        self.organisations.iter().find(|o| &*o.name == name)
+    }
+
+    /// Finds a key by its public part.
+    pub fn key(&self, id: &str) -> Option<&Key> {
+        self.keys.iter().find(|k| &*k.id == id)
+    }
+
+    /// Finds the upstream that serves a model.
+    pub fn model(&self, model: &str) -> Option<&Upstream> {
+        self.upstreams
+            .iter()
+            .find(|u| matches!(&u.kind, Kind::Model { model: m, .. } if &**m == model))
+    }
+
+    /// Finds the route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|r| path.starts_with(&*r.path))
+            .max_by_key(|r| r.path.len())
+    }
+}
--- /dev/null
+++ b/crates/world/src/upstream.rs
@@ -0,0 +1,45 @@
+use crate::Name;
+
+/// A pool of like engines or services, under the one name operators use.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Upstream {
+    /// The name that routes and agents' settings give.
+    pub name: Name,
+    /// What stands behind it.
+    pub kind: Kind,
+}
+
+/// What an upstream is made of.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase", tag = "type")]
+pub enum Kind {
+    /// Language-model engines, in a prefill and a decode pool.
+    Model {
+        /// The model as callers name it.
+        model: Name,
+        /// The class of requests that name none.
+        class: Name,
+    },
+    /// A plain HTTP service.
+    Service,
+}
+
+/// A path that leads to a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Route {
+    /// The prefix of the paths it covers.
+    pub path: Name,
+    /// The service's upstream.
+    pub upstream: Name,
+    /// Whether it may be called without a key.
+    pub open: bool,
+    /// Whether every call may be repeated; otherwise only reading methods may.
+    pub idempotent: bool,
+}
+
+impl Route {
+    /// Tells whether a call by this method may be sent a second time.
+    pub fn repeatable(&self, method: &str) -> bool {
+        self.idempotent || matches!(method, "GET" | "HEAD" | "OPTIONS")
+    }
+}
