Streams survive failures: agents avoided after trouble, absent engines no crash

A prompt was quarantined although it had crashed nothing: a refused connection to an engine being brought back counted as a crash. Refused connections are now told apart (Absent), and only a connection that broke during the call counts. 2. With one prefill engine's transfers stalled, a request ended in 'no_engine': each new attempt chose the same engine, whose queue was the shortest. An agent is now avoided for 2 s after a failure there, unless nobody is left. 3. Ports: a port taken from the ephemeral range was reused by an outgoing connection. The lab now takes ports below that range and hands over bound listeners. Ruled out: a lost cancel (engines were empty in every case).

--- a/crates/daemon/src/agent/worker.rs
+++ b/crates/daemon/src/agent/worker.rs
@@ -82,7 +82,9 @@
         for _ in 0..CANCEL_TRIES {
             match model.cancel(&id) {
                 // An engine that is gone holds nothing.
-                Ok(()) | Err(engine::EngineError::Gone(_)) => break,
+                Ok(()) | Err(engine::EngineError::Absent(_) | engine::EngineError::Gone(_)) => {
+                    break;
+                }
                 Err(_) => thread::sleep(CANCEL_WAIT),
             }
         }
--- a/crates/daemon/src/app/admin.rs
+++ b/crates/daemon/src/app/admin.rs
@@ -11,6 +11,9 @@
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0,
 ];
 
+/// Connections answered at a time; each holds a thread while it lasts.
+const WORKERS: usize = 8;
+
 /// The operators' port: metrics and health.
 pub(crate) struct Admin {
     healthy: sync::Arc<atomic::AtomicBool>,
@@ -39,7 +42,10 @@
                     answer(&request, &handle, flag.load(atomic::Ordering::Relaxed))
                 };
                 // It ends only with the process.
-                let _ = server.max_workers(2).serve(service);
+                let _ = server
+                    .http1_keep_alive(false)
+                    .max_workers(WORKERS)
+                    .serve(service);
             })
             .map_err(StartError::System)?;
         Ok(Self { healthy })
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -33,12 +33,10 @@
     let http = Http {
         entry: entry.clone(),
     };
-    let server = web::Server::start(callers, http)
-        .await
-        .map_err(|source| StartError::Listen {
-            address: callers,
-            source,
-        })?;
+    let server = web::Server::start(callers, http).map_err(|source| StartError::Listen {
+        address: callers,
+        source,
+    })?;
     stop.wait().await;
     trace::Line::new("draining").info();
     admin.retire();
--- a/crates/daemon/tests/session/mod.rs
+++ b/crates/daemon/tests/session/mod.rs
@@ -129,7 +129,11 @@
 
 /// Reads a process's metrics; empty where it does not answer.
 pub fn metrics(admin: net::SocketAddr) -> String {
-    let got = ureq::get(format!("http://{admin}/metrics")).call();
+    let got = ureq::get(format!("http://{admin}/metrics"))
+        .config()
+        .timeout_global(Some(time::Duration::from_secs(2)))
+        .build()
+        .call();
     got.ok()
         .and_then(|mut response| response.body_mut().read_to_string().ok())
         .unwrap_or_default()
--- /dev/null
+++ b/crates/daemon/tests/stream_tests.rs
@@ -0,0 +1,213 @@
+//! Streams under failure: the whole answer or a clear error, no token twice,
+//! and no engine memory held afterwards.
+
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+const PROMPT: &str = "Inspection log of the northern mule path [len=120]";
+const MAX: u32 = 200;
+
+fn start(shape: Shape) -> Session {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    Session::start(shape, program, &[])
+}
+
+fn two_of_each() -> Shape {
+    Shape {
+        entries: 2,
+        prefills: 2,
+        decodes: 2,
+        ..Shape::small()
+    }
+}
+
+fn signal(session: &Session, host: &str, name: &str) {
+    let daemon = &session.lab.daemons[session.lab.find(host)];
+    let id = daemon.id().expect("the daemon runs").to_string();
+    let status = process::Command::new("kill").args([name, &id]).status();
+    assert!(status.expect("kill can be run").success());
+}
+
+/// Streams a completion and does `harm` once, after the tenth token.
+fn stream_with_harm(session: &mut Session, harm: impl FnOnce(&mut Session)) -> session::Got {
+    let (_, key) = session.key(session::RANGERS);
+    let url = session.url(0, "/v1/completions");
+    let tokens = atomic::AtomicUsize::new(0);
+    thread::scope(|scope| {
+        let body = session::completion(PROMPT, MAX, true);
+        let (url, key, tokens) = (&url, &key, &tokens);
+        let caller = scope.spawn(move || {
+            session::stream(url, key, &body, |got| {
+                let seen = got.text.split_whitespace().count();
+                tokens.store(seen, atomic::Ordering::SeqCst);
+                true
+            })
+        });
+        while tokens.load(atomic::Ordering::SeqCst) < 10 && !caller.is_finished() {
+            thread::sleep(time::Duration::from_millis(2));
+        }
+        harm(session);
+        caller.join().expect("the caller does not panic")
+    })
+}
+
+fn assert_whole(got: &session::Got) {
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(got.text, fake::answer_text(PROMPT, MAX));
+    assert!(got.whole);
+}
+
+fn busy_decode(session: &Session) -> usize {
+    let found = session
+        .lab
+        .decodes
+        .iter()
+        .position(|e| !e.held().is_empty());
+    found.expect("an engine streams")
+}
+
+#[test]
+fn agent_killed_midway_resumes_elsewhere() {
+    let mut session = start(two_of_each());
+    let got = stream_with_harm(&mut session, |s| {
+        let agent = s.lab.find(&format!("decode-{}", busy_decode(s) + 1));
+        s.lab.daemons[agent].kill();
+    });
+    assert_whole(&got);
+}
+
+#[test]
+fn agent_restarted_sweeps_what_nobody_claims() {
+    let mut session = start(two_of_each());
+    let mut killed = None;
+    let got = stream_with_harm(&mut session, |s| {
+        let engine = busy_decode(s);
+        let agent = s.lab.find(&format!("decode-{}", engine + 1));
+        s.lab.daemons[agent].kill();
+        // The engine goes on by itself: nobody has told it to stop.
+        assert!(!s.lab.decodes[engine].held().is_empty());
+        s.lab.spawn(agent);
+        killed = Some(agent);
+    });
+    assert_whole(&got);
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn engine_killed_midway_resumes_elsewhere() {
+    let mut session = start(two_of_each());
+    let got = stream_with_harm(&mut session, |s| s.lab.decodes[busy_decode(s)].kill());
+    assert_whole(&got);
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn agent_frozen_midway_resumes_elsewhere() {
+    let mut session = start(two_of_each());
+    let mut frozen = String::new();
+    let got = stream_with_harm(&mut session, |s| {
+        frozen = format!("decode-{}", busy_decode(s) + 1);
+        signal(s, &frozen, "-STOP");
+    });
+    signal(&session, &frozen, "-CONT");
+    assert_whole(&got);
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn entry_killed_midway_frees_the_engine() {
+    let mut session = start(two_of_each());
+    let got = stream_with_harm(&mut session, |s| s.lab.daemons[0].kill());
+    assert!(!got.whole);
+    assert!(fake::answer_text(PROMPT, MAX).starts_with(&got.text));
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn entry_frozen_midway_frees_the_engine() {
+    let mut shape = two_of_each();
+    shape.engine.step = time::Duration::from_millis(60);
+    let mut session = start(shape);
+    let mut empty = false;
+    let got = stream_with_harm(&mut session, |s| {
+        signal(s, "entry-1", "-STOP");
+        // The engine would go on for longer than this by itself.
+        empty = s.wait_empty();
+        signal(s, "entry-1", "-CONT");
+    });
+    assert!(empty, "{:?}", session.lab.held());
+    assert_whole(&got);
+}
+
+#[test]
+fn transfer_stalled_prefills_again_elsewhere() {
+    let mut session = start(two_of_each());
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.prefills[0].stall(true);
+    for i in 0..4 {
+        let prompt = format!("{PROMPT} {i}");
+        let got = session.complete(0, &key, &prompt, MAX);
+        assert_eq!(got.text, fake::answer_text(&prompt, MAX), "{got:?}");
+        assert!(got.whole);
+    }
+    session.lab.prefills[0].stall(false);
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+    session.lab.daemons[0].kill();
+}
+
+#[test]
+fn prefill_engine_killed_prefills_elsewhere() {
+    let session = start(two_of_each());
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.prefills[0].kill();
+    for i in 0..4 {
+        let prompt = format!("{PROMPT} {i}");
+        let got = session.complete(0, &key, &prompt, MAX);
+        assert_eq!(got.text, fake::answer_text(&prompt, MAX), "{got:?}");
+    }
+}
+
+#[test]
+fn key_withdrawn_ends_a_running_stream() {
+    let mut shape = two_of_each();
+    shape.engine.step = time::Duration::from_millis(60);
+    let session = start(shape);
+    let (id, key) = session.key(session::RANGERS);
+    let url = session.url(0, "/v1/completions");
+    let body = session::completion(PROMPT, MAX, true);
+    let got = thread::scope(|scope| {
+        let caller = scope.spawn(|| session::stream(&url, &key, &body, |_| true));
+        session::pause(500);
+        let (code, out) = session.client(&["key", "withdraw", &id]);
+        assert_eq!(code, 0, "{out}");
+        caller.join().expect("the caller does not panic")
+    });
+    assert!(!got.whole, "{got:?}");
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+    let refused = session.complete(0, &key, PROMPT, MAX);
+    assert_eq!(refused.status, 401);
+    assert!(refused.text.contains("\"not_run\":true"), "{refused:?}");
+}
+
+#[test]
+fn poison_is_quarantined_and_neighbours_are_served() {
+    let session = start(two_of_each());
+    let (_, key) = session.key(session::RANGERS);
+    let poison = "[crash] this inspection log kills engines";
+    let first = session.complete(0, &key, poison, MAX);
+    assert_eq!(first.status, 422, "{first:?}");
+    // The caller sends it again, through the other entry.
+    let again = session.complete(1, &key, poison, MAX);
+    assert_eq!(again.status, 422, "{again:?}");
+    let crashes: u64 = session.lab.prefills.iter().map(|e| e.stats().crashes).sum();
+    assert_eq!(crashes, 2);
+    let got = session.complete(1, &key, PROMPT, MAX);
+    assert_eq!(got.text, fake::answer_text(PROMPT, MAX), "{got:?}");
+}
--- a/crates/engine/src/errors.rs
+++ b/crates/engine/src/errors.rs
@@ -3,7 +3,10 @@
 /// Why an engine's call failed.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum EngineError {
-    /// The connection was refused or broke: the engine may have died.
+    /// No connection was made: the engine was down before it saw the call.
+    #[display("the engine is down: {_0}")]
+    Absent(#[error(not(source))] String),
+    /// The connection broke during the call: the engine may have died of it.
     #[display("the engine is gone: {_0}")]
     Gone(#[error(not(source))] String),
     /// The engine is connected but nothing came for too long.
@@ -35,7 +38,9 @@
 
     pub(crate) fn of_http(error: ureq::Error) -> Self {
         match error {
-            ureq::Error::Timeout(ureq::Timeout::Connect) => EngineError::Gone(error.to_string()),
+            ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => {
+                EngineError::Absent(error.to_string())
+            }
             ureq::Error::Timeout(_) => EngineError::Stalled,
             ureq::Error::Io(io) => Self::of_io(&io),
             other => EngineError::Gone(other.to_string()),
@@ -45,6 +50,7 @@
     pub(crate) fn of_io(error: &std::io::Error) -> Self {
         match error.kind() {
             std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => EngineError::Stalled,
+            std::io::ErrorKind::ConnectionRefused => EngineError::Absent(error.to_string()),
             _ => EngineError::Gone(error.to_string()),
         }
     }
--- a/crates/fake/src/hosts.rs
+++ b/crates/fake/src/hosts.rs
@@ -19,8 +19,7 @@
     /// Serves an empty list.
     pub fn start() -> Self {
         let list = List::default();
-        let address = ([127, 0, 0, 1], 0).into();
-        let site = Site::start(address, Answers { list: list.clone() });
+        let site = Site::start(crate::free_address(), Answers { list: list.clone() });
         Self { site, list }
     }
 
--- a/crates/fake/src/lab.rs
+++ b/crates/fake/src/lab.rs
@@ -9,8 +9,10 @@
 use std::fs;
 use std::io;
 use std::net;
+use std::ops;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 use world::Host;
@@ -123,10 +125,24 @@
     words: Vec<String>,
 }
 
-/// Finds a port that is free now.
+/// Ports below those that the system gives to outgoing connections.
+const PORTS: ops::Range<u32> = 10_000..30_000;
+
+/// Finds a port that is free now and that no outgoing connection will take.
 pub fn free_address() -> net::SocketAddr {
-    let bound = net::TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    bound.local_addr().expect("a bound socket has an address")
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let span = PORTS.end - PORTS.start;
+    // Test programs that run side by side begin at different places.
+    let begin = process::id().wrapping_mul(997) % span;
+    loop {
+        let step = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let port = PORTS.start + (begin + step) % span;
+        let port = u16::try_from(port).expect("the range is one of ports");
+        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
+        if net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Lab {
@@ -145,18 +161,19 @@
         let unique = format!("hornbeampitch-{}-{}", process::id(), free_address().port());
         let folder = std::env::temp_dir().join(unique);
         fs::create_dir_all(&folder).expect("the temporary folder takes files");
-        let any = || ([127, 0, 0, 1], 0).into();
         let engines = |n: usize| -> Vec<Engine> {
             (0..n)
-                .map(|_| Engine::start(any(), shape.engine.clone()))
+                .map(|_| Engine::start(free_address(), shape.engine.clone()))
                 .collect()
         };
         let mut lab = Self {
-            store: Store::start(any()),
+            store: Store::start(free_address()),
             hosts: Hosts::start(),
             prefills: engines(shape.prefills),
             decodes: engines(shape.decodes),
-            services: (0..shape.services).map(|_| Service::start(any())).collect(),
+            services: (0..shape.services)
+                .map(|_| Service::start(free_address()))
+                .collect(),
             daemons: Vec::new(),
             folder,
             program: program.to_owned(),
--- a/crates/fake/src/site.rs
+++ b/crates/fake/src/site.rs
@@ -54,17 +54,17 @@
         .enable_all()
         .build()
         .expect("a runtime can be built");
-    let free = (0..BIND_TRIES).any(|_| {
-        let bound = net::TcpListener::bind(address).is_ok();
-        if !bound {
+    let bound = (0..BIND_TRIES).find_map(|_| {
+        let bound = net::TcpListener::bind(address).ok();
+        if bound.is_none() {
             thread::sleep(BIND_WAIT);
         }
         bound
     });
-    assert!(free, "cannot listen on {address}");
-    let server = runtime
-        .block_on(Server::start(address, handler))
-        .expect("the port was free a moment ago");
+    let listener = bound.unwrap_or_else(|| panic!("cannot listen on {address}"));
+    let guard = runtime.enter();
+    let server = Server::serve(listener, handler).expect("a bound port serves");
+    drop(guard);
     let address = server.address;
     // The runtime keeps the accepting task; only its death ends the server.
     std::mem::forget(server);
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -11,6 +11,9 @@
 /// Decode agents that one request bids at; the first to grant wins.
 const BIDS: usize = 4;
 
+/// How long an agent is avoided after a failure there.
+const TROUBLE: time::Duration = time::Duration::from_secs(2);
+
 /// An agent's load as it was last reported.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
@@ -45,6 +48,8 @@
     sent_tokens: u64,
     /// Suspects of crashes that run there now.
     suspects: u32,
+    /// Until when it is avoided, after a failure there.
+    trouble: Option<time::Instant>,
 }
 
 impl View {
@@ -59,6 +64,7 @@
             sent_bids: 0,
             sent_tokens: 0,
             suspects: 0,
+            trouble: None,
         }
     }
 }
@@ -114,6 +120,13 @@
         }
     }
 
+    /// Notes a failure at an agent: others are preferred for a while.
+    pub fn blame(&mut self, host: &str, now: time::Instant) {
+        if let Some(view) = self.views.get_mut(host) {
+            view.trouble = Some(now + TROUBLE);
+        }
+    }
+
     /// Notes whether an agent may be given work.
     pub fn stand(&mut self, host: &str, serving: bool) {
         if let Some(view) = self.views.get_mut(host) {
@@ -138,12 +151,19 @@
 
     /// Chooses decode agents to bid at. A suspect of a crash goes where no
     /// other suspect runs, so that the guilty one is found.
-    pub fn choose_decode(&mut self, upstream: &str, pieces: u32, suspect: bool) -> Vec<Name> {
+    pub fn choose_decode(
+        &mut self,
+        upstream: &str,
+        pieces: u32,
+        suspect: bool,
+        now: time::Instant,
+    ) -> Vec<Name> {
         let mut hosts: Vec<Name> = self
             .candidates(upstream, Role::Decode)
             .filter(|(_, v)| !suspect || v.suspects == 0)
             .map(|(name, _)| name.clone())
             .collect();
+        self.avoid_trouble(&mut hosts, now);
         self.rotate(&mut hosts);
         let most = match self.policy {
             Policy::Goodput if !suspect => BIDS,
@@ -177,22 +197,20 @@
         Some(name)
     }
 
-    /// Chooses where to prefill for a seat at `decode`, apart from `not`.
+    /// Chooses where to prefill for a seat at `decode`.
     pub fn choose_prefill(
         &mut self,
         upstream: &str,
         decode: &str,
         tokens: u64,
         blocks: &Blocks,
-        not: Option<&Name>,
+        now: time::Instant,
     ) -> Option<Pick> {
         let mut hosts: Vec<Name> = self
             .candidates(upstream, Role::Prefill)
             .map(|(name, _)| name.clone())
             .collect();
-        if hosts.len() > 1 {
-            hosts.retain(|h| Some(h) != not);
-        }
+        self.avoid_trouble(&mut hosts, now);
         self.rotate(&mut hosts);
         let zone = self.views.get(decode).map(|v| v.zone.clone());
         let best = match self.policy {
@@ -283,6 +301,14 @@
             .filter(move |(_, v)| v.serving && v.role == role && &*v.upstream == upstream)
     }
 
+    /// Leaves out agents that failed lately, unless that leaves nobody.
+    fn avoid_trouble(&self, hosts: &mut Vec<Name>, now: time::Instant) {
+        let well = |host: &Name| self.views[host].trouble.is_none_or(|until| until <= now);
+        if hosts.iter().any(well) {
+            hosts.retain(well);
+        }
+    }
+
     fn queue(&self, host: &str) -> u64 {
         self.views
             .get(host)
--- a/crates/route/src/journey.rs
+++ b/crates/route/src/journey.rs
@@ -236,7 +236,7 @@
         let suspect = cx.quarantine.suspects(self.work.digest);
         let hosts = cx
             .fleet
-            .choose_decode(&self.work.upstream, self.work.pieces, suspect);
+            .choose_decode(&self.work.upstream, self.work.pieces, suspect, cx.now);
         if hosts.is_empty() {
             self.stage = Stage::Waiting(hosts);
             return vec![Action::Wake(RETRY_WAIT)];
@@ -266,19 +266,23 @@
             cx.fleet.suspect(&host, true);
             self.suspect = Some(host.clone());
         }
-        actions.extend(self.prefill(host, None, cx));
+        actions.extend(self.prefill(host, cx));
         actions
     }
 
-    /// Prefills for the seat held at `host`, not at `not` if that can be helped.
-    fn prefill(&mut self, host: Name, not: Option<&Name>, cx: &mut Context<'_>) -> Vec<Action> {
+    /// Prefills for the seat held at `host`.
+    fn prefill(&mut self, host: Name, cx: &mut Context<'_>) -> Vec<Action> {
         if self.run >= MOST_RUNS {
             return self.fail(Failure::Exhausted, cx);
         }
         let tokens = self.work.tokens + u64::from(self.emitted);
-        let pick =
-            cx.fleet
-                .choose_prefill(&self.work.upstream, &host, tokens, &self.work.blocks, not);
+        let pick = cx.fleet.choose_prefill(
+            &self.work.upstream,
+            &host,
+            tokens,
+            &self.work.blocks,
+            cx.now,
+        );
         let Some(pick) = pick else {
             self.stage = Stage::Holding(host);
             return vec![Action::Wake(RETRY_WAIT)];
@@ -316,9 +320,10 @@
             }
             Fault::Draining | Fault::Stalled | Fault::Lost | Fault::Expired => {}
         }
+        cx.fleet.blame(&prefill, cx.now);
         let mut actions = vec![Action::DropPrefill(run)];
         if fault == Fault::Draining || cx.budget.retry(Cause::Prefill, cx.now) {
-            actions.extend(self.prefill(decode, Some(&prefill), cx));
+            actions.extend(self.prefill(decode, cx));
             return actions;
         }
         self.stage = Stage::Holding(decode);
@@ -387,6 +392,9 @@
         if round != self.round {
             return Vec::new();
         }
+        if fault != Fault::Draining {
+            self.blame(&host, cx);
+        }
         let cause = match &self.stage {
             Stage::Waiting(_) => return self.lose_bid(host, fault, cx),
             Stage::Holding(d) | Stage::Prefilling(d, _) if *d == host => Cause::Prefill,
@@ -407,6 +415,14 @@
         }
     }
 
+    /// Blames the source of a transfer that failed, and else the agent itself.
+    fn blame(&self, host: &Name, cx: &mut Context<'_>) {
+        match &self.stage {
+            Stage::Importing(_, prefill) => cx.fleet.blame(prefill, cx.now),
+            _ => cx.fleet.blame(host, cx.now),
+        }
+    }
+
     fn note_crash(&mut self, host: Name, count: u64, cx: &mut Context<'_>) -> Vec<Action> {
         let id = CrashId { host, count };
         let digest = self.work.digest;
@@ -459,7 +475,7 @@
             Stage::Waiting(bids) => self.look(bids, cx),
             Stage::Holding(host) => {
                 if cx.budget.retry(Cause::Prefill, cx.now) {
-                    return self.prefill(host, None, cx);
+                    return self.prefill(host, cx);
                 }
                 vec![Action::Wake(RETRY_WAIT)]
             }
