Plain calls at most once: claims by shard, made durable before the call

Claims of a shard lie under one store key, written by compare-and-swap, so two homes cannot both claim; claims that come together share a write.

Cause of two findings while proving it: (1) an agent judged another home's claim by its cached copy, so a call voided meanwhile was 'unknown' for ever; it now reads the shard anew before saying so, and 'not run' is told once the void is durable. (2) The last retry of an entry ended with its own timeout and became 'unknown'; agents now get 200 ms less than the caller has left.

--- a/crates/daemon/src/agent/plain.rs
+++ b/crates/daemon/src/agent/plain.rs
@@ -1,5 +1,7 @@
 //! Calls of the plain service beside this agent.
 
+use crate::agent::claims::Claims;
+use crate::agent::claims::Submission;
 use crate::app::Heart;
 use base64::Engine;
 use base64::engine::general_purpose;
@@ -11,19 +13,28 @@
 
 /// Calls given to the service at a time.
 const MOST_CALLS: u32 = 64;
+/// The part of a caller's time that a claim may wait for the store.
+const CLAIM_PART: f64 = 0.6;
 
 /// The plain calls of one agent.
 pub(crate) struct Plain {
     service: engine::Service,
+    claims: Option<Claims>,
     heart: Heart,
     running: atomic::AtomicU32,
     draining: atomic::AtomicBool,
 }
 
 impl Plain {
-    pub(crate) fn new(upstream: &conf::UpstreamSettings, heart: Heart) -> Self {
+    /// Without `claims`, as beside an engine, no call with a claim is run.
+    pub(crate) fn new(
+        upstream: &conf::UpstreamSettings,
+        claims: Option<Claims>,
+        heart: Heart,
+    ) -> Self {
         Self {
             service: engine::Service::new(upstream.address),
+            claims,
             heart,
             running: atomic::AtomicU32::new(0),
             draining: atomic::AtomicBool::new(false),
@@ -41,6 +52,11 @@
         self.running.load(atomic::Ordering::SeqCst) == 0
     }
 
+    /// Tells whether every outcome is in the store.
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.claims.as_ref().is_none_or(Claims::is_idle)
+    }
+
     /// Makes one call, once.
     pub(crate) async fn call(self: sync::Arc<Self>, call: border::PlainCall) -> border::PlainReply {
         let busy = Busy::begin(self.clone());
@@ -54,21 +70,14 @@
             return not_run("the body is not base64", false);
         };
         let hop = trace::Hop::begin("agent", Some(&call.trace));
-        let mut headers: Vec<engine::Field> = call.headers.iter().map(field_of).collect();
-        if let Some(claim) = &call.claim {
-            headers.push(field("idempotency-key", claim));
+        let outgoing = outgoing(&call, body, &hop.traceparent());
+        match &call.claim {
+            Some(key) => self.call_claimed(&call, key, outgoing, busy).await,
+            None => self.call_freely(outgoing, busy).await,
         }
-        let parent = hop.traceparent();
-        if !parent.is_empty() {
-            headers.push(field("traceparent", &parent));
-        }
-        let outgoing = engine::Call {
-            method: call.method,
-            path: call.path,
-            headers,
-            body,
-            limit: time::Duration::from_millis(call.deadline),
-        };
+    }
+
+    async fn call_freely(&self, outgoing: engine::Call, busy: Busy) -> border::PlainReply {
         let service = self.service.clone();
         let (reply, answer) = oneshot::channel();
         let spawned = std::thread::Builder::new()
@@ -82,7 +91,7 @@
             return not_run("this agent has no thread left", true);
         }
         match answer.await {
-            Ok(Ok(answer)) => answered(answer),
+            Ok(Ok(answer)) => answered(kept(answer), false),
             Ok(Err(engine::CallError::NotSent(reason))) => not_run(&reason, true),
             Ok(Err(engine::CallError::Unknown(reason))) => border::PlainReply::Unknown { reason },
             Err(_) => border::PlainReply::Unknown {
@@ -90,6 +99,80 @@
             },
         }
     }
+
+    async fn call_claimed(
+        &self,
+        call: &border::PlainCall,
+        key: &str,
+        mut outgoing: engine::Call,
+        busy: Busy,
+    ) -> border::PlainReply {
+        let Some(claims) = &self.claims else {
+            return not_run("this agent keeps no claims", true);
+        };
+        let limit = time::Duration::from_millis(call.deadline);
+        let end = time::Instant::now() + limit;
+        let service = self.service.clone();
+        let organisation = call.organisation.as_bytes();
+        let content = [
+            call.method.as_bytes(),
+            call.path.as_bytes(),
+            call.body.as_bytes(),
+        ];
+        let submission = Submission {
+            shard: once::shard_of(&call.organisation, key),
+            key: once::KeyHash::of_parts(&[organisation, key.as_bytes()]),
+            content: once::KeyHash::of_parts(&content),
+            until: time::Instant::now() + limit.mul_f64(CLAIM_PART),
+            work: Box::new(move |report| {
+                // The claim has taken its part of the caller's time.
+                outgoing.limit = end.saturating_duration_since(time::Instant::now());
+                match service.call(&outgoing) {
+                    Ok(answer) => report.ran(kept(answer)),
+                    Err(engine::CallError::NotSent(reason)) => report.not_run(reason),
+                    Err(engine::CallError::Unknown(reason)) => report.lost(reason),
+                }
+                drop(busy);
+            }),
+        };
+        match claims.submit(submission).await {
+            once::Verdict::Answered(answer, replayed) => answered(answer, replayed),
+            once::Verdict::NotRun(reason) => not_run(&reason, true),
+            once::Verdict::Unknown(reason) => border::PlainReply::Unknown { reason },
+            once::Verdict::Mismatch => border::PlainReply::Mismatch,
+        }
+    }
+}
+
+/// What the service is sent.
+fn outgoing(call: &border::PlainCall, body: Vec<u8>, parent: &str) -> engine::Call {
+    let mut headers: Vec<engine::Field> = call.headers.iter().map(field_of).collect();
+    if let Some(claim) = &call.claim {
+        headers.push(field("idempotency-key", claim));
+    }
+    if !parent.is_empty() {
+        headers.push(field("traceparent", parent));
+    }
+    engine::Call {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers,
+        body,
+        limit: time::Duration::from_millis(call.deadline),
+    }
+}
+
+/// The form in which answers are kept and sent.
+fn kept(answer: engine::Answer) -> once::Answer {
+    once::Answer {
+        status: answer.status,
+        headers: answer
+            .headers
+            .into_iter()
+            .map(|f| (f.name, f.value))
+            .collect(),
+        body: general_purpose::STANDARD.encode(answer.body),
+    }
 }
 
 /// Counts one call while it lasts.
@@ -131,19 +214,16 @@
     }
 }
 
-fn answered(answer: engine::Answer) -> border::PlainReply {
+fn answered(answer: once::Answer, replayed: bool) -> border::PlainReply {
     let headers = answer
         .headers
         .into_iter()
-        .map(|f| border::Header {
-            name: f.name,
-            value: f.value,
-        })
+        .map(|(name, value)| border::Header { name, value })
         .collect();
     border::PlainReply::Answered {
         status: answer.status,
         headers,
-        body: general_purpose::STANDARD.encode(answer.body),
-        replayed: false,
+        body: answer.body,
+        replayed,
     }
 }
--- a/crates/daemon/src/agent/serve.rs
+++ b/crates/daemon/src/agent/serve.rs
@@ -1,3 +1,4 @@
+use crate::agent::claims::Claims;
 use crate::agent::desk::Desk;
 use crate::agent::job::Event;
 use crate::agent::methods::Methods;
@@ -18,6 +19,9 @@
 use world::Role;
 
 const IDLE_LOOK: time::Duration = time::Duration::from_millis(20);
+/// Most time for outcomes to reach the store; a resend is told "unknown" of
+/// those that don't.
+const RECORD_LIMIT: time::Duration = time::Duration::from_secs(5);
 /// Peers hear of the drain before the connections close.
 const LAST_WORDS: time::Duration = time::Duration::from_millis(400);
 
@@ -33,7 +37,14 @@
         .ok_or_else(|| StartError::Usage("an agent needs an upstream".into()))?;
     let heart = Heart::new(LoadState::default());
     let (desk, inbox) = Desk::new(settings.host.clone(), upstream, heart.clone());
-    let plain = sync::Arc::new(Plain::new(upstream, heart.clone()));
+    let claims = match settings.role {
+        Role::Service => {
+            let claims = Claims::start(&settings.host, settings.store);
+            Some(claims.map_err(StartError::System)?)
+        }
+        Role::Entry | Role::Prefill | Role::Decode => None,
+    };
+    let plain = sync::Arc::new(Plain::new(upstream, claims, heart.clone()));
     let methods = Methods {
         hello: hello(&settings, &upstream.name),
         heart,
@@ -55,11 +66,20 @@
     while desk.as_ref().is_some_and(|d| !d.is_finished()) || !plain.is_idle() {
         tokio::time::sleep(IDLE_LOOK).await;
     }
+    record_outcomes(&plain).await;
     tokio::time::sleep(LAST_WORDS).await;
     listening.stop();
     Ok(())
 }
 
+/// Waits until outcomes are in the store, unless the store is out.
+async fn record_outcomes(plain: &Plain) {
+    let end = time::Instant::now() + RECORD_LIMIT;
+    while !plain.is_recorded() && time::Instant::now() < end {
+        tokio::time::sleep(IDLE_LOOK).await;
+    }
+}
+
 fn start_desk(desk: Desk) -> Result<thread::JoinHandle<()>, StartError> {
     thread::Builder::new()
         .name("desk".into())
--- a/crates/daemon/src/entry/plain.rs
+++ b/crates/daemon/src/entry/plain.rs
@@ -16,11 +16,15 @@
 const BODY_BYTES: usize = 1024 * 1024;
 /// Most time for a whole call, retries included.
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(30);
+/// Time kept for an agent's answer to come back.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(200);
 const RETRY_WAIT: time::Duration = time::Duration::from_millis(100);
 const KEY_BYTES: usize = 255;
 const KEY_HEADER: &str = "idempotency-key";
+/// How long the caller waits, in milliseconds, where that is less than usual.
+const TIMEOUT_HEADER: &str = "x-hornbeampitch-timeout-ms";
 /// Headers that end at this system: the key, and those of one connection.
-const KEPT_BACK: [&str; 13] = [
+const KEPT_BACK: [&str; 14] = [
     "authorization",
     "proxy-authorization",
     "cookie",
@@ -34,6 +38,7 @@
     "upgrade",
     "traceparent",
     KEY_HEADER,
+    TIMEOUT_HEADER,
 ];
 
 /// How often a call may be given to an agent.
@@ -83,7 +88,8 @@
         deadline: 0,
         trace: hop.traceparent(),
     };
-    let reply = place(entry, call, repeat).await?;
+    let limit = read_limit(&head.headers)?;
+    let reply = place(entry, call, repeat, limit).await?;
     response(reply)
 }
 
@@ -101,6 +107,19 @@
     }
 }
 
+fn read_limit(headers: &web::header::HeaderMap) -> Result<time::Duration, Refusal> {
+    let Some(text) = http::header(headers, TIMEOUT_HEADER) else {
+        return Ok(CALL_LIMIT);
+    };
+    match text.parse() {
+        Ok(millis) if millis > 0 => Ok(time::Duration::from_millis(millis).min(CALL_LIMIT)),
+        _ => {
+            let text = format!("`{TIMEOUT_HEADER}` must be a whole number above 0");
+            Err(Refusal::not_run(400, "bad_timeout", text))
+        }
+    }
+}
+
 fn kept_headers(headers: &web::header::HeaderMap) -> Vec<border::Header> {
     headers
         .iter()
@@ -119,16 +138,18 @@
     entry: &sync::Arc<Entry>,
     mut call: border::PlainCall,
     repeat: Repeat,
+    limit: time::Duration,
 ) -> Result<border::PlainReply, Refusal> {
-    let end = time::Instant::now() + CALL_LIMIT;
+    let end = time::Instant::now() + limit;
     let mut tried: Vec<Name> = Vec::new();
     let mut unknown = false;
     loop {
         let left = end.saturating_duration_since(time::Instant::now());
-        if left.is_zero() {
+        let given = left.saturating_sub(ANSWER_MARGIN);
+        if given.is_zero() {
             return Err(out_of_time(unknown));
         }
-        call.deadline = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        call.deadline = u64::try_from(given.as_millis()).unwrap_or(u64::MAX);
         let Some(host) = choose(entry, &call, repeat, &tried) else {
             tried.clear();
             tokio::time::sleep(RETRY_WAIT).await;
--- /dev/null
+++ b/crates/daemon/tests/plain_tests.rs
@@ -0,0 +1,262 @@
+//! Plain services: relayed as they are, and non-idempotent calls at most once.
+
+mod session;
+
+use fake::Mode;
+use fake::Shape;
+use fake::Trouble;
+use session::Got;
+use session::Session;
+use std::path;
+use std::thread;
+use std::time;
+
+const ORDER: &str = "{\"defect\":17,\"crew\":\"north\"}";
+
+fn start() -> Session {
+    let shape = Shape {
+        entries: 2,
+        services: 2,
+        prefills: 1,
+        decodes: 1,
+        ..Shape::small()
+    };
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    Session::start(shape, program, &[])
+}
+
+fn order(session: &Session, entry: usize, key: &str, claim: &str, body: &str) -> Got {
+    let bearer = format!("Bearer {key}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", claim),
+        ("x-hornbeampitch-timeout-ms", "3000"),
+    ];
+    let url = session.url(entry, "/dispatch/orders?unit=tracks");
+    session::call("POST", &url, &headers, body)
+}
+
+/// How often the services ran a key, by their own record.
+fn executions(session: &Session, claim: &str) -> usize {
+    let services = session.lab.services.iter();
+    services
+        .flat_map(|s| s.executions())
+        .filter(|e| e.key.as_deref() == Some(claim))
+        .count()
+}
+
+/// Holds a refusal to its word.
+fn assert_honest(session: &Session, got: &Got, claim: &str) {
+    if got.text.contains("\"not_run\":true") {
+        assert_eq!(executions(session, claim), 0, "{got:?}");
+    }
+}
+
+#[test]
+fn call_keeps_method_path_status_and_body() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str()), ("x-caller", "kept")];
+    let url = session.url(0, "/dispatch/orders/9?unit=tracks");
+    let got = session::call("PUT", &url, &headers, ORDER);
+    assert_eq!(got.status, 200, "{got:?}");
+    assert!(got.headers.contains("x-service"), "{got:?}");
+    let seen: Vec<_> = session
+        .lab
+        .services
+        .iter()
+        .flat_map(|s| s.executions())
+        .collect();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].method, "PUT");
+    assert_eq!(seen[0].path, "/dispatch/orders/9?unit=tracks");
+    assert_eq!(seen[0].body, ORDER);
+    assert!(seen[0].headers.contains("x-caller"));
+    assert!(!seen[0].headers.contains(&key));
+}
+
+#[test]
+fn open_route_needs_no_key_and_others_do() {
+    let session = start();
+    let open = session::call("GET", &session.url(0, "/open/status"), &[], "");
+    assert_eq!(open.status, 200, "{open:?}");
+    let closed = session::call("GET", &session.url(0, "/dispatch/orders"), &[], "");
+    assert_eq!(closed.status, 401, "{closed:?}");
+    let nowhere = session::call("GET", &session.url(0, "/elsewhere"), &[], "");
+    assert_eq!(nowhere.status, 404, "{nowhere:?}");
+}
+
+#[test]
+fn order_sent_again_gets_the_first_answer() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let first = order(&session, 0, &key, "order-1", ORDER);
+    assert_eq!(first.status, 201, "{first:?}");
+    let again = order(&session, 1, &key, "order-1", ORDER);
+    assert_eq!((again.status, &again.text), (201, &first.text));
+    assert!(again.headers.contains("idempotent-replayed"));
+    assert_eq!(executions(&session, "order-1"), 1);
+}
+
+#[test]
+fn order_key_used_for_another_order_is_refused() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    order(&session, 0, &key, "order-1", ORDER);
+    let other = order(&session, 0, &key, "order-1", "{\"defect\":18}");
+    assert_eq!(other.status, 422, "{other:?}");
+    // The same key of another organisation is another key.
+    let (_, farms) = session.key(session::FARMS);
+    let theirs = order(&session, 0, &farms, "order-1", "{\"defect\":18}");
+    assert_eq!(theirs.status, 201, "{theirs:?}");
+}
+
+#[test]
+fn order_sent_many_times_at_once_runs_once() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let slow = Trouble::Slow(time::Duration::from_millis(100));
+    session.lab.services.iter().for_each(|s| s.trouble(slow));
+    let got: Vec<Got> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|i| {
+                let (session, key) = (&session, &key);
+                scope.spawn(move || order(session, i % 2, key, "order-1", ORDER))
+            })
+            .collect();
+        let joined = callers.into_iter().map(|c| c.join());
+        joined.map(|c| c.expect("no caller panics")).collect()
+    });
+    assert_eq!(executions(&session, "order-1"), 1);
+    assert!(got.iter().all(|g| g.status == 201), "{got:?}");
+}
+
+#[test]
+fn order_whose_answer_was_lost_is_unknown_and_never_run_again() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session
+        .lab
+        .services
+        .iter()
+        .for_each(|s| s.trouble(Trouble::LoseAnswer));
+    let first = order(&session, 0, &key, "order-1", ORDER);
+    session
+        .lab
+        .services
+        .iter()
+        .for_each(|s| s.trouble(Trouble::None));
+    let again = order(&session, 1, &key, "order-1", ORDER);
+    for got in [first, again] {
+        assert_eq!(got.status, 502, "{got:?}");
+        assert!(got.text.contains("outcome_unknown"), "{got:?}");
+    }
+    assert_eq!(executions(&session, "order-1"), 1);
+}
+
+#[test]
+fn order_whose_agent_died_midway_is_never_run_again() {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let slow = Trouble::Slow(time::Duration::from_millis(600));
+    session.lab.services.iter().for_each(|s| s.trouble(slow));
+    let first = thread::scope(|scope| {
+        let (url, bearer) = (
+            session.url(0, "/dispatch/orders?unit=tracks"),
+            format!("Bearer {key}"),
+        );
+        let caller = scope.spawn(move || {
+            let headers = [
+                ("authorization", bearer.as_str()),
+                ("idempotency-key", "order-1"),
+                ("x-hornbeampitch-timeout-ms", "3000"),
+            ];
+            session::call("POST", &url, &headers, ORDER)
+        });
+        session::pause(300);
+        let home = session
+            .lab
+            .services
+            .iter()
+            .position(|s| !s.executions().is_empty())
+            .expect("the order runs");
+        let agent = session.lab.find(&format!("service-{}", home + 1));
+        session.lab.daemons[agent].kill();
+        caller.join().expect("the caller does not panic")
+    });
+    assert_eq!(first.status, 502, "{first:?}");
+    let again = order(&session, 1, &key, "order-1", ORDER);
+    assert_eq!(again.status, 502, "{again:?}");
+    assert_eq!(executions(&session, "order-1"), 1);
+}
+
+#[test]
+fn order_in_an_outage_is_truly_not_run() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.store.mode(Mode::Out);
+    let refused = order(&session, 0, &key, "order-1", ORDER);
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.text.contains("\"not_run\":true"), "{refused:?}");
+    assert_eq!(executions(&session, "order-1"), 0);
+    // Reading methods go on meanwhile.
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str())];
+    let read = session::call("GET", &session.url(1, "/dispatch/orders/1"), &headers, "");
+    assert_eq!(read.status, 200, "{read:?}");
+    session.lab.store.mode(Mode::Well);
+    session::pause(2_500);
+    let again = order(&session, 1, &key, "order-1", ORDER);
+    assert_eq!(again.status, 201, "{again:?}");
+    assert_eq!(executions(&session, "order-1"), 1);
+}
+
+#[test]
+fn order_whose_claim_answer_was_lost_runs_once() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    for i in 0..6 {
+        session.lab.store.mode(Mode::LoseAnswers(1 + i % 3));
+        let claim = format!("order-{i}");
+        let got = order(&session, i as usize % 2, &key, &claim, ORDER);
+        assert_eq!(got.status, 201, "{got:?}");
+        assert_eq!(executions(&session, &claim), 1);
+    }
+}
+
+#[test]
+fn order_whose_service_is_down_is_not_run_and_can_be_sent_again() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.services.iter().for_each(fake::Service::kill);
+    let refused = order(&session, 0, &key, "order-1", ORDER);
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_honest(&session, &refused, "order-1");
+    session.lab.services.iter().for_each(fake::Service::restart);
+    let again = order(&session, 1, &key, "order-1", ORDER);
+    assert_eq!(again.status, 201, "{again:?}");
+    assert_eq!(executions(&session, "order-1"), 1);
+}
+
+#[test]
+fn call_without_a_key_is_sent_once() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session
+        .lab
+        .services
+        .iter()
+        .for_each(|s| s.trouble(Trouble::LoseAnswer));
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str())];
+    let got = session::call("POST", &session.url(0, "/dispatch/orders"), &headers, ORDER);
+    assert_eq!(got.status, 502, "{got:?}");
+    let ran: usize = session
+        .lab
+        .services
+        .iter()
+        .map(|s| s.executions().len())
+        .sum();
+    assert_eq!(ran, 1);
+}
--- /dev/null
+++ b/crates/once/src/ledger.rs
@@ -0,0 +1,677 @@
+use crate::record::Answer;
+use crate::record::Claim;
+use crate::record::ClaimState;
+use crate::record::KeyHash;
+use crate::record::Record;
+use crate::shard::Shard;
+use std::collections;
+use std::time;
+
+/// Claims that come within this are written together.
+const GATHER: time::Duration = time::Duration::from_millis(5);
+const RETRY_FIRST: time::Duration = time::Duration::from_millis(100);
+const RETRY_MOST: time::Duration = time::Duration::from_secs(2);
+
+/// Names a call at this agent while it lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A call that may run at most once.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its name here.
+    pub id: CallId,
+    /// Where its key belongs.
+    pub shard: Shard,
+    /// Its organisation and key.
+    pub key: KeyHash,
+    /// What it consists of.
+    pub content: KeyHash,
+    /// Until when its caller waits.
+    pub until: time::Instant,
+}
+
+/// How a reading of a shard ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Read {
+    /// What stands there and its revision in the store; 0 where nothing does.
+    Found(u64, Record),
+    /// The store did not answer.
+    Failed,
+}
+
+/// How a write of a shard ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Write {
+    /// It was written at this revision.
+    Done(u64),
+    /// Somebody else was first; this stands now.
+    Beaten(u64, Record),
+    /// It had no effect.
+    Failed,
+    /// It may have had an effect.
+    Unknown,
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A call comes in.
+    Call(Call),
+    /// A shard was read.
+    Read(Shard, Read),
+    /// A shard was written.
+    Written(Shard, Write),
+    /// A call has run: its answer.
+    Ran(CallId, Answer),
+    /// A call has surely not run.
+    NotRun(CallId, String),
+    /// A call may have run.
+    Lost(CallId, String),
+    /// Time passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read a shard from the store.
+    Read(Shard),
+    /// Write a shard if its revision is still this one.
+    Write(Shard, u64, Vec<u8>),
+    /// Run the call now, once.
+    Run(CallId),
+    /// Answer the call.
+    Reply(CallId, Verdict),
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The call has run; this is its answer. The flag marks a resend.
+    Answered(Answer, bool),
+    /// The call has surely not run.
+    NotRun(String),
+    /// The call may have run, and is never run again.
+    Unknown(String),
+    /// The key belongs to another call.
+    Mismatch,
+}
+
+/// The claims of one agent, as far as it is home to their shards.
+#[derive(Debug)]
+pub struct Ledger {
+    me: String,
+    shards: collections::BTreeMap<Shard, Page>,
+    calls: collections::BTreeMap<CallId, Entry>,
+    writes: u64,
+}
+
+/// What is known of one shard.
+#[derive(Debug, Default)]
+struct Page {
+    record: Record,
+    revision: u64,
+    stage: Stage,
+    /// Changes that are not in the store yet.
+    pending: collections::BTreeMap<KeyHash, Claim>,
+    /// What the write under way carries, as it was when the write began.
+    flying: collections::BTreeMap<KeyHash, Claim>,
+    /// Claims of ours whose calls were given up before they ran.
+    void: collections::BTreeSet<String>,
+    /// Calls that wait for the first reading.
+    arrivals: Vec<CallId>,
+    failures: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has been read.
+    #[default]
+    Blank,
+    Reading,
+    /// What was read is current as far as is known.
+    Ready,
+    /// Changes wait for more until then.
+    Gathering(time::Instant),
+    Writing,
+    /// The store failed; it is asked again then.
+    Resting(time::Instant),
+}
+
+#[derive(Debug)]
+struct Entry {
+    call: Call,
+    state: CallState,
+    /// Why it has not run.
+    reason: String,
+    /// Whether what another home claimed has been read for this call.
+    checked: bool,
+    /// Resends that came while the call was under way.
+    others: Vec<CallId>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallState {
+    Arrived,
+    Claiming,
+    Running,
+    /// It has surely not run; that is being written, so that it can be claimed
+    /// again anywhere.
+    Voiding,
+    /// A resend that waits for the first one's answer.
+    Joined,
+}
+
+impl Ledger {
+    /// Begins empty. `me` must differ with each start of the process.
+    pub fn new(me: String) -> Self {
+        Self {
+            me,
+            shards: collections::BTreeMap::new(),
+            calls: collections::BTreeMap::new(),
+            writes: 0,
+        }
+    }
+
+    /// Moves on by one event. `wall` is the time since the Unix epoch.
+    pub fn step(&mut self, event: Event, now: time::Instant, wall: time::Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Call(call) => self.arrive(call, now, wall, &mut actions),
+            Event::Read(shard, read) => self.read(shard, read, now, wall, &mut actions),
+            Event::Written(shard, write) => self.written(shard, write, now, wall, &mut actions),
+            Event::Ran(id, answer) => self.ran(id, answer, now, wall, &mut actions),
+            Event::NotRun(id, reason) => self.not_run(id, &reason, now, wall),
+            Event::Lost(id, reason) => self.finish(id, Verdict::Unknown(reason), &mut actions),
+            Event::Tick => self.give_up(now, &mut actions),
+        }
+        self.proceed(now, wall, &mut actions);
+        actions
+    }
+
+    /// Tells whether no call is under way and nothing waits to be written.
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.shards.values().all(|p| p.pending.is_empty())
+    }
+
+    /// Calls that are under way.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    fn arrive(
+        &mut self,
+        call: Call,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let (id, shard) = (call.id, call.shard);
+        let entry = Entry {
+            call,
+            state: CallState::Arrived,
+            reason: String::new(),
+            checked: false,
+            others: Vec::new(),
+        };
+        self.calls.insert(id, entry);
+        let page = self.shards.entry(shard).or_default();
+        page.arrivals.push(id);
+        if !matches!(page.stage, Stage::Blank | Stage::Reading) {
+            self.admit(shard, now, wall, actions);
+        }
+    }
+
+    /// Decides on the calls that waited for a reading.
+    fn admit(
+        &mut self,
+        shard: Shard,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(page) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        for id in std::mem::take(&mut page.arrivals) {
+            self.decide(id, now, wall, actions);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        id: CallId,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.calls.get(&id) else {
+            return;
+        };
+        let call = entry.call.clone();
+        let Some(page) = self.shards.get_mut(&call.shard) else {
+            return;
+        };
+        let known = page.pending.get(&call.key);
+        let known = known.or_else(|| page.record.claims.get(&call.key)).cloned();
+        match known {
+            Some(claim) if claim.state != ClaimState::Void && claim.content != call.content => {
+                self.finish(id, Verdict::Mismatch, actions);
+            }
+            Some(Claim {
+                state: ClaimState::Done(answer),
+                ..
+            }) => self.finish(id, Verdict::Answered(answer, true), actions),
+            Some(Claim {
+                state: ClaimState::Ran,
+                ..
+            }) => {
+                let text = "the call has run, but its answer was not kept";
+                self.finish(id, Verdict::Unknown(text.into()), actions);
+            }
+            Some(Claim {
+                state: ClaimState::Claimed,
+                ..
+            }) => self.join(id, &call, actions),
+            Some(Claim {
+                state: ClaimState::Void,
+                ..
+            })
+            | None => self.claim(id, call, now, wall, actions),
+        }
+    }
+
+    /// Lets a resend wait for the first one, if that is under way here. Of
+    /// another home's claim, what became of it is read first.
+    fn join(&mut self, id: CallId, call: &Call, actions: &mut Vec<Action>) {
+        let first = self.calls.iter_mut().find(|(other, entry)| {
+            **other != id
+                && entry.call.key == call.key
+                && matches!(entry.state, CallState::Claiming | CallState::Running)
+        });
+        if let Some((_, first)) = first {
+            first.others.push(id);
+            if let Some(entry) = self.calls.get_mut(&id) {
+                entry.state = CallState::Joined;
+            }
+            return;
+        }
+        if self.check(id, call.shard, actions) {
+            return;
+        }
+        let text = "the call was claimed before and its outcome was not recorded";
+        self.finish(id, Verdict::Unknown(text.into()), actions);
+    }
+
+    /// Has a call wait for a fresh reading; gives false where it had one.
+    fn check(&mut self, id: CallId, shard: Shard, actions: &mut Vec<Action>) -> bool {
+        let (Some(entry), Some(page)) = (self.calls.get_mut(&id), self.shards.get_mut(&shard))
+        else {
+            return false;
+        };
+        if std::mem::replace(&mut entry.checked, true) {
+            return false;
+        }
+        entry.state = CallState::Arrived;
+        page.arrivals.push(id);
+        // A reading or write under way brings the same news.
+        if matches!(page.stage, Stage::Ready | Stage::Gathering(_)) {
+            page.stage = Stage::Reading;
+            actions.push(Action::Read(shard));
+        }
+        true
+    }
+
+    fn claim(
+        &mut self,
+        id: CallId,
+        call: Call,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reply_void(&call.key, actions);
+        let claim = Claim {
+            content: call.content,
+            by: format!("{}/{}", self.me, id.0),
+            at: wall.as_secs(),
+            state: ClaimState::Claimed,
+        };
+        if let Some(entry) = self.calls.get_mut(&id) {
+            entry.state = CallState::Claiming;
+        }
+        if let Some(page) = self.shards.get_mut(&call.shard) {
+            page.pending.insert(call.key, claim);
+            page.gather(now);
+        }
+    }
+
+    fn read(
+        &mut self,
+        shard: Shard,
+        read: Read,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(page) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        match read {
+            Read::Failed => page.rest(now),
+            Read::Found(revision, record) => {
+                page.take(revision, record);
+                self.settle(shard, now, wall, actions);
+                self.admit(shard, now, wall, actions);
+            }
+        }
+    }
+
+    fn written(
+        &mut self,
+        shard: Shard,
+        write: Write,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(page) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        match write {
+            Write::Done(revision) => {
+                let flying = std::mem::take(&mut page.flying);
+                let mut record = page.record.clone();
+                record.claims.extend(flying);
+                page.take(revision, record);
+                self.settle(shard, now, wall, actions);
+                self.admit(shard, now, wall, actions);
+            }
+            Write::Beaten(revision, record) => {
+                page.flying.clear();
+                page.take(revision, record);
+                self.settle(shard, now, wall, actions);
+                self.admit(shard, now, wall, actions);
+            }
+            Write::Failed => {
+                page.flying.clear();
+                page.rest(now);
+            }
+            // Only a reading tells whose write stands.
+            Write::Unknown => {
+                page.flying.clear();
+                page.stage = Stage::Reading;
+                actions.push(Action::Read(shard));
+            }
+        }
+    }
+
+    /// Compares what stands in the store with what was to be written.
+    fn settle(
+        &mut self,
+        shard: Shard,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(page) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        page.void_given_up(wall);
+        let mut runs = Vec::new();
+        let mut voided = Vec::new();
+        let mut again = Vec::new();
+        let pending = std::mem::take(&mut page.pending);
+        for (key, wanted) in pending {
+            let stands = page.record.claims.get(&key);
+            let same = stands.is_some_and(|s| s.by == wanted.by && s.state == wanted.state);
+            let ours = stands.is_some_and(|s| s.by == wanted.by);
+            let free = stands.is_none_or(|s| s.state == ClaimState::Void);
+            if same {
+                match wanted.state {
+                    ClaimState::Claimed => runs.push(key),
+                    ClaimState::Void => voided.push(key),
+                    ClaimState::Done(_) | ClaimState::Ran => {}
+                }
+            } else if free || ours {
+                page.pending.insert(key, wanted);
+            } else {
+                // Another home claimed the key first.
+                again.push(key);
+            }
+        }
+        if !page.pending.is_empty() {
+            page.gather(now);
+        }
+        for key in runs {
+            self.run(&key, actions);
+        }
+        for key in voided {
+            self.reply_void(&key, actions);
+        }
+        for key in again {
+            self.reply_void(&key, actions);
+            for id in self.claiming(&key) {
+                self.decide(id, now, wall, actions);
+            }
+        }
+    }
+
+    fn claiming(&self, key: &KeyHash) -> Vec<CallId> {
+        self.calls
+            .iter()
+            .filter(|(_, e)| e.call.key == *key && e.state == CallState::Claiming)
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    fn run(&mut self, key: &KeyHash, actions: &mut Vec<Action>) {
+        for id in self.claiming(key) {
+            if let Some(entry) = self.calls.get_mut(&id) {
+                entry.state = CallState::Running;
+                actions.push(Action::Run(id));
+            }
+        }
+    }
+
+    fn ran(
+        &mut self,
+        id: CallId,
+        answer: Answer,
+        now: time::Instant,
+        wall: time::Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        self.note(id, ClaimState::of_answer(answer.clone()), now, wall);
+        self.finish(id, Verdict::Answered(answer, false), actions);
+    }
+
+    fn not_run(&mut self, id: CallId, reason: &str, now: time::Instant, wall: time::Duration) {
+        self.note(id, ClaimState::Void, now, wall);
+        let Some(entry) = self.calls.get_mut(&id) else {
+            return;
+        };
+        entry.state = CallState::Voiding;
+        entry.reason = reason.to_owned();
+        let by = format!("{}/{}", self.me, id.0);
+        if let Some(page) = self.shards.get_mut(&entry.call.shard) {
+            page.void.insert(by);
+        }
+    }
+
+    /// Answers the calls of a key whose void claim is written or overtaken.
+    fn reply_void(&mut self, key: &KeyHash, actions: &mut Vec<Action>) {
+        let voided: Vec<(CallId, String)> = self
+            .calls
+            .iter()
+            .filter(|(_, e)| e.call.key == *key && e.state == CallState::Voiding)
+            .map(|(id, e)| (*id, e.reason.clone()))
+            .collect();
+        for (id, reason) in voided {
+            self.finish(id, Verdict::NotRun(reason), actions);
+        }
+    }
+
+    /// Notes what became of a running call, to be written in its turn.
+    fn note(&mut self, id: CallId, state: ClaimState, now: time::Instant, wall: time::Duration) {
+        let Some(entry) = self.calls.get(&id) else {
+            return;
+        };
+        let claim = Claim {
+            content: entry.call.content.clone(),
+            by: format!("{}/{}", self.me, id.0),
+            at: wall.as_secs(),
+            state,
+        };
+        let key = entry.call.key.clone();
+        if let Some(page) = self.shards.get_mut(&entry.call.shard) {
+            page.pending.insert(key, claim);
+            page.gather(now);
+        }
+    }
+
+    fn finish(&mut self, id: CallId, verdict: Verdict, actions: &mut Vec<Action>) {
+        let Some(entry) = self.calls.remove(&id) else {
+            return;
+        };
+        let repeated = match &verdict {
+            Verdict::Answered(answer, _) => Verdict::Answered(answer.clone(), true),
+            other => other.clone(),
+        };
+        actions.push(Action::Reply(id, verdict));
+        for other in entry.others {
+            self.finish(other, repeated.clone(), actions);
+        }
+    }
+
+    /// Refuses calls whose callers' time is up and that have not run.
+    fn give_up(&mut self, now: time::Instant, actions: &mut Vec<Action>) {
+        let late: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, e)| e.call.until <= now)
+            .filter(|(_, e)| matches!(e.state, CallState::Arrived | CallState::Claiming))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.abandon(id);
+            let text = "the claim could not be made durable in time";
+            self.finish(id, Verdict::NotRun(text.into()), actions);
+        }
+        let unwritten: Vec<(CallId, String)> = self
+            .calls
+            .iter()
+            .filter(|(_, e)| e.call.until <= now && e.state == CallState::Voiding)
+            .map(|(id, e)| (*id, e.reason.clone()))
+            .collect();
+        for (id, reason) in unwritten {
+            self.finish(id, Verdict::NotRun(reason), actions);
+        }
+    }
+
+    /// Takes back a claim that may be on its way to the store.
+    fn abandon(&mut self, id: CallId) {
+        let Some(entry) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(page) = self.shards.get_mut(&entry.call.shard) else {
+            return;
+        };
+        let by = format!("{}/{}", self.me, id.0);
+        page.arrivals.retain(|a| *a != id);
+        page.pending.retain(|_, c| c.by != by);
+        page.void.insert(by);
+    }
+
+    /// Starts the readings and writes that are due.
+    fn proceed(&mut self, now: time::Instant, wall: time::Duration, actions: &mut Vec<Action>) {
+        let me = self.me.clone();
+        for (shard, page) in &mut self.shards {
+            match page.stage {
+                Stage::Blank if !page.arrivals.is_empty() => {
+                    page.stage = Stage::Reading;
+                    actions.push(Action::Read(*shard));
+                }
+                // After a failure what stands is read again before a write.
+                Stage::Resting(until) if until <= now => {
+                    page.stage = Stage::Reading;
+                    actions.push(Action::Read(*shard));
+                }
+                Stage::Gathering(until) if until <= now => {
+                    self.writes += 1;
+                    let writer = format!("{me}#{}", self.writes);
+                    match page.write(writer, wall) {
+                        Some(bytes) => actions.push(Action::Write(*shard, page.revision, bytes)),
+                        None => page.rest(now),
+                    }
+                }
+                Stage::Blank
+                | Stage::Reading
+                | Stage::Ready
+                | Stage::Gathering(_)
+                | Stage::Writing
+                | Stage::Resting(_) => {}
+            }
+        }
+    }
+}
+
+impl Page {
+    fn take(&mut self, revision: u64, record: Record) {
+        self.revision = revision;
+        self.record = record;
+        self.stage = Stage::Ready;
+        self.failures = 0;
+    }
+
+    /// Lets changes wait for company, unless a write or reading is under way.
+    fn gather(&mut self, now: time::Instant) {
+        if self.stage == Stage::Ready {
+            self.stage = Stage::Gathering(now + GATHER);
+        }
+    }
+
+    fn rest(&mut self, now: time::Instant) {
+        let wait = RETRY_FIRST.saturating_mul(1 << self.failures.min(8));
+        self.failures += 1;
+        self.stage = Stage::Resting(now + wait.min(RETRY_MOST));
+    }
+
+    /// Voids claims of ours in the store whose calls were given up.
+    fn void_given_up(&mut self, wall: time::Duration) {
+        let stray: Vec<KeyHash> = self
+            .record
+            .claims
+            .iter()
+            .filter(|(_, c)| c.state == ClaimState::Claimed && self.void.contains(&c.by))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in stray {
+            let Some(claim) = self.record.claims.get(&key) else {
+                continue;
+            };
+            let void = Claim {
+                state: ClaimState::Void,
+                at: wall.as_secs(),
+                ..claim.clone()
+            };
+            self.record.claims.insert(key.clone(), void.clone());
+            self.pending.entry(key).or_insert(void);
+        }
+    }
+
+    fn write(&mut self, writer: String, wall: time::Duration) -> Option<Vec<u8>> {
+        let mut next = self.record.clone();
+        next.writer = writer;
+        next.prune(wall);
+        for (key, claim) in &self.pending {
+            next.claims.insert(key.clone(), claim.clone());
+        }
+        let bytes = next.encode()?;
+        self.flying = self.pending.clone();
+        self.record.prune(wall);
+        self.stage = Stage::Writing;
+        Some(bytes)
+    }
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,5 +1,14 @@
 //! Calls that may run at most once, by claims made durable before they run.
+//!
+//! All claims of a shard lie under one key of the store, which is written by
+//! compare-and-swap: whoever is home to a shard, and however many think they
+//! are, only one of them can claim a key. docs/DESIGN.md, "At most once",
+//! weighs this against journals of each agent.
 
+mod ledger;
+mod record;
 mod shard;
 
+pub use ledger::{Action, Call, CallId, Event, Ledger, Read, Verdict, Write};
+pub use record::{Answer, Claim, ClaimState, KeyHash, Record};
 pub use shard::{Shard, shard_of};
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -1,7 +1,7 @@
 use xxhash_rust::xxh3;
 
 /// Claims are divided among so many keys of the store.
-const SHARDS: u64 = 64;
+const SHARDS: u64 = 16;
 
 /// One part of all claims, kept under one key of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,3 +15,10 @@
     state.update(key.as_bytes());
     Shard(u32::try_from(state.digest() % SHARDS).unwrap_or(0))
 }
+
+impl Shard {
+    /// The shard's key in the store, below `prefix`.
+    pub fn store_key(self, prefix: &str) -> String {
+        format!("{prefix}{:02}", self.0)
+    }
+}
