--- a/crates/daemon/src/agent/plain.rs
+++ b/crates/daemon/src/agent/plain.rs
@@ -137,7 +137,12 @@
         };
         match claims.submit(submission).await {
             once::Verdict::Answered(answer, replayed) => answered(answer, replayed),
-            once::Verdict::NotRun(reason) => not_run(&reason, true),
+            once::Verdict::NotRun(reason) => border::PlainReply::NotRun {
+                reason,
+                retry: true,
+                certain: true,
+            },
+            once::Verdict::NotSent(reason) => not_run(&reason, true),
             once::Verdict::Unknown(reason) => border::PlainReply::Unknown { reason },
             once::Verdict::Mismatch => border::PlainReply::Mismatch,
         }
@@ -211,6 +216,7 @@
     border::PlainReply::NotRun {
         reason: reason.to_owned(),
         retry,
+        certain: false,
     }
 }
 
--- a/crates/daemon/src/entry/errors.rs
+++ b/crates/daemon/src/entry/errors.rs
@@ -2,6 +2,18 @@
 
 use std::time;
 
+/// Whether a refused request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ran {
+    /// It has not, and no earlier sending of it has.
+    Not,
+    /// This sending has not; of earlier ones with its idempotency key nothing
+    /// is known.
+    NotThisSending,
+    /// It may have.
+    Perhaps,
+}
+
 /// A refusal, with its HTTP status and whether the request has run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -10,8 +22,7 @@
     pub code: &'static str,
     /// The cause, for people.
     pub message: String,
-    /// True only where no upstream has seen the request.
-    pub not_run: bool,
+    pub ran: Ran,
     pub retry_after: Option<time::Duration>,
 }
 
@@ -22,7 +33,7 @@
             status,
             code,
             message: message.into(),
-            not_run: true,
+            ran: Ran::Not,
             retry_after: None,
         }
     }
@@ -30,11 +41,20 @@
     /// Reports a failure after something may have run.
     pub(crate) fn failed(status: u16, code: &'static str, message: impl Into<String>) -> Self {
         Self {
-            not_run: false,
+            ran: Ran::Perhaps,
             ..Self::not_run(status, code, message)
         }
     }
 
+    /// Says no more than is known of a request with an idempotency key, which
+    /// may have been sent before.
+    pub(crate) fn of_sending(mut self) -> Self {
+        if self.ran == Ran::Not {
+            self.ran = Ran::NotThisSending;
+        }
+        self
+    }
+
     /// Says when to come back.
     pub(crate) fn after(mut self, wait: time::Duration) -> Self {
         self.retry_after = Some(wait);
@@ -51,7 +71,8 @@
                     _ => "server_error",
                 },
                 "code": self.code,
-                "not_run": self.not_run,
+                "not_run": self.ran == Ran::Not,
+                "this_sending_not_run": self.ran != Ran::Perhaps,
             }
         })
     }
--- a/crates/daemon/src/entry/feeds.rs
+++ b/crates/daemon/src/entry/feeds.rs
@@ -113,6 +113,18 @@
     }
 }
 
+/// Reads both keys once, as after a pause.
+pub(crate) fn read_once(entry: &Entry) -> Result<(), StoreError> {
+    let client = store::Client::new(entry.settings.store);
+    if let Some(found) = client.get(store::CONF_KEY)? {
+        take_conf(entry, &found);
+    }
+    if let Some(found) = client.get(store::EPOCH_KEY)? {
+        take_division(entry, &found);
+    }
+    Ok(())
+}
+
 fn take_conf(entry: &Entry, found: &store::Versioned) {
     match serde_json::from_slice::<conf::Revised>(&found.value) {
         Ok(revised) => entry.offer(revised),
--- a/crates/daemon/src/entry/methods.rs
+++ b/crates/daemon/src/entry/methods.rs
@@ -33,6 +33,12 @@
     }
 
     async fn snapshot(&self) -> core::RpcResult<border::Snapshot> {
+        if !self.entry.trusted() {
+            return Ok(border::Snapshot {
+                document: String::new(),
+                division: String::new(),
+            });
+        }
         let current = self.entry.contract();
         let document = current.and_then(|c| serde_json::to_string(&*c).ok());
         let allowances = self.entry.allowances.lock();
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -1,6 +1,7 @@
 //! Links to peers, and the tick that keeps this entry's views true.
 
 use crate::entry::core::Entry;
+use crate::entry::feeds;
 use crate::entry::feeds::DivisionRecord;
 use member::Action;
 use member::Event;
@@ -24,6 +25,7 @@
 const GUARD: time::Duration = time::Duration::from_secs(10);
 /// How often a changed set of entries may be proposed as a new epoch.
 const PROPOSE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+const RECHECK_WAIT: time::Duration = time::Duration::from_millis(200);
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// All links of this entry.
@@ -94,8 +96,7 @@
     let now = time::Instant::now();
     if entry.pulse.lock().beat(now) {
         trace::Line::new("pause_noticed").warn();
-        let entry = entry.clone();
-        tokio::task::spawn_blocking(move || recheck(&entry));
+        tokio::spawn(recheck(entry.clone()));
     }
     let listed = entry.peers.listed.lock().take();
     let event = listed.map_or(Event::Tick, Event::Listed);
@@ -105,20 +106,30 @@
     propose_division(entry, now);
 }
 
-/// Reads configuration and epoch again after a pause; until then nothing is
-/// decided.
-fn recheck(entry: &Entry) {
-    let client = store::Client::new(entry.settings.store);
-    while client.get(store::EPOCH_KEY).is_err() {
-        if entry.peers.entries().len() > 1 {
+/// Reads configuration and epoch again after a pause, from the store or else
+/// from a peer that is awake itself; until then nothing is decided.
+async fn recheck(entry: sync::Arc<Entry>) {
+    loop {
+        let reader = entry.clone();
+        let read = tokio::task::spawn_blocking(move || feeds::read_once(&reader)).await;
+        if matches!(read, Ok(Ok(()))) || recheck_by_peers(&entry).await {
             break;
         }
-        std::thread::sleep(time::Duration::from_millis(200));
+        tokio::time::sleep(RECHECK_WAIT).await;
     }
     entry.pulse.lock().checked();
     trace::Line::new("pause_checked").info();
 }
 
+async fn recheck_by_peers(entry: &sync::Arc<Entry>) -> bool {
+    for (_, link) in entry.peers.entries() {
+        if catch_up(entry.clone(), link).await {
+            return true;
+        }
+    }
+    false
+}
+
 fn step(entry: &sync::Arc<Entry>, event: Event, now: time::Instant) {
     let actions = entry.peers.roster.lock().step(event, now);
     for action in actions {
@@ -249,17 +260,20 @@
     }
 }
 
-/// Takes from a peer what the store has not told, as in an outage.
-async fn catch_up(entry: sync::Arc<Entry>, link: sync::Arc<wire::Link>) {
+/// Takes from a peer what the store has not told, as in an outage. Gives false
+/// where the peer does not answer or has nothing it trusts itself.
+async fn catch_up(entry: sync::Arc<Entry>, link: sync::Arc<wire::Link>) -> bool {
     let Ok(Ok(snapshot)) = tokio::time::timeout(HELLO_TIMEOUT, link.snapshot()).await else {
-        return;
+        return false;
     };
-    if let Ok(revised) = serde_json::from_str(&snapshot.document) {
-        entry.offer(revised);
-    }
-    if let Ok(division) = serde_json::from_str(&snapshot.division) {
-        entry.adopt(division, None);
-    }
+    let revised = serde_json::from_str(&snapshot.document);
+    let division = serde_json::from_str(&snapshot.division);
+    let (Ok(revised), Ok(division)) = (revised, division) else {
+        return false;
+    };
+    entry.offer(revised);
+    entry.adopt(division, None);
+    true
 }
 
 impl Entry {
--- a/crates/daemon/src/entry/plain.rs
+++ b/crates/daemon/src/entry/plain.rs
@@ -41,6 +41,9 @@
     TIMEOUT_HEADER,
 ];
 
+/// A request without its body.
+type Head = web::Parts;
+
 /// How often a call may be given to an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Repeat {
@@ -58,6 +61,35 @@
     request: web::Request<web::Incoming>,
 ) -> Result<web::Response<web::Body>, Refusal> {
     let (head, body) = request.into_parts();
+    let may_be_resent = head.headers.contains_key(KEY_HEADER);
+    let answered = relay(entry, &head, body).await;
+    match answered {
+        Ok(reply) => response(reply),
+        Err(failed) if may_be_resent && !failed.certain => Err(failed.refusal.of_sending()),
+        Err(failed) => Err(failed.refusal),
+    }
+}
+
+/// A refusal, and whether what it says holds for earlier sendings as well.
+struct Failed {
+    refusal: Refusal,
+    certain: bool,
+}
+
+impl From<Refusal> for Failed {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            certain: false,
+        }
+    }
+}
+
+async fn relay(
+    entry: &sync::Arc<Entry>,
+    head: &Head,
+    body: web::Incoming,
+) -> Result<border::PlainReply, Failed> {
     let revised = http::configured(entry)?;
     let route = revised.contract.route(head.uri.path()).ok_or_else(|| {
         let text = format!("no route leads to {}", head.uri.path());
@@ -89,8 +121,7 @@
         trace: hop.traceparent(),
     };
     let limit = read_limit(&head.headers)?;
-    let reply = place(entry, call, repeat, limit).await?;
-    response(reply)
+    place(entry, call, repeat, limit).await
 }
 
 fn read_key(headers: &web::header::HeaderMap) -> Result<Option<String>, Refusal> {
@@ -139,15 +170,20 @@
     mut call: border::PlainCall,
     repeat: Repeat,
     limit: time::Duration,
-) -> Result<border::PlainReply, Refusal> {
+) -> Result<border::PlainReply, Failed> {
     let end = time::Instant::now() + limit;
     let mut tried: Vec<Name> = Vec::new();
     let mut unknown = false;
+    let mut sure = false;
+    let mut reason = String::from("no agent of the service took the call");
     loop {
         let left = end.saturating_duration_since(time::Instant::now());
         let given = left.saturating_sub(ANSWER_MARGIN);
         if given.is_zero() {
-            return Err(out_of_time(unknown));
+            return Err(Failed {
+                refusal: out_of_time(unknown, &reason),
+                certain: sure,
+            });
         }
         call.deadline = u64::try_from(given.as_millis()).unwrap_or(u64::MAX);
         let Some(host) = choose(entry, &call, repeat, &tried) else {
@@ -162,15 +198,24 @@
         // The limit bounds the call even where the agent is frozen.
         let answered = tokio::time::timeout(left, link.call(call.clone())).await;
         match (answered, repeat) {
-            (Ok(Ok(border::PlainReply::NotRun { reason, retry })), _) => {
+            (
+                Ok(Ok(border::PlainReply::NotRun {
+                    reason: told,
+                    retry,
+                    certain,
+                })),
+                _,
+            ) => {
+                sure |= certain;
                 if !retry {
-                    return Err(Refusal::not_run(503, "not_run", reason));
+                    return Err(Refusal::not_run(503, "not_run", told).into());
                 }
+                reason = told;
             }
             (Ok(Ok(border::PlainReply::Unknown { .. })), Repeat::Freely) => {}
             (Ok(Ok(reply)), _) => return Ok(reply),
             (Ok(Err(_)) | Err(_), Repeat::Never) => {
-                return Err(outcome_unknown("the agent was lost during the call"));
+                return Err(outcome_unknown("the agent was lost during the call").into());
             }
             (Ok(Err(_)) | Err(_), Repeat::ByClaim) => unknown = true,
             (Ok(Err(_)) | Err(_), Repeat::Freely) => {}
@@ -196,10 +241,10 @@
         .max_by_key(|host| xxh3::xxh3_64_with_seed(host.as_bytes(), u64::from(shard.0)))
 }
 
-fn out_of_time(unknown: bool) -> Refusal {
+fn out_of_time(unknown: bool, reason: &str) -> Refusal {
     match unknown {
         true => outcome_unknown("agents were lost during the call"),
-        false => Refusal::not_run(503, "no_service", "no agent of the service took the call"),
+        false => Refusal::not_run(503, "not_run", reason),
     }
 }
 
@@ -221,7 +266,7 @@
         border::PlainReply::Unknown { reason } => return Err(outcome_unknown(&reason)),
         border::PlainReply::Mismatch => {
             let text = "this idempotency key was used with another call";
-            return Err(Refusal::not_run(422, "key_reused", text));
+            return Err(Refusal::not_run(422, "key_reused", text).of_sending());
         }
     };
     let body = general_purpose::STANDARD
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -90,8 +90,10 @@
 pub enum Verdict {
     /// The call has run; this is its answer. The flag marks a resend.
     Answered(Answer, bool),
-    /// The call has surely not run.
+    /// The key has surely not run, neither by this call nor by an earlier one.
     NotRun(String),
+    /// This call has surely not run; of an earlier one nothing is known.
+    NotSent(String),
     /// The call may have run, and is never run again.
     Unknown(String),
     /// The key belongs to another call.
@@ -113,6 +115,8 @@
     record: Record,
     revision: u64,
     stage: Stage,
+    /// Readings and writes begun so far; one is under way at a time.
+    errands: u64,
     /// Changes that are not in the store yet.
     pending: collections::BTreeMap<KeyHash, Claim>,
     /// What the write under way carries, as it was when the write began.
@@ -145,8 +149,13 @@
     state: CallState,
     /// Why it has not run.
     reason: String,
-    /// Whether what another home claimed has been read for this call.
-    checked: bool,
+    /// Errands to the store that its shard had begun when the call came: what
+    /// they bring may be older than the call.
+    since: u64,
+    /// Whether a later errand has brought news.
+    fresh: bool,
+    /// Whether such news had the key free.
+    free: bool,
     /// Resends that came while the call was under way.
     others: Vec<CallId>,
 }
@@ -212,12 +221,15 @@
             call,
             state: CallState::Arrived,
             reason: String::new(),
-            checked: false,
+            since: 0,
+            fresh: false,
+            free: false,
             others: Vec::new(),
         };
-        self.calls.insert(id, entry);
         let page = self.shards.entry(shard).or_default();
         page.arrivals.push(id);
+        let since = page.errands;
+        self.calls.insert(id, Entry { since, ..entry });
         if !matches!(page.stage, Stage::Blank | Stage::Reading) {
             self.admit(shard, now, wall, actions);
         }
@@ -310,15 +322,14 @@
         else {
             return false;
         };
-        if std::mem::replace(&mut entry.checked, true) {
+        if entry.fresh {
             return false;
         }
         entry.state = CallState::Arrived;
         page.arrivals.push(id);
-        // A reading or write under way brings the same news.
+        // One errand at a time: what is under way ends first.
         if matches!(page.stage, Stage::Ready | Stage::Gathering(_)) {
-            page.stage = Stage::Reading;
-            actions.push(Action::Read(shard));
+            page.read(shard, actions);
         }
         true
     }
@@ -401,8 +412,7 @@
             // Only a reading tells whose write stands.
             Write::Unknown => {
                 page.flying.clear();
-                page.stage = Stage::Reading;
-                actions.push(Action::Read(shard));
+                page.read(shard, actions);
             }
         }
     }
@@ -419,6 +429,12 @@
             return;
         };
         page.void_given_up(wall);
+        let newer = |e: &&mut Entry| e.call.shard == shard && page.errands > e.since;
+        for entry in self.calls.values_mut().filter(newer) {
+            let claim = page.record.claims.get(&entry.call.key);
+            entry.fresh = true;
+            entry.free |= claim.is_none_or(|c| c.state == ClaimState::Void);
+        }
         let mut runs = Vec::new();
         let mut voided = Vec::new();
         let mut again = Vec::new();
@@ -468,9 +484,16 @@
 
     fn run(&mut self, key: &KeyHash, actions: &mut Vec<Action>) {
         for id in self.claiming(key) {
-            if let Some(entry) = self.calls.get_mut(&id) {
-                entry.state = CallState::Running;
-                actions.push(Action::Run(id));
+            let Some(entry) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            entry.state = CallState::Running;
+            actions.push(Action::Run(id));
+            // Whoever claims a key has found it free, for its resends as well.
+            for other in entry.others.clone() {
+                if let Some(other) = self.calls.get_mut(&other) {
+                    other.free = true;
+                }
             }
         }
     }
@@ -541,7 +564,12 @@
         };
         actions.push(Action::Reply(id, verdict));
         for other in entry.others {
-            self.finish(other, repeated.clone(), actions);
+            let free = self.calls.get(&other).is_some_and(|o| o.free);
+            let verdict = match &repeated {
+                Verdict::NotRun(reason) if !free => Verdict::NotSent(reason.clone()),
+                verdict => verdict.clone(),
+            };
+            self.finish(other, verdict, actions);
         }
     }
 
@@ -555,9 +583,13 @@
             .map(|(id, _)| *id)
             .collect();
         for id in late {
+            let text = String::from("the claim could not be made durable in time");
+            let verdict = match self.calls.get(&id).is_some_and(|e| e.free) {
+                true => Verdict::NotRun(text),
+                false => Verdict::NotSent(text),
+            };
             self.abandon(id);
-            let text = "the claim could not be made durable in time";
-            self.finish(id, Verdict::NotRun(text.into()), actions);
+            self.finish(id, verdict, actions);
         }
         let unwritten: Vec<(CallId, String)> = self
             .calls
@@ -590,13 +622,11 @@
         for (shard, page) in &mut self.shards {
             match page.stage {
                 Stage::Blank if !page.arrivals.is_empty() => {
-                    page.stage = Stage::Reading;
-                    actions.push(Action::Read(*shard));
+                    page.read(*shard, actions);
                 }
                 // After a failure what stands is read again before a write.
                 Stage::Resting(until) if until <= now => {
-                    page.stage = Stage::Reading;
-                    actions.push(Action::Read(*shard));
+                    page.read(*shard, actions);
                 }
                 Stage::Gathering(until) if until <= now => {
                     self.writes += 1;
@@ -618,6 +648,12 @@
 }
 
 impl Page {
+    fn read(&mut self, shard: Shard, actions: &mut Vec<Action>) {
+        self.stage = Stage::Reading;
+        self.errands += 1;
+        actions.push(Action::Read(shard));
+    }
+
     fn take(&mut self, revision: u64, record: Record) {
         self.revision = revision;
         self.record = record;
@@ -672,6 +708,7 @@
         self.flying = self.pending.clone();
         self.record.prune(wall);
         self.stage = Stage::Writing;
+        self.errands += 1;
         Some(bytes)
     }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,5 +9,6 @@
 
 pub use body::{Body, Feed, body_channel, read_body, whole};
 pub use hyper::body::Incoming;
+pub use hyper::http::request::Parts;
 pub use hyper::{Method, Request, Response, StatusCode, header};
 pub use server::{Handler, Server};
--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -847,14 +847,19 @@
 ///    },
 ///    {
 ///      "title": "not_run",
-///      "description": "The service did not see the call.",
+///      "description": "The service did not see this sending of the call.",
 ///      "type": "object",
 ///      "required": [
+///        "certain",
 ///        "reason",
 ///        "retry",
 ///        "type"
 ///      ],
 ///      "properties": {
+///        "certain": {
+///          "description": "Whether this is known of earlier sendings of the same key as well.",
+///          "type": "boolean"
+///        },
 ///        "reason": {
 ///          "type": "string"
 ///        },
@@ -924,9 +929,14 @@
     },
     /**not_run
 
-The service did not see the call.*/
+The service did not see this sending of the call.*/
     #[serde(rename = "not_run")]
-    NotRun { reason: ::std::string::String, retry: bool },
+    NotRun {
+        ///Whether this is known of earlier sendings of the same key as well.
+        certain: bool,
+        reason: ::std::string::String,
+        retry: bool,
+    },
     /**unknown
 
 The call may have run; it will not be run again.*/
