No seat held for nobody: subscriptions end only once the agent knows them

Cause: under load an agent did not end its drain; it held granted seats whose bids the entry had dropped. Two races, both between an ended subscription and its registration: the entry aborted its own task while the agent's answer was on its way, and jsonrpsee's server answers a subscription before it registers it, so an end that is fast is ignored. Engines were empty, so only the drain showed it. Now the agent's first event is 'waiting', and an entry ends a subscription only after it. Ruled out: the drain's own logic, the client's full channel. Every session now also checks that each agent's seats are free again.

Second finding: requests within the rate were refused just after a start, since slices start empty. A request now waits for tokens that its organisation's rate brings within half its first-token target, behind those that already wait.

--- a/crates/daemon/src/agent/methods.rs
+++ b/crates/daemon/src/agent/methods.rs
@@ -52,6 +52,8 @@
         let sink = pending.accept().await?;
         let (out, events) = mpsc::unbounded_channel();
         let held = self.hold();
+        // The first event, so that the entry knows when it may end this.
+        let _ = out.send(border::DecodeEvent::Waiting);
         self.tell(Event::Bid(held.ticket, bid, out));
         relay(&sink, events).await
     }
@@ -70,6 +72,7 @@
         let sink = pending.accept().await?;
         let (out, events) = mpsc::unbounded_channel();
         let held = self.hold();
+        let _ = out.send(border::PrefillEvent::Waiting);
         self.tell(Event::Prefill(held.ticket, prefill, out));
         relay(&sink, events).await
     }
--- a/crates/daemon/src/entry/admit.rs
+++ b/crates/daemon/src/entry/admit.rs
@@ -15,6 +15,9 @@
 /// All loans of one admission are used within this; shorter than they live.
 const LOANS_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
+/// Least wait before tokens are looked for again.
+const LEAST_WAIT: time::Duration = time::Duration::from_millis(10);
+
 /// What one request was charged, to be settled when it ends.
 pub(crate) struct Charge {
     entry: sync::Arc<Entry>,
@@ -55,14 +58,105 @@
     }
 }
 
+/// A request that wants to be admitted.
+pub(crate) struct Wish<'a> {
+    pub organisation: &'a Name,
+    pub request: &'a str,
+    /// Most tokens that it may use.
+    pub tokens: u64,
+    /// How long it may wait for tokens that are about to be there.
+    pub patience: time::Duration,
+}
+
 /// Charges a request, or says when to come back.
-pub(crate) async fn admit(
-    entry: &sync::Arc<Entry>,
-    organisation: &Name,
-    id: &str,
+///
+/// A request that lacks only what its organisation's rate brings within its
+/// patience waits for it: that is within the allowance, so it isn't refused.
+pub(crate) async fn admit(entry: &sync::Arc<Entry>, wish: Wish<'_>) -> Result<Charge, Refusal> {
+    let began = time::Instant::now();
+    let mut round = 0;
+    let mut queued: Option<Queued> = None;
+    loop {
+        let id = ChargeId(format!("{}#{round}", wish.request));
+        let missing = match try_admit(entry, &wish, id).await? {
+            Tried::Admitted(charge) => return Ok(charge),
+            Tried::Short(missing) => missing,
+        };
+        let ahead = Queued::ahead(entry, &wish, queued.as_ref());
+        let wait = entry
+            .allowances
+            .lock()
+            .escrow
+            .wait(wish.organisation, missing + ahead);
+        if began.elapsed() + wait > wish.patience {
+            metrics::counter!(
+                "hornbeampitch_refused_total",
+                "organisation" => wish.organisation.to_string()
+            )
+            .increment(1);
+            let text = "the organisation's allowance is used up";
+            return Err(Refusal::not_run(429, "over_allowance", text).after(wait));
+        }
+        queued.get_or_insert_with(|| Queued::join(entry, &wish));
+        round += 1;
+        tokio::time::sleep(wait.max(LEAST_WAIT)).await;
+    }
+}
+
+enum Tried {
+    Admitted(Charge),
+    /// So many tokens are missing at this entry and all its peers.
+    Short(f64),
+}
+
+/// Tokens that a waiting request is about to take, seen by those behind it.
+struct Queued {
+    entry: sync::Arc<Entry>,
+    organisation: Name,
     tokens: u64,
-) -> Result<Charge, Refusal> {
-    let id = ChargeId(id.to_owned());
+}
+
+impl Queued {
+    fn join(entry: &sync::Arc<Entry>, wish: &Wish<'_>) -> Self {
+        let mut allowances = entry.allowances.lock();
+        *allowances
+            .queued
+            .entry(wish.organisation.clone())
+            .or_insert(0) += wish.tokens;
+        Self {
+            entry: entry.clone(),
+            organisation: wish.organisation.clone(),
+            tokens: wish.tokens,
+        }
+    }
+
+    /// Tokens that others wait for; one that waits itself is not behind them.
+    fn ahead(entry: &Entry, wish: &Wish<'_>, own: Option<&Self>) -> f64 {
+        if own.is_some() {
+            return 0.0;
+        }
+        let allowances = entry.allowances.lock();
+        let queued = allowances.queued.get(wish.organisation);
+        queued.copied().unwrap_or(0) as f64
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        let mut allowances = self.entry.allowances.lock();
+        if let Some(queued) = allowances.queued.get_mut(&self.organisation) {
+            *queued = queued.saturating_sub(self.tokens);
+        }
+    }
+}
+
+/// Charges a request once, with whatever peers can lend now.
+async fn try_admit(
+    entry: &sync::Arc<Entry>,
+    wish: &Wish<'_>,
+    id: ChargeId,
+) -> Result<Tried, Refusal> {
+    let organisation = wish.organisation;
     let began = time::Instant::now();
     let mut loans: Vec<Taken> = Vec::new();
     let mut peers = entry.peers.entries();
@@ -82,17 +176,17 @@
                 .allowances
                 .lock()
                 .escrow
-                .charge(organisation, &id, tokens, lent as f64, now);
+                .charge(organisation, &id, wish.tokens, lent as f64, now);
         let missing = match admission {
             Admission::Admitted => {
-                return Ok(Charge {
+                return Ok(Tried::Admitted(Charge {
                     entry: entry.clone(),
                     organisation: organisation.clone(),
                     id,
-                    tokens,
+                    tokens: wish.tokens,
                     loans,
                     used: 0,
-                });
+                }));
             }
             Admission::TooLarge => {
                 return Err(Refusal::not_run(
@@ -105,11 +199,7 @@
         };
         let Some((_, link)) = peers.pop() else {
             repay(organisation, &id, loans, 0);
-            let wait = entry.allowances.lock().escrow.wait(organisation, missing);
-            metrics::counter!("hornbeampitch_refused_total", "organisation" => organisation.to_string())
-                .increment(1);
-            let text = "the organisation's allowance is used up";
-            return Err(Refusal::not_run(429, "over_allowance", text).after(wait));
+            return Ok(Tried::Short(missing));
         };
         let tokens = borrow(entry, &link, organisation, &id, missing).await;
         loans.push(Taken { link, tokens });
--- a/crates/daemon/src/entry/core.rs
+++ b/crates/daemon/src/entry/core.rs
@@ -3,6 +3,7 @@
 use crate::app::Heart;
 use crate::entry::peers::Peers;
 use parking_lot::Mutex;
+use std::collections;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -21,6 +22,8 @@
 pub(crate) struct Allowances {
     pub escrow: quota::Escrow,
     pub epochs: quota::Epochs,
+    /// Tokens that waiting requests are about to take, by organisation.
+    pub queued: collections::BTreeMap<Name, u64>,
 }
 
 /// One entry.
@@ -54,6 +57,7 @@
         let allowances = Allowances {
             escrow: quota::Escrow::new(),
             epochs: quota::Epochs::new(me.clone()),
+            queued: collections::BTreeMap::new(),
         };
         Self {
             secrets: wire::Secrets::new(settings.secrets.iter().cloned()),
--- a/crates/daemon/src/entry/model.rs
+++ b/crates/daemon/src/entry/model.rs
@@ -14,11 +14,16 @@
 use crate::entry::runner::Runner;
 use bytes::Bytes;
 use std::sync;
+use std::time;
 use tokio::sync::mpsc;
 
 /// Most bytes of a request for a model.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// The part of the first-token target that admission may take.
+const PATIENCE_PART: f64 = 2.0;
+const MOST_PATIENCE: time::Duration = time::Duration::from_secs(10);
+
 type Outputs = mpsc::UnboundedReceiver<Output>;
 
 /// Answers one request for a model.
@@ -38,7 +43,13 @@
     let hop = trace::Hop::begin("entry", http::header(&head.headers, "traceparent"));
     hop.note("request", name.clone());
     hop.note("organisation", key.organisation.to_string());
-    let charge = admit::admit(entry, &key.organisation, &name, ask.most()).await?;
+    let wish = admit::Wish {
+        organisation: &key.organisation,
+        request: &name,
+        tokens: ask.most(),
+        patience: patience(&ask.class),
+    };
+    let charge = admit::admit(entry, wish).await?;
     let caller = Caller {
         request: name.clone(),
         key: key.id,
@@ -58,6 +69,12 @@
     }
 }
 
+/// How long a request may wait for its organisation's tokens: a part of the
+/// time to its first token.
+fn patience(class: &world::Class) -> time::Duration {
+    class.first().div_f64(PATIENCE_PART).min(MOST_PATIENCE)
+}
+
 fn stream(
     ask: sync::Arc<Ask>,
     name: String,
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -14,7 +14,7 @@
 use std::sync;
 use std::time;
 use tokio::sync::mpsc;
-use tokio::task;
+use tokio::sync::oneshot;
 use wire::api::AgentClient;
 use wire::api::EntryClient;
 use wire::border;
@@ -43,17 +43,33 @@
     charge: Charge,
     events: mpsc::UnboundedReceiver<Event>,
     sender: mpsc::UnboundedSender<Event>,
-    seats: collections::BTreeMap<(u32, Name), task::AbortHandle>,
+    seats: collections::BTreeMap<(u32, Name), Hold>,
     prefill: Option<Prefilling>,
     answer: String,
     output: mpsc::UnboundedSender<Output>,
     hop: trace::Hop,
 }
 
+/// Keeps a subscription open; dropping it ends the subscription.
+///
+/// The task that follows a subscription is never aborted, and ends it only after
+/// the agent's first event: an end that overtakes the agent's own registration
+/// is lost in jsonrpsee, and the agent would hold a seat for nobody.
+struct Hold {
+    _let_go: oneshot::Sender<()>,
+}
+
+impl Hold {
+    fn new() -> (Self, oneshot::Receiver<()>) {
+        let (let_go, released) = oneshot::channel();
+        (Self { _let_go: let_go }, released)
+    }
+}
+
 /// An open prefill, and its result once it is ready.
 struct Prefilling {
     run: u32,
-    abort: task::AbortHandle,
+    _hold: Hold,
     ready: sync::Arc<sync::OnceLock<Ready>>,
 }
 
@@ -190,21 +206,22 @@
         let link = self.entry.peers.link(&host);
         let events = self.sender.clone();
         let name = host.clone();
-        let task = tokio::spawn(async move {
+        let (hold, released) = Hold::new();
+        tokio::spawn(async move {
             let fault = match link {
-                Some(link) => follow_seat(&link, bid, round, &name, &events).await,
-                None => Fault::Lost,
+                Some(link) => follow_seat(&link, bid, round, &name, &events, released).await,
+                None => Some(Fault::Lost),
             };
-            let _ = events.send(Event::DecodeFault(round, name, fault));
+            if let Some(fault) = fault {
+                let _ = events.send(Event::DecodeFault(round, name, fault));
+            }
         });
-        self.seats.insert((round, host), task.abort_handle());
+        self.seats.insert((round, host), hold);
     }
 
     /// Ends a subscription, which frees all that its agent holds for it.
     fn drop_seat(&mut self, round: u32, host: &Name) {
-        if let Some(abort) = self.seats.remove(&(round, host.clone())) {
-            abort.abort();
-        }
+        self.seats.remove(&(round, host.clone()));
     }
 
     fn start_prefill(&mut self, run: u32, pick: Pick) {
@@ -222,25 +239,26 @@
         let events = self.sender.clone();
         let ready = sync::Arc::new(sync::OnceLock::new());
         let found = ready.clone();
-        let task = tokio::spawn(async move {
+        let (hold, released) = Hold::new();
+        tokio::spawn(async move {
             let fault = match link {
-                Some(link) => follow_prefill(&link, ask, run, &found, &events).await,
-                None => Fault::Lost,
+                Some(link) => follow_prefill(&link, ask, run, &found, &events, released).await,
+                None => Some(Fault::Lost),
             };
-            let _ = events.send(Event::PrefillFault(run, fault));
+            if let Some(fault) = fault {
+                let _ = events.send(Event::PrefillFault(run, fault));
+            }
         });
         self.charge.spend(self.ask.tokens);
         self.prefill = Some(Prefilling {
             run,
-            abort: task.abort_handle(),
+            _hold: hold,
             ready,
         });
     }
 
     fn drop_prefill(&mut self, run: u32) {
-        if let Some(prefill) = self.prefill.take_if(|p| p.run == run) {
-            prefill.abort.abort();
-        }
+        self.prefill.take_if(|p| p.run == run);
     }
 
     fn start(&mut self, round: u32, host: Name, offset: u32) {
@@ -365,59 +383,72 @@
     }
 }
 
-impl Drop for Runner {
-    fn drop(&mut self) {
-        for abort in self.seats.values() {
-            abort.abort();
-        }
-        if let Some(prefill) = &self.prefill {
-            prefill.abort.abort();
-        }
-    }
-}
-
-/// Follows one bid to its end; returns why it ended.
+/// Follows one bid to its end; returns why it failed, if it did.
 async fn follow_seat(
     link: &wire::Link,
     bid: border::Bid,
     round: u32,
     host: &Name,
     events: &mpsc::UnboundedSender<Event>,
-) -> Fault {
+    mut released: oneshot::Receiver<()>,
+) -> Option<Fault> {
     let Ok(mut told) = link.decode(bid).await else {
-        return Fault::Lost;
+        return Some(Fault::Lost);
     };
-    while let Some(Ok(event)) = told.next().await {
+    if !matches!(told.next().await, Some(Ok(border::DecodeEvent::Waiting))) {
+        return Some(Fault::Lost);
+    }
+    loop {
+        let event = tokio::select! {
+            biased;
+            _ = &mut released => return None,
+            event = told.next() => event,
+        };
+        let Some(Ok(event)) = event else {
+            return Some(Fault::Lost);
+        };
         let event = match event {
+            border::DecodeEvent::Waiting => continue,
             border::DecodeEvent::Granted => Event::Granted(round, host.clone()),
             border::DecodeEvent::Imported { micros } => {
                 Event::Imported(round, time::Duration::from_micros(micros))
             }
             border::DecodeEvent::Chunk { offset, text } => Event::Chunk(round, offset, text),
             border::DecodeEvent::End { finish, tokens } => Event::End(round, finish, tokens),
-            border::DecodeEvent::Fault { fault } => return fault_of(&fault),
+            border::DecodeEvent::Fault { fault } => return Some(fault_of(&fault)),
         };
         if events.send(event).is_err() {
-            return Fault::Lost;
+            return None;
         }
     }
-    Fault::Lost
 }
 
-/// Follows one prefill to its end; returns why it ended.
+/// Follows one prefill to its end; returns why it failed, if it did.
 async fn follow_prefill(
     link: &wire::Link,
     ask: border::Prefill,
     run: u32,
     ready: &sync::OnceLock<Ready>,
     events: &mpsc::UnboundedSender<Event>,
-) -> Fault {
+    mut released: oneshot::Receiver<()>,
+) -> Option<Fault> {
     let Ok(mut told) = link.prefill(ask).await else {
-        return Fault::Lost;
+        return Some(Fault::Lost);
     };
-    while let Some(Ok(event)) = told.next().await {
+    if !matches!(told.next().await, Some(Ok(border::PrefillEvent::Waiting))) {
+        return Some(Fault::Lost);
+    }
+    loop {
+        let event = tokio::select! {
+            biased;
+            _ = &mut released => return None,
+            event = told.next() => event,
+        };
+        let Some(Ok(event)) = event else {
+            return Some(Fault::Lost);
+        };
         match event {
-            border::PrefillEvent::Started => {}
+            border::PrefillEvent::Waiting | border::PrefillEvent::Started => {}
             border::PrefillEvent::Ready {
                 source,
                 kv,
@@ -427,13 +458,12 @@
             } => {
                 let _ = ready.set(Ready { source, kv });
                 if events.send(Event::Ready(run, tokens, cached)).is_err() {
-                    return Fault::Lost;
+                    return None;
                 }
             }
-            border::PrefillEvent::Fault { fault } => return fault_of(&fault),
+            border::PrefillEvent::Fault { fault } => return Some(fault_of(&fault)),
         }
     }
-    Fault::Lost
 }
 
 fn fault_of(fault: &border::Fault) -> Fault {
--- a/crates/daemon/tests/session/mod.rs
+++ b/crates/daemon/tests/session/mod.rs
@@ -25,6 +25,7 @@
     pub lab: Lab,
     pub settings: String,
     pub documents: String,
+    seats: usize,
 }
 
 /// What a caller got.
@@ -51,6 +52,7 @@
     /// Starts a site without a configuration.
     pub fn unconfigured(shape: Shape, program: &path::Path, words: &[&str]) -> Self {
         let text = documents(&shape);
+        let seats = shape.engine.seats;
         let lab = Lab::start(shape, program, words);
         let documents = lab.folder.join("documents.yaml");
         fs::write(&documents, text).expect("the temporary folder takes files");
@@ -58,6 +60,7 @@
             settings: lab.client_settings().display().to_string(),
             documents: documents.display().to_string(),
             lab,
+            seats,
         }
     }
 
@@ -112,10 +115,16 @@
         stream(&self.url(entry, "/v1/completions"), key, &body, |_| true)
     }
 
-    /// Waits until no engine holds memory for anything.
+    /// Waits until no engine holds memory for anything, and no agent that runs
+    /// holds a seat for anybody.
     pub fn wait_empty(&self) -> bool {
         let limit = time::Duration::from_secs(5);
-        self.lab.wait(limit, |lab| lab.held().is_empty())
+        let free = format!("hornbeampitch_seats_free {}", self.seats);
+        self.lab.wait(limit, |lab| {
+            let agents = lab.daemons.iter().filter(|d| d.host.starts_with("decode"));
+            let mut running = agents.filter(|d| d.id().is_some());
+            lab.held().is_empty() && running.all(|d| metrics(d.admin).contains(&free))
+        })
     }
 }
 
--- /dev/null
+++ b/crates/daemon/tests/stop_tests.rs
@@ -0,0 +1,155 @@
+//! Planned stops cut off no request.
+
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+use yare::parameterized;
+
+fn start() -> Session {
+    let mut shape = Shape {
+        entries: 2,
+        prefills: 2,
+        decodes: 3,
+        services: 2,
+        ..Shape::small()
+    };
+    shape.engine.step = time::Duration::from_millis(10);
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    Session::start(shape, program, &[])
+}
+
+fn terminate(session: &mut Session, host: &str) {
+    let i = session.lab.find(host);
+    let id = session.lab.daemons[i].id().expect("the daemon runs");
+    let sent = process::Command::new("kill")
+        .args(["-TERM", &id.to_string()])
+        .status();
+    assert!(sent.expect("kill can be run").success());
+}
+
+/// Streams through an entry for as long as it listens; counts the answers.
+fn load(session: &Session, entry: usize, key: &str, caller: usize, end: time::Instant) -> usize {
+    let mut whole = 0;
+    while time::Instant::now() < end {
+        let prompt = format!("caller {caller} asks {whole} [len=30]");
+        let got = session.complete(entry, key, &prompt, 60);
+        if got.status == 0 {
+            // Refused connections are the balancer's to notice.
+            return whole;
+        }
+        assert_eq!(got.text, fake::answer_text(&prompt, 60), "{got:?}");
+        assert!(got.whole, "{got:?}");
+        whole += 1;
+    }
+    whole
+}
+
+#[parameterized(
+    entry = { "entry-1" },
+    decode = { "decode-1" },
+    prefill = { "prefill-1" },
+    service = { "service-1" },
+)]
+fn stop_under_load_cuts_off_no_request(host: &str) {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let end = time::Instant::now() + time::Duration::from_millis(2_500);
+    let whole: usize = thread::scope(|scope| {
+        let shared = &session;
+        let callers: Vec<_> = (0..12)
+            .map(|caller| {
+                let key = &key;
+                scope.spawn(move || load(shared, caller % 2, key, caller, end))
+            })
+            .collect();
+        session::pause(700);
+        let i = shared.lab.find(host);
+        let id = shared.lab.daemons[i].id().expect("the daemon runs");
+        let sent = process::Command::new("kill")
+            .args(["-TERM", &id.to_string()])
+            .status();
+        assert!(sent.expect("kill can be run").success());
+        let joined = callers.into_iter().map(|c| c.join());
+        joined.map(|c| c.expect("no caller is cut off")).sum()
+    });
+    assert!(whole > 12, "only {whole} answers");
+    let i = session.lab.find(host);
+    let code = session.lab.daemons[i].join(time::Duration::from_secs(10));
+    assert_eq!(code, Some(0), "{}", session.lab.daemons[i].log());
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn plain_call_under_way_ends_before_its_agent() {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let slow = fake::Trouble::Slow(time::Duration::from_millis(1_000));
+    session.lab.services.iter().for_each(|s| s.trouble(slow));
+    let url = session.url(0, "/dispatch/orders");
+    let bearer = format!("Bearer {key}");
+    let got = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let headers = [
+                ("authorization", bearer.as_str()),
+                ("idempotency-key", "order-1"),
+            ];
+            session::call("POST", &url, &headers, "{}")
+        });
+        session::pause(400);
+        terminate(&mut session, "service-1");
+        terminate(&mut session, "service-2");
+        caller.join().expect("the caller does not panic")
+    });
+    assert_eq!(got.status, 201, "{got:?}");
+    for host in ["service-1", "service-2"] {
+        let i = session.lab.find(host);
+        let code = session.lab.daemons[i].join(time::Duration::from_secs(10));
+        assert_eq!(code, Some(0));
+    }
+    // The outcome reached the store before the agents ended.
+    let dump = format!("{:?}", session.lab.store.dump());
+    assert!(dump.contains("done"), "{dump}");
+}
+
+#[test]
+fn drained_host_gets_no_new_work() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let (code, out) = session.client(&["drain", "decode-1"]);
+    assert_eq!(code, 0, "{out}");
+    session::pause(500);
+    let before = session.lab.decodes[0].stats().streamed;
+    for i in 0..12 {
+        let got = session.complete(i % 2, &key, &format!("after {i} [len=5]"), 9);
+        assert!(got.whole, "{got:?}");
+    }
+    assert_eq!(session.lab.decodes[0].stats().streamed, before);
+    let (code, out) = session.client(&["undrain", "decode-1"]);
+    assert_eq!(code, 0, "{out}");
+    let limit = time::Duration::from_secs(5);
+    let used = session.lab.wait(limit, |_| {
+        session.complete(0, &key, "again [len=5]", 9);
+        session.lab.decodes[0].stats().streamed > before
+    });
+    assert!(used);
+}
+
+#[test]
+fn host_that_the_platform_lists_as_leaving_gets_no_new_work() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.hosts.leave("decode-2");
+    // The list is read twice a second.
+    session::pause(1_500);
+    let before = session.lab.decodes[1].stats().streamed;
+    for i in 0..12 {
+        let got = session.complete(i % 2, &key, &format!("after {i} [len=5]"), 9);
+        assert!(got.whole, "{got:?}");
+    }
+    assert_eq!(session.lab.decodes[1].stats().streamed, before);
+}
--- /dev/null
+++ b/crates/daemon/tests/store_tests.rs
@@ -0,0 +1,227 @@
+//! The store down, slow or losing answers; entries cut off; configuration that
+//! never goes back.
+
+mod session;
+
+use fake::Mode;
+use fake::Shape;
+use session::Session;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+
+const PROMPT: &str = "Condition of the southern track [len=20]";
+
+fn program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"))
+}
+
+fn two_entries() -> Shape {
+    Shape {
+        entries: 2,
+        ..Shape::small()
+    }
+}
+
+fn assert_answers(session: &Session, entry: usize, key: &str) {
+    let got = session.complete(entry, key, PROMPT, 40);
+    assert_eq!(got.text, fake::answer_text(PROMPT, 40), "{got:?}");
+}
+
+#[test]
+fn outage_stops_nothing_that_needs_no_claim() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.store.kill();
+    for i in 0..10 {
+        assert_answers(&session, i % 2, &key);
+    }
+    session.lab.store.restart();
+    let (_, newer) = session.key(session::FARMS);
+    assert_answers(&session, 0, &newer);
+    assert_answers(&session, 1, &newer);
+}
+
+#[test]
+fn store_out_at_start_serves_as_soon_as_it_is_back() {
+    let shape = two_entries();
+    let session = Session::unconfigured(shape, program(), &[]);
+    let (code, out) = session.client(&["apply", &session.documents]);
+    assert_eq!(code, 0, "{out}");
+    let (_, key) = session.key(session::RANGERS);
+    drop(key);
+    session.lab.store.mode(Mode::Out);
+    let refused = session.complete(0, "hbp_0_0", PROMPT, 40);
+    assert!([401, 503].contains(&refused.status), "{refused:?}");
+    assert!(refused.text.contains("\"not_run\":true"), "{refused:?}");
+    session.lab.store.mode(Mode::Well);
+    session.wait_ready();
+    let (_, key) = session.key(session::RANGERS);
+    assert_answers(&session, 0, &key);
+}
+
+#[test]
+fn entry_started_in_an_outage_learns_from_its_peer() {
+    let mut session = Session::start(two_entries(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.store.kill();
+    session.lab.daemons[1].kill();
+    session.lab.spawn(1);
+    let limit = time::Duration::from_secs(10);
+    let learnt = session.lab.wait(limit, |lab| {
+        session::metrics(lab.daemons[1].admin).contains("hornbeampitch_allowance_part 0.5")
+    });
+    assert!(learnt, "{}", session.lab.daemons[1].log());
+    // Its slice fills from nothing at half the rate.
+    session::pause(1_000);
+    assert_answers(&session, 1, &key);
+}
+
+#[test]
+fn slow_store_slows_no_request() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    session
+        .lab
+        .store
+        .mode(Mode::Slow(time::Duration::from_secs(1)));
+    assert_answers(&session, 0, &key);
+    assert_answers(&session, 1, &key);
+}
+
+#[test]
+fn return_after_an_outage_keeps_to_the_budget() {
+    let shape = Shape {
+        entries: 3,
+        services: 3,
+        ..Shape::small()
+    };
+    let session = Session::start(shape, program(), &[]);
+    session.lab.store.kill();
+    session::pause(3_000);
+    let before = session.lab.store.calls();
+    session.lab.store.restart();
+    session::pause(4_000);
+    let after = session.lab.store.calls();
+    // Each entry reads and watches two keys; nothing is asked over and over.
+    let reads = after.reads - before.reads;
+    let watches = after.watches - before.watches;
+    assert!(reads <= 3 * 2 * 3, "{reads} reads");
+    assert!(watches <= 3 * 2 * 2, "{watches} watches");
+    assert!(after.writes - before.writes <= 3);
+}
+
+#[test]
+fn lost_answer_of_an_apply_is_read_back() {
+    let session = Session::start(two_entries(), program(), &[]);
+    session.lab.store.mode(Mode::LoseAnswers(1));
+    let (_, key) = session.key(session::RANGERS);
+    assert_answers(&session, 0, &key);
+    let (code, listed) = session.client(&["key", "list"]);
+    assert_eq!((code, listed.lines().count()), (0, 1), "{listed}");
+}
+
+#[test]
+fn operators_who_race_are_told_apart() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let results: Vec<(u8, String)> = thread::scope(|scope| {
+        let operators: Vec<_> = (0..6)
+            .map(|_| scope.spawn(|| session.client(&["apply", &session.documents])))
+            .collect();
+        let joined = operators.into_iter().map(|o| o.join());
+        joined.map(|r| r.expect("no operator panics")).collect()
+    });
+    let won = results.iter().filter(|(code, _)| *code == 0).count();
+    for (_, out) in results.iter().filter(|(code, _)| *code != 0) {
+        assert!(out.contains("another operator was faster"), "{out}");
+    }
+    // Each that won made a revision of its own, after the first apply's.
+    let (_, shown) = session.client(&["show"]);
+    assert!(
+        shown.starts_with(&format!("# revision {}\n", won + 1)),
+        "{shown}"
+    );
+}
+
+#[test]
+fn keys_issued_by_racing_operators_all_work() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let keys: Vec<(String, String)> = thread::scope(|scope| {
+        let operators: Vec<_> = (0..4)
+            .map(|_| scope.spawn(|| session.key(session::RANGERS)))
+            .collect();
+        let joined = operators.into_iter().map(|o| o.join());
+        joined.map(|r| r.expect("no operator panics")).collect()
+    });
+    for (_, key) in &keys {
+        assert_answers(&session, 0, key);
+        assert_answers(&session, 1, key);
+    }
+}
+
+#[test]
+fn configuration_is_in_force_within_seconds_and_never_goes_back() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let (id, key) = session.key(session::RANGERS);
+    let (code, out) = session.client(&["key", "withdraw", &id]);
+    assert_eq!(code, 0);
+    assert!(out.contains("in force in 2 of 2 live entries"), "{out}");
+    for entry in 0..2 {
+        assert_eq!(session.complete(entry, &key, PROMPT, 40).status, 401);
+    }
+    // A restart in an outage does not bring the key back.
+    session.lab.store.kill();
+    for entry in 0..2 {
+        assert_eq!(session.complete(entry, &key, PROMPT, 40).status, 401);
+    }
+}
+
+#[test]
+fn entry_that_slept_checks_before_it_serves() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let (id, key) = session.key(session::RANGERS);
+    let sleeper = session.lab.daemons[0]
+        .id()
+        .expect("the entry runs")
+        .to_string();
+    let signal = |name: &str| {
+        let sent = process::Command::new("kill")
+            .args([name, &sleeper])
+            .status();
+        assert!(sent.expect("kill can be run").success());
+    };
+    signal("-STOP");
+    let (_, out) = session.client(&["key", "withdraw", &id]);
+    assert!(out.contains("withdrawn"), "{out}");
+    session::pause(2_000);
+    signal("-CONT");
+    let got = session.complete(0, &key, PROMPT, 40);
+    assert!([401, 503].contains(&got.status), "{got:?}");
+    assert!(got.text.contains("\"not_run\":true"), "{got:?}");
+}
+
+#[test]
+fn entry_cut_off_from_all_stops_keyed_work() {
+    let shape = Shape {
+        entries: 1,
+        ..Shape::small()
+    };
+    let session = Session::start(shape, program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.store.kill();
+    session.lab.hosts.kill();
+    assert_answers(&session, 0, &key);
+    let limit = time::Duration::from_secs(15);
+    let stopped = session.lab.wait(limit, |_| {
+        session.complete(0, &key, PROMPT, 40).status == 503
+    });
+    assert!(stopped);
+    let got = session.complete(0, &key, PROMPT, 40);
+    assert!(got.text.contains("cut_off"), "{got:?}");
+    session.lab.store.restart();
+    let back = session.lab.wait(limit, |_| {
+        session.complete(0, &key, PROMPT, 40).status == 200
+    });
+    assert!(back);
+}
--- a/crates/once/tests/ledger_tests.rs
+++ b/crates/once/tests/ledger_tests.rs
@@ -305,7 +305,7 @@
     let any_index = any::<usize>();
     prop_oneof![
         6 => (0..HOMES, 0..KEYS, 0..2_000u64).prop_map(|(h, k, w)| Op::Call(h, k, w)),
-        12 => (any_index.clone(), reply).prop_map(|(i, r)| Op::Store(i, r)),
+        12 => (any_index, reply).prop_map(|(i, r)| Op::Store(i, r)),
         4 => (any_index, ended).prop_map(|(i, e)| Op::Service(i, e)),
         8 => prop_oneof![0..10u64, 10..400u64].prop_map(Op::Advance),
         1 => (0..HOMES).prop_map(Op::Crash),
--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -147,6 +147,22 @@
 ///  "description": "What a decode agent tells of one bid, in order.",
 ///  "oneOf": [
 ///    {
+///      "title": "waiting",
+///      "description": "The agent knows of the subscription: from now on its end is noticed.",
+///      "type": "object",
+///      "required": [
+///        "type"
+///      ],
+///      "properties": {
+///        "type": {
+///          "type": "string",
+///          "enum": [
+///            "waiting"
+///          ]
+///        }
+///      }
+///    },
+///    {
 ///      "title": "granted",
 ///      "description": "The seat is held for as long as the subscription lives.",
 ///      "type": "object",
@@ -263,6 +279,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(tag = "type")]
 pub enum DecodeEvent {
+    #[serde(rename = "waiting")]
+    Waiting,
     #[serde(rename = "granted")]
     Granted,
     /**imported
@@ -1026,6 +1044,22 @@
 ///  "description": "What a prefill agent tells of one prompt.",
 ///  "oneOf": [
 ///    {
+///      "title": "waiting",
+///      "description": "The agent knows of the subscription: from now on its end is noticed.",
+///      "type": "object",
+///      "required": [
+///        "type"
+///      ],
+///      "properties": {
+///        "type": {
+///          "type": "string",
+///          "enum": [
+///            "waiting"
+///          ]
+///        }
+///      }
+///    },
+///    {
 ///      "title": "started",
 ///      "description": "The engine has begun.",
 ///      "type": "object",
@@ -1110,6 +1144,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
 #[serde(tag = "type")]
 pub enum PrefillEvent {
+    #[serde(rename = "waiting")]
+    Waiting,
     #[serde(rename = "started")]
     Started,
     /**ready
