--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -14,6 +14,9 @@
 /// Most time for a request's body to arrive.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Most bytes of a refused body that are read all the same.
+const DISCARDED_BYTES: usize = 32 * 1024 * 1024;
+
 /// Answers callers.
 pub(crate) struct Http {
     pub entry: sync::Arc<Entry>,
@@ -129,6 +132,9 @@
     };
     let announced = header(headers, "content-length").and_then(|l| l.parse::<usize>().ok());
     if announced.is_some_and(|length| length > limit) {
+        let discard = web::discard_body(body, DISCARDED_BYTES);
+        // Whether it arrives or not, the refusal is the same.
+        let _ = tokio::time::timeout(BODY_TIMEOUT, discard).await;
         return Err(too_large());
     }
     match tokio::time::timeout(BODY_TIMEOUT, web::read_body(body, limit)).await {
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -139,6 +139,7 @@
                 }
             };
             let Some(event) = event else { continue };
+            self.note_fault(&event);
             let actions = self.decide(Some(event));
             over = self.act(actions);
         }
@@ -356,6 +357,20 @@
         }
     }
 
+    /// Tells operators of a failed attempt, which the caller may never notice.
+    fn note_fault(&self, event: &Event) {
+        let (stage, fault) = match event {
+            Event::PrefillFault(_, fault) => ("prefill", fault),
+            Event::DecodeFault(_, _, fault) => ("decode", fault),
+            _ => return,
+        };
+        metrics::counter!("hornbeampitch_faults_total", "stage" => stage).increment(1);
+        self.line("attempt_failed")
+            .with("stage", stage)
+            .with("fault", format!("{fault:?}").to_lowercase())
+            .info();
+    }
+
     /// Tells all other entries of a crash, since a resend may come in anywhere.
     fn report_crash(&self, digest: route::Digest, id: &route::CrashId) {
         self.line("crash_noted")
--- /dev/null
+++ b/crates/daemon/tests/golden_tests.rs
@@ -0,0 +1,251 @@
+//! Golden files of whole sessions: what callers and operators see, what the
+//! daemons log, and what the engines hold afterwards.
+
+mod session;
+
+use fake::Mode;
+use fake::Shape;
+use session::Got;
+use session::Session;
+use std::fmt::Write;
+use std::path;
+use std::thread;
+use std::time;
+
+const PROMPT: &str = "Condition of the eastern track [len=40]";
+const MAX: u32 = 60;
+
+/// What happened, in the order that matters.
+struct Transcript {
+    text: String,
+}
+
+impl Transcript {
+    fn new() -> Self {
+        Self {
+            text: String::new(),
+        }
+    }
+
+    fn note(&mut self, line: impl AsRef<str>) {
+        self.text += line.as_ref().trim_end();
+        self.text += "\n";
+    }
+
+    /// What a caller got, against what the engine had to say.
+    fn caller(&mut self, got: &Got, expected: &str) {
+        let share = match (got.text == expected, expected.starts_with(&got.text)) {
+            (true, _) => "the whole answer".to_owned(),
+            (false, true) if got.status == 200 => "a true beginning of the answer".to_owned(),
+            _ => got.text.clone(),
+        };
+        self.note(format!("caller: {} done={} {share}", got.status, got.whole));
+    }
+
+    fn client(&mut self, session: &Session, words: &[&str]) {
+        let (code, out) = session.client(words);
+        self.note(format!("operator: {} -> {code}", words.join(" ")));
+        for line in out.lines() {
+            self.note(format!("  {line}"));
+        }
+    }
+
+    /// The events that one daemon logged, without its meetings with peers.
+    fn log(&mut self, session: &Session, host: &str) {
+        self.note(format!("log of {host}:"));
+        let log = session.lab.daemons[session.lab.find(host)].log();
+        for line in log.lines() {
+            let Some((_, event)) = line.split_once("event=") else {
+                continue;
+            };
+            let quiet = ["peer_", "started", "division_", "pause_", "store_"];
+            if !quiet.iter().any(|q| event.starts_with(q)) {
+                self.note(format!("  event={event}"));
+            }
+        }
+    }
+
+    fn engines(&mut self, session: &Session) {
+        let empty = session.wait_empty();
+        let held = session.lab.held().len();
+        self.note(format!("engines: hold {held} requests, seats free {empty}"));
+    }
+
+    /// The text without what differs from run to run.
+    fn settle(self) -> String {
+        let mut out = String::new();
+        for line in self.text.lines() {
+            let words: Vec<String> = line.split(' ').map(settle_word).collect();
+            // Writing to a string cannot fail.
+            let _ = writeln!(out, "{}", words.join(" "));
+        }
+        out
+    }
+}
+
+fn settle_word(word: &str) -> String {
+    let (name, value) = word.split_once('=').unwrap_or(("", word));
+    match name {
+        "request" => "request=R".to_owned(),
+        "host" if value.starts_with("decode") => "host=D".to_owned(),
+        _ if value.starts_with("hbp_") => "KEY".to_owned(),
+        _ if value.len() == 12 && value.chars().all(|c| c.is_ascii_hexdigit()) => "ID".to_owned(),
+        _ => word.to_owned(),
+    }
+}
+
+fn program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"))
+}
+
+fn shape() -> Shape {
+    let mut shape = Shape::small();
+    shape.engine.step = time::Duration::from_millis(15);
+    shape
+}
+
+/// Begins a stream and does something after some of its tokens.
+fn during(session: &Session, key: &str, act: impl FnOnce()) -> Got {
+    let url = session.url(0, "/v1/completions");
+    let body = session::completion(PROMPT, MAX, true);
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| session::stream(&url, key, &body, |_| true));
+        session::pause(250);
+        act();
+        caller.join().expect("the caller does not panic")
+    })
+}
+
+#[test]
+fn answered_session() {
+    let session = Session::start(shape(), program(), &[]);
+    let mut transcript = Transcript::new();
+    transcript.client(&session, &["check", &session.documents]);
+    transcript.client(&session, &["show"]);
+    transcript.client(&session, &["key", "issue", session::RANGERS]);
+    transcript.client(&session, &["status"]);
+    let (_, key) = session.key(session::RANGERS);
+    let got = session.complete(0, &key, PROMPT, MAX);
+    transcript.caller(&got, &fake::answer_text(PROMPT, MAX));
+    transcript.engines(&session);
+    transcript.log(&session, "entry-1");
+    let documents = session.documents.clone();
+    let text = transcript.settle().replace(&documents, "documents.yaml");
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn refused_session() {
+    let session = Session::start(shape(), program(), &[]);
+    let (_, key) = session.key(session::FARMS);
+    let mut transcript = Transcript::new();
+    let expected = fake::answer_text(PROMPT, MAX);
+    transcript.caller(&session.complete(0, "nonsense", PROMPT, MAX), &expected);
+    // The whole burst is 20,000 tokens; the bucket has had no time to fill.
+    let long = "x".repeat(4 * 18_000);
+    transcript.caller(&session.complete(0, &key, &long, MAX), &expected);
+    let longer = "x".repeat(4 * 30_000);
+    transcript.caller(&session.complete(0, &key, &longer, MAX), &expected);
+    transcript.engines(&session);
+    transcript.log(&session, "entry-1");
+    insta::assert_snapshot!(transcript.settle());
+}
+
+#[test]
+fn cancelled_session() {
+    let session = Session::start(shape(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    let url = session.url(0, "/v1/completions");
+    let body = session::completion(PROMPT, MAX, true);
+    let got = session::stream(&url, &key, &body, |got| {
+        got.text.split_whitespace().count() < 5
+    });
+    let mut transcript = Transcript::new();
+    transcript.caller(&got, &fake::answer_text(PROMPT, MAX));
+    transcript.engines(&session);
+    // How far the entry was when it noticed differs by a token or two.
+    let log = session.lab.daemons[0].log();
+    let noticed = log.contains("event=unanswered") && log.contains("the caller has gone");
+    transcript.note(format!(
+        "the entry logged that the caller has gone: {noticed}"
+    ));
+    insta::assert_snapshot!(transcript.settle());
+}
+
+#[test]
+fn resumed_session() {
+    let session = Session::start(shape(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    let got = during(&session, &key, || {
+        let busy = session.lab.decodes.iter().find(|e| !e.held().is_empty());
+        busy.expect("an engine streams").kill();
+    });
+    let mut transcript = Transcript::new();
+    transcript.caller(&got, &fake::answer_text(PROMPT, MAX));
+    transcript.engines(&session);
+    transcript.log(&session, "entry-1");
+    insta::assert_snapshot!(transcript.settle());
+}
+
+#[test]
+fn withdrawn_key_session() {
+    let session = Session::start(shape(), program(), &[]);
+    let (id, key) = session.key(session::RANGERS);
+    let mut transcript = Transcript::new();
+    let got = during(&session, &key, || {
+        transcript.client(&session, &["key", "withdraw", &id]);
+    });
+    let expected = fake::answer_text(PROMPT, MAX);
+    transcript.caller(&got, &expected);
+    transcript.caller(&session.complete(0, &key, PROMPT, MAX), &expected);
+    transcript.client(&session, &["key", "withdraw", &id]);
+    transcript.engines(&session);
+    insta::assert_snapshot!(transcript.settle().replace(&id, "ID"));
+}
+
+#[test]
+fn store_out_at_start_session() {
+    let session = Session::unconfigured(shape(), program(), &[]);
+    session.lab.store.mode(Mode::Out);
+    let mut transcript = Transcript::new();
+    let expected = fake::answer_text(PROMPT, MAX);
+    session.wait_listening();
+    transcript.caller(&session.complete(0, "hbp_0_0", PROMPT, MAX), &expected);
+    transcript.client(&session, &["drain", "decode-1"]);
+    session.lab.store.mode(Mode::Well);
+    let (code, _) = session.client(&["apply", &session.documents]);
+    transcript.note(format!("operator: apply -> {code}"));
+    session.wait_ready();
+    let (_, key) = session.key(session::RANGERS);
+    transcript.caller(&session.complete(0, &key, PROMPT, MAX), &expected);
+    transcript.engines(&session);
+    insta::assert_snapshot!(transcript.settle());
+}
+
+#[test]
+fn spans_of_one_request_are_joined() {
+    let mut shape = shape();
+    shape.traces = true;
+    // Each agent that is bid at leaves a queue span, in no certain order.
+    shape.decodes = 1;
+    let session = Session::start(shape, program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let root = "b7ad6b7169203331";
+    let bearer = format!("Bearer {key}");
+    let parent = format!("00-{trace}-{root}-01");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("traceparent", parent.as_str()),
+    ];
+    let body = session::completion(PROMPT, MAX, true);
+    let url = session.url(0, "/v1/completions");
+    assert_eq!(session::call("POST", &url, &headers, &body).status, 200);
+    let url = session.url(0, "/dispatch/orders");
+    assert_eq!(session::call("POST", &url, &headers, "{}").status, 201);
+    let limit = time::Duration::from_secs(8);
+    session
+        .lab
+        .wait(limit, |lab| lab.collector.count(trace) >= 8);
+    insta::assert_snapshot!(session.lab.collector.tree(trace, root));
+}
--- /dev/null
+++ b/crates/daemon/tests/secret_tests.rs
@@ -0,0 +1,72 @@
+//! Keys reach no upstream, log, span or store; strangers reach no agent.
+
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::fs;
+use std::path;
+use tokio::runtime;
+use wire::api::PeerClient;
+
+fn start() -> Session {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    Session::start(Shape::small(), program, &[])
+}
+
+#[test]
+fn key_is_found_nowhere() {
+    let session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let secret = key
+        .split('_')
+        .nth(2)
+        .expect("a key has a secret")
+        .to_owned();
+    assert_eq!(session.complete(0, &key, "a prompt", 20).status, 200);
+    let bearer = format!("Bearer {key}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "order-1"),
+        ("cookie", key.as_str()),
+    ];
+    let url = session.url(0, "/dispatch/orders");
+    assert_eq!(session::call("POST", &url, &headers, "{}").status, 201);
+    for daemon in &session.lab.daemons {
+        assert!(!daemon.log().contains(&secret), "{}", daemon.host);
+        assert!(!session::metrics(daemon.admin).contains(&secret));
+    }
+    let seen = format!("{:?}", session.lab.services[0].executions());
+    assert!(
+        seen.contains("order-1") && !seen.contains(&secret),
+        "{seen}"
+    );
+    let stored = format!("{:?}", session.lab.store.dump());
+    assert!(stored.contains(session::RANGERS) && !stored.contains(&secret));
+    for file in fs::read_dir(&session.lab.folder).expect("the lab has a folder") {
+        let path = file.expect("the folder can be read").path();
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        assert!(!text.contains(&secret), "{}", path.display());
+    }
+}
+
+#[test]
+fn stranger_is_refused_by_every_process() {
+    let session = start();
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    let hello = |address, secret: &str| {
+        let secrets = wire::Secrets::new([secret.to_owned()]);
+        runtime.block_on(async {
+            let link = wire::open(address, &secrets).await.ok()?;
+            link.hello().await.ok()
+        })
+    };
+    for daemon in &session.lab.daemons {
+        let known = hello(daemon.listen, fake::SECRET);
+        assert_eq!(known.map(|h| h.host), Some(daemon.host.clone()));
+        assert!(hello(daemon.listen, "some other secret").is_none());
+    }
+}
--- a/crates/daemon/tests/session/mod.rs
+++ b/crates/daemon/tests/session/mod.rs
@@ -104,6 +104,17 @@
         assert!(ready, "the site does not become ready");
     }
 
+    /// Waits until every entry takes connections.
+    pub fn wait_listening(&self) {
+        let listening = self.lab.wait(READY, |lab| {
+            let callers = lab.daemons.iter().filter_map(|d| d.callers);
+            callers
+                .into_iter()
+                .all(|c| net::TcpStream::connect(c).is_ok())
+        });
+        assert!(listening, "an entry does not listen");
+    }
+
     /// Where callers reach the n-th entry.
     pub fn url(&self, entry: usize, path: &str) -> String {
         format!("http://{}{path}", self.lab.callers(entry))
--- a/crates/fake/src/lab.rs
+++ b/crates/fake/src/lab.rs
@@ -1,6 +1,7 @@
 //! One organisation's whole site on loopback: stand-ins, and real daemons as
 //! processes of their own.
 
+use crate::collector::Collector;
 use crate::engine::Engine;
 use crate::engine::EngineConfig;
 use crate::hosts::Hosts;
@@ -43,6 +44,8 @@
     pub policy: &'static str,
     /// What the engines are like.
     pub engine: EngineConfig,
+    /// Whether spans are collected.
+    pub traces: bool,
 }
 
 impl Shape {
@@ -58,6 +61,7 @@
             service: "dispatch",
             policy: "goodput",
             engine: EngineConfig::default(),
+            traces: false,
         }
     }
 
@@ -73,6 +77,7 @@
             service: "counter",
             policy: "goodput",
             engine: EngineConfig::default(),
+            traces: false,
         }
     }
 
@@ -110,6 +115,8 @@
     pub store: Store,
     /// The list of hosts.
     pub hosts: Hosts,
+    /// The collector of spans.
+    pub collector: Collector,
     /// Prefill engines, in the order of their agents.
     pub prefills: Vec<Engine>,
     /// Decode engines, in the order of their agents.
@@ -169,6 +176,7 @@
         let mut lab = Self {
             store: Store::start(free_address()),
             hosts: Hosts::start(),
+            collector: Collector::start(),
             prefills: engines(shape.prefills),
             decodes: engines(shape.decodes),
             services: (0..shape.services)
@@ -248,6 +256,9 @@
             self.store.address(),
             self.hosts.address(),
         );
+        if self.shape.traces {
+            text += &format!("traces: {}\n", self.collector.address());
+        }
         if let Some(callers) = daemon.callers {
             text += &format!("callers: {callers}\npolicy: {}\n", self.shape.policy);
         }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -4,6 +4,7 @@
 //! its own, so that a test can kill it as a host's failure would.
 
 mod answer;
+mod collector;
 mod engine;
 mod hosts;
 mod lab;
@@ -12,8 +13,9 @@
 mod store;
 
 pub use answer::{answer_text, answer_tokens, prompt_tokens};
+pub use collector::Collector;
 pub use engine::{Engine, EngineConfig, Stats};
 pub use hosts::Hosts;
-pub use lab::{Daemon, Lab, Shape, free_address};
+pub use lab::{Daemon, Lab, SECRET, Shape, free_address};
 pub use service::{Execution, Service, Trouble};
 pub use store::{Calls, Mode, Store};
--- a/crates/trace/src/hop.rs
+++ b/crates/trace/src/hop.rs
@@ -13,8 +13,10 @@
 use opentelemetry_sdk::trace as sdk;
 use std::collections;
 use std::net;
+use std::time;
 
 const LIBRARY: &str = "hornbeampitch";
+const SEND_INTERVAL: time::Duration = time::Duration::from_secs(1);
 const PARENT_HEADER: &str = "traceparent";
 
 /// Keeps spans flowing to the collector; dropping it sends what is left.
@@ -40,9 +42,15 @@
         .with_service_name(format!("hornbeampitch-{role}"))
         .with_attribute(KeyValue::new("host.name", host.to_owned()))
         .build();
+    let batches = sdk::BatchConfigBuilder::default()
+        .with_scheduled_delay(SEND_INTERVAL)
+        .build();
+    let processor = sdk::BatchSpanProcessor::builder(exporter)
+        .with_batch_config(batches)
+        .build();
     let provider = sdk::SdkTracerProvider::builder()
         .with_resource(resource)
-        .with_batch_exporter(exporter)
+        .with_span_processor(processor)
         .build();
     global::set_tracer_provider(provider.clone());
     Tracing {
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -53,3 +53,15 @@
     let collected = limited.collect().await.ok()?;
     Some(collected.to_bytes())
 }
+
+/// Reads and forgets a body of up to `limit` bytes, so that a caller who sends
+/// before it reads gets to see the refusal.
+pub async fn discard_body(mut incoming: body::Incoming, limit: usize) {
+    let mut read = 0;
+    while let Some(Ok(frame)) = incoming.frame().await {
+        read += frame.data_ref().map_or(0, bytes::Bytes::len);
+        if read > limit {
+            return;
+        }
+    }
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,7 +7,7 @@
 mod body;
 mod server;
 
-pub use body::{Body, Feed, body_channel, read_body, whole};
+pub use body::{Body, Feed, body_channel, discard_body, read_body, whole};
 pub use hyper::body::Incoming;
 pub use hyper::http::request::Parts;
 pub use hyper::{Method, Request, Response, StatusCode, header};
