--- /dev/null
+++ b/crates/daemon/examples/load/drive.rs
@@ -0,0 +1,194 @@
+//! Runs a plan against a site and measures what the callers saw.
+
+use crate::DAEMON;
+use crate::options::Fault;
+use crate::options::Options;
+use crate::plan::Arrival;
+use crate::plan::Plan;
+use crate::report::Measures;
+use crate::report::Outcome;
+use crate::session;
+use crate::session::Session;
+use fake::Shape;
+use std::env;
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::sync;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+/// Slices fill from nothing before a run, as on a site that has been up.
+const FILL: time::Duration = time::Duration::from_millis(4_000);
+/// Bursts that the tenants have, in seconds of their rate.
+const BURST_SECONDS: f64 = 4.0;
+/// Requests still open so long after the last arrival are given up.
+const TAIL: time::Duration = time::Duration::from_secs(40);
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Runs a plan; gives what was measured.
+pub fn run(shape: Shape, options: &Options, plan: &Plan) -> Measures {
+    let program = env::current_exe().expect("a running program has a path");
+    let session = Session::unconfigured(shape.clone(), &program, &[DAEMON]);
+    make_uneven(&session);
+    fs::write(&session.documents, documents(&shape, plan)).expect("the folder takes files");
+    let (code, out) = session.client(&["apply", &session.documents]);
+    assert_eq!(code, 0, "{out}");
+    session.wait_ready();
+    let keys: Vec<String> = plan
+        .tenants
+        .iter()
+        .map(|t| session.key(t.name).1)
+        .collect();
+    thread::sleep(FILL);
+    let outcomes = drive(&session, options, plan, &keys);
+    session.wait_empty();
+    Measures::of_run(&session, plan, options.seconds, &outcomes)
+}
+
+/// Back ends bought over years: speeds from 0.7 to 1.3 of the mean.
+fn make_uneven(session: &Session) {
+    for pool in [&session.lab.prefills, &session.lab.decodes] {
+        for (i, engine) in pool.iter().enumerate() {
+            let place = i as f64 / (pool.len() - 1).max(1) as f64;
+            engine.slow(1.0 / (0.7 + 0.6 * place));
+        }
+    }
+}
+
+fn documents(shape: &Shape, plan: &Plan) -> String {
+    let mut text = String::from("classes:\n");
+    for class in [crate::plan::URGENT, crate::plan::REPORT] {
+        text += &format!(
+            "  - name: {}\n    first_ms: {}\n    token_ms: {}\n    waits: {}\n",
+            class.name,
+            class.first,
+            class.token,
+            class.name == "report"
+        );
+    }
+    text += "organisations:\n";
+    for tenant in &plan.tenants {
+        // Room for chance: a tenant that sends its part stays within its rate.
+        let rate = plan.rate * tenant.part * 1.5;
+        text += &format!(
+            "  - name: {}\n    rate: {}\n    burst: {}\n",
+            tenant.name,
+            rate as u64 + 1,
+            (rate * BURST_SECONDS) as u64 + 12_000
+        );
+    }
+    text += &format!(
+        "upstreams:\n  - name: {m}\n    kind: model\n    model: summary-1\n    class: urgent\n",
+        m = shape.model
+    );
+    text
+}
+
+fn drive(session: &Session, options: &Options, plan: &Plan, keys: &[String]) -> Vec<Outcome> {
+    let (sender, outcomes) = mpsc::channel();
+    let agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(TAIL))
+        .max_idle_connections(0)
+        .build()
+        .new_agent();
+    let agent = sync::Arc::new(agent);
+    let begin = time::Instant::now();
+    thread::scope(|scope| {
+        scope.spawn(|| harm(session, options));
+        for arrival in &plan.arrivals {
+            thread::sleep(arrival.at.saturating_sub(begin.elapsed()));
+            let tenant = &plan.tenants[arrival.tenant];
+            let url = session.url(arrival.entry, "/v1/completions");
+            let (agent, sender, key) = (agent.clone(), sender.clone(), &keys[arrival.tenant]);
+            let due = begin + arrival.at;
+            let spawned = thread::Builder::new()
+                .stack_size(STACK_BYTES)
+                .spawn_scoped(scope, move || {
+                    let class = tenant.class.name;
+                    let outcome = ask(&agent, &url, key, class, arrival, due);
+                    let _ = sender.send(outcome);
+                });
+            spawned.expect("the system has threads for a run");
+        }
+    });
+    drop(sender);
+    outcomes.into_iter().collect()
+}
+
+/// Does the harm of the run after a quarter of it, and mends it at half.
+fn harm(session: &Session, options: &Options) {
+    let quarter = time::Duration::from_secs(options.seconds) / 4;
+    thread::sleep(quarter);
+    let lab = &session.lab;
+    match options.fault {
+        Fault::Calm => {}
+        Fault::Engine => lab.decodes[0].kill(),
+        Fault::Transfer => lab.prefills[0].stall(true),
+        Fault::Slow => {
+            lab.decodes[1].slow(3.0);
+            lab.prefills[1].slow(3.0);
+        }
+        Fault::Store => lab.store.kill(),
+        Fault::Entry => {
+            let id = lab.daemons[lab.find("entry-2")].id();
+            let words = ["-KILL".to_owned(), id.map_or(String::new(), |i| i.to_string())];
+            // A daemon that has gone already needs no signal.
+            let _ = std::process::Command::new("kill").args(words).status();
+        }
+    }
+    thread::sleep(quarter);
+    match options.fault {
+        Fault::Engine => lab.decodes[0].restart(),
+        Fault::Transfer => lab.prefills[0].stall(false),
+        Fault::Store => lab.store.restart(),
+        Fault::Calm | Fault::Slow | Fault::Entry => {}
+    }
+}
+
+fn ask(
+    agent: &ureq::Agent,
+    url: &str,
+    key: &str,
+    class: &str,
+    arrival: &Arrival,
+    due: time::Instant,
+) -> Outcome {
+    let mut outcome = Outcome::new(arrival.tenant);
+    let response = agent
+        .post(url)
+        .header("authorization", format!("Bearer {key}"))
+        .header("x-hornbeampitch-class", class)
+        .send(session::completion(&arrival.prompt, arrival.max, true));
+    let Ok(response) = response else {
+        return outcome;
+    };
+    outcome.status = response.status().as_u16();
+    if outcome.status != 200 {
+        return outcome;
+    }
+    let mut reader = io::BufReader::new(response.into_body().into_reader());
+    let mut line = String::new();
+    let mut text = String::new();
+    while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+        if let Some(data) = line.trim().strip_prefix("data: ") {
+            let now = time::Instant::now().saturating_duration_since(due);
+            if data == "[DONE]" {
+                outcome.whole = true;
+            } else if let Ok(json) = serde_json::from_str::<serde_json::Value>(data) {
+                let token = json["choices"][0]["text"].as_str().unwrap_or_default();
+                if !token.is_empty() {
+                    text += token;
+                    outcome.tokens += 1;
+                    outcome.first.get_or_insert(now);
+                    outcome.last = now;
+                }
+            }
+        }
+        line.clear();
+    }
+    outcome.wrong = outcome.whole && text != fake::answer_text(&arrival.prompt, arrival.max);
+    outcome
+}
--- /dev/null
+++ b/crates/daemon/examples/load/options.rs
@@ -0,0 +1,117 @@
+//! What to run.
+
+use fake::EngineConfig;
+use fake::Shape;
+use std::time;
+
+const BRIEF: &str = "usage: load [options]";
+
+/// What fails during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Calm,
+    /// A decode engine dies and comes back.
+    Engine,
+    /// Transfers out of one prefill engine stall.
+    Transfer,
+    /// One decode and one prefill engine become three times slower.
+    Slow,
+    /// The store is out.
+    Store,
+    /// An entry dies.
+    Entry,
+}
+
+/// The options of the command line.
+pub struct Options {
+    pub site: String,
+    pub policies: Vec<String>,
+    pub loads: Vec<u32>,
+    pub seeds: u64,
+    pub seconds: u64,
+    pub fault: Fault,
+    pub plot: Option<String>,
+    pub each: bool,
+}
+
+impl Options {
+    /// Reads the command line's words.
+    pub fn read(words: &[String]) -> Result<Self, String> {
+        let mut options = getopts::Options::new();
+        options.optopt("", "site", "te-awa-ridge or souss", "SITE");
+        options.optopt("", "policy", "policies, with commas between", "POLICIES");
+        options.optopt("", "load", "percents of capacity, with commas between", "PERCENTS");
+        options.optopt("", "seeds", "runs of each", "COUNT");
+        options.optopt("", "seconds", "length of each run", "SECONDS");
+        options.optopt(
+            "",
+            "fault",
+            "calm, engine, transfer, slow, store or entry",
+            "FAULT",
+        );
+        options.optopt("", "plot", "write goodput against load as SVG", "FILE");
+        options.optflag("", "each", "print each run");
+        options.optflag("h", "help", "print this help");
+        let usage = options.usage(BRIEF);
+        let matches = options.parse(words).map_err(|e| format!("{e}\n{usage}"))?;
+        if matches.opt_present("help") {
+            return Err(usage);
+        }
+        let list = |name: &str, default: &str| -> Vec<String> {
+            let text = matches.opt_str(name).unwrap_or_else(|| default.to_owned());
+            text.split(',').map(str::to_owned).collect()
+        };
+        let number = |name: &str, default: u64| -> Result<u64, String> {
+            let found = matches.opt_get_default(name, default);
+            found.map_err(|_| format!("--{name} needs a whole number"))
+        };
+        let loads: Result<Vec<u32>, _> = list("load", "100").iter().map(|l| l.parse()).collect();
+        Ok(Self {
+            site: list("site", "te-awa-ridge").swap_remove(0),
+            policies: list("policy", "goodput"),
+            loads: loads.map_err(|_| "--load needs whole numbers".to_owned())?,
+            seeds: number("seeds", 5)?,
+            seconds: number("seconds", 8)?,
+            fault: read_fault(&list("fault", "calm")[0])?,
+            plot: matches.opt_str("plot"),
+            each: matches.opt_present("each"),
+        })
+    }
+
+    /// The site with engines as the users have them, at twice their speed so
+    /// that runs are short: uneven, nearly full at the peak, with limited links.
+    pub fn shape(&self, policy: &str) -> Shape {
+        let policy = match policy {
+            "round-robin" => "round-robin",
+            "least-loaded" => "least-loaded",
+            "prefix" => "prefix",
+            _ => "goodput",
+        };
+        let shape = match self.site.as_str() {
+            "souss" => Shape::souss(),
+            _ => Shape::te_awa_ridge(),
+        };
+        Shape {
+            policy,
+            engine: EngineConfig {
+                pace: 12_000.0,
+                step: time::Duration::from_millis(10),
+                link: 60_000.0,
+                ..EngineConfig::default()
+            },
+            ..shape
+        }
+    }
+}
+
+fn read_fault(word: &str) -> Result<Fault, String> {
+    match word {
+        "calm" => Ok(Fault::Calm),
+        "engine" => Ok(Fault::Engine),
+        "transfer" => Ok(Fault::Transfer),
+        "slow" => Ok(Fault::Slow),
+        "store" => Ok(Fault::Store),
+        "entry" => Ok(Fault::Entry),
+        other => Err(format!("`{other}` is not a fault")),
+    }
+}
