--- a/crates/daemon/examples/load/drive.rs
+++ b/crates/daemon/examples/load/drive.rs
@@ -1,6 +1,7 @@
 //! Runs a plan against a site and measures what the callers saw.
 
 use crate::DAEMON;
+use crate::cost;
 use crate::options::Fault;
 use crate::options::Options;
 use crate::plan::Arrival;
@@ -36,13 +37,14 @@
     let (code, out) = session.client(&["apply", &session.documents]);
     assert_eq!(code, 0, "{out}");
     session.wait_ready();
-    let keys: Vec<String> = plan
-        .tenants
-        .iter()
-        .map(|t| session.key(t.name).1)
-        .collect();
+    let keys: Vec<String> = plan.tenants.iter().map(|t| session.key(t.name).1).collect();
     thread::sleep(FILL);
+    let before = cost::Usage::of_site(&session);
     let outcomes = drive(&session, options, plan, &keys);
+    if options.cost {
+        let spent = cost::Usage::of_site(&session).since(&before);
+        print!("{spent}");
+    }
     session.wait_empty();
     Measures::of_run(&session, plan, options.seconds, &outcomes)
 }
@@ -98,19 +100,23 @@
     let begin = time::Instant::now();
     thread::scope(|scope| {
         scope.spawn(|| harm(session, options));
+        if plan.arrivals.is_empty() {
+            thread::sleep(time::Duration::from_secs(options.seconds));
+        }
         for arrival in &plan.arrivals {
             thread::sleep(arrival.at.saturating_sub(begin.elapsed()));
             let tenant = &plan.tenants[arrival.tenant];
             let url = session.url(arrival.entry, "/v1/completions");
             let (agent, sender, key) = (agent.clone(), sender.clone(), &keys[arrival.tenant]);
             let due = begin + arrival.at;
-            let spawned = thread::Builder::new()
-                .stack_size(STACK_BYTES)
-                .spawn_scoped(scope, move || {
-                    let class = tenant.class.name;
-                    let outcome = ask(&agent, &url, key, class, arrival, due);
-                    let _ = sender.send(outcome);
-                });
+            let spawned =
+                thread::Builder::new()
+                    .stack_size(STACK_BYTES)
+                    .spawn_scoped(scope, move || {
+                        let class = tenant.class.name;
+                        let outcome = ask(&agent, &url, key, class, arrival, due);
+                        let _ = sender.send(outcome);
+                    });
             spawned.expect("the system has threads for a run");
         }
     });
@@ -134,7 +140,10 @@
         Fault::Store => lab.store.kill(),
         Fault::Entry => {
             let id = lab.daemons[lab.find("entry-2")].id();
-            let words = ["-KILL".to_owned(), id.map_or(String::new(), |i| i.to_string())];
+            let words = [
+                "-KILL".to_owned(),
+                id.map_or(String::new(), |i| i.to_string()),
+            ];
             // A daemon that has gone already needs no signal.
             let _ = std::process::Command::new("kill").args(words).status();
         }
--- a/crates/daemon/examples/load/main.rs
+++ b/crates/daemon/examples/load/main.rs
@@ -7,6 +7,7 @@
 #[path = "../../tests/session/mod.rs"]
 mod session;
 
+mod cost;
 mod drive;
 mod options;
 mod plan;
--- a/crates/daemon/examples/load/options.rs
+++ b/crates/daemon/examples/load/options.rs
@@ -32,6 +32,7 @@
     pub fault: Fault,
     pub plot: Option<String>,
     pub each: bool,
+    pub cost: bool,
 }
 
 impl Options {
@@ -40,7 +41,12 @@
         let mut options = getopts::Options::new();
         options.optopt("", "site", "te-awa-ridge or souss", "SITE");
         options.optopt("", "policy", "policies, with commas between", "POLICIES");
-        options.optopt("", "load", "percents of capacity, with commas between", "PERCENTS");
+        options.optopt(
+            "",
+            "load",
+            "percents of capacity, with commas between",
+            "PERCENTS",
+        );
         options.optopt("", "seeds", "runs of each", "COUNT");
         options.optopt("", "seconds", "length of each run", "SECONDS");
         options.optopt(
@@ -51,6 +57,7 @@
         );
         options.optopt("", "plot", "write goodput against load as SVG", "FILE");
         options.optflag("", "each", "print each run");
+        options.optflag("", "cost", "print what each process used");
         options.optflag("h", "help", "print this help");
         let usage = options.usage(BRIEF);
         let matches = options.parse(words).map_err(|e| format!("{e}\n{usage}"))?;
@@ -75,6 +82,7 @@
             fault: read_fault(&list("fault", "calm")[0])?,
             plot: matches.opt_str("plot"),
             each: matches.opt_present("each"),
+            cost: matches.opt_present("cost"),
         })
     }
 
@@ -94,7 +102,7 @@
         Shape {
             policy,
             engine: EngineConfig {
-                pace: 12_000.0,
+                pace: 18_000.0,
                 step: time::Duration::from_millis(10),
                 link: 60_000.0,
                 ..EngineConfig::default()
--- a/crates/daemon/examples/load/plan.rs
+++ b/crates/daemon/examples/load/plan.rs
@@ -79,7 +79,7 @@
         let offered: f64 = tenants.iter().map(Tenant::offered).sum();
         let mut arrivals = Vec::new();
         let mut at = 0.0;
-        while at < options.seconds as f64 {
+        while load > 0 && at < options.seconds as f64 {
             let gap: f64 = -random.random::<f64>().max(1e-12).ln();
             at += gap / (requests * offered);
             let tenant = pick(&tenants, random.random::<f64>() * offered);
--- a/crates/daemon/examples/load/report.rs
+++ b/crates/daemon/examples/load/report.rs
@@ -101,7 +101,10 @@
                 firsts.record(millis).expect("the histogram grows");
             }
         }
-        let parts: Vec<f64> = tenants.values().map(|(g, a)| *g as f64 / *a as f64).collect();
+        let parts: Vec<f64> = tenants
+            .values()
+            .map(|(g, a)| *g as f64 / *a as f64)
+            .collect();
         let engines = session.lab.prefills.iter().chain(&session.lab.decodes);
         let stats: Vec<_> = engines.map(fake::Engine::stats).collect();
         let prefilled: u64 = stats.iter().map(|s| s.prefilled).sum();
@@ -224,7 +227,10 @@
         .margin(20)
         .x_label_area_size(40)
         .y_label_area_size(60)
-        .build_cartesian_2d(f64::from(low)..f64::from(high).max(f64::from(low) + 1.0), 0.0..top)?;
+        .build_cartesian_2d(
+            f64::from(low)..f64::from(high).max(f64::from(low) + 1.0),
+            0.0..top,
+        )?;
     chart
         .configure_mesh()
         .x_desc("load, % of decode capacity")
--- a/crates/daemon/src/agent/desk.rs
+++ b/crates/daemon/src/agent/desk.rs
@@ -21,18 +21,18 @@
 use tokio::sync::mpsc;
 use wire::border;
 use world::Name;
+use world::Role;
 
 /// Prompts given to the engine at a time; more would only queue inside it,
 /// where their order can no longer be changed.
 const PREFILL_WIDTH: usize = 1;
 /// Failures closer than this come from the same crash.
 const SAME_CRASH: time::Duration = time::Duration::from_millis(500);
-/// Work expected between a grant and the first token, to tell late work.
-const GRANT_WORK: time::Duration = time::Duration::from_millis(50);
 
 /// All jobs at one engine.
 pub(crate) struct Desk {
     host: Name,
+    role: Role,
     model: engine::Model,
     /// Where other engines fetch results.
     source: String,
@@ -51,12 +51,14 @@
     /// Makes a desk and the channel to it.
     pub(crate) fn new(
         host: Name,
+        role: Role,
         upstream: &conf::UpstreamSettings,
         heart: Heart,
     ) -> (Self, channel::Sender<Event>) {
         let (outbox, inbox) = channel::unbounded();
         let desk = Self {
             host,
+            role,
             model: engine::Model::new(upstream.address),
             source: upstream.address.to_string(),
             seats: Seats::new(upstream.seats, upstream.pieces),
@@ -124,7 +126,7 @@
 
     fn bid(&mut self, ticket: Ticket, bid: border::Bid, out: DecodeOut) {
         let urgency = urgency_of(&bid.urgency);
-        if !self.seats.bid(ticket, bid.pieces, urgency, GRANT_WORK) {
+        if !self.seats.bid(ticket, bid.pieces, urgency) {
             let kind = match self.draining {
                 true => border::FaultKind::Draining,
                 false => border::FaultKind::Invalid,
@@ -139,6 +141,7 @@
             pieces: bid.pieces,
             out,
             stage: DecodeStage::Waiting,
+            last: None,
             hop: Some(trace::Hop::begin("queue", Some(&bid.trace))),
             parent: bid.trace,
         };
@@ -254,6 +257,10 @@
         let event = match token {
             engine::Token::Text { offset, text } => {
                 *given += 1;
+                let now = time::Instant::now();
+                if let Some(last) = job.last.replace(now) {
+                    self.seats.measure(now - last);
+                }
                 border::DecodeEvent::Chunk { offset, text }
             }
             engine::Token::End { finish, tokens } => border::DecodeEvent::End { finish, tokens },
@@ -431,7 +438,10 @@
         self.heart.set(|load| {
             (load.seats, load.pieces, load.waiting) = now;
             load.backlog = self.lane.backlog();
-            load.pace = self.lane.pace();
+            load.pace = match self.role {
+                Role::Decode => self.seats.pace(),
+                Role::Prefill | Role::Entry | Role::Service => self.lane.pace(),
+            };
             load.draining = self.draining;
         });
     }
@@ -444,6 +454,8 @@
         due: now + slack,
         waits: urgency.waits,
         share: urgency.share,
+        work: time::Duration::from_millis(urgency.work),
+        token: time::Duration::from_millis(urgency.token),
     }
 }
 
--- a/crates/daemon/src/agent/job.rs
+++ b/crates/daemon/src/agent/job.rs
@@ -51,6 +51,8 @@
     pub pieces: u32,
     pub out: DecodeOut,
     pub stage: DecodeStage,
+    /// When its last token came.
+    pub last: Option<time::Instant>,
     /// Its wait, then its stream, as spans.
     pub hop: Option<trace::Hop>,
     pub parent: String,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod job;
 mod methods;
+mod orders;
 mod plain;
 mod serve;
 mod worker;
--- a/crates/daemon/src/agent/serve.rs
+++ b/crates/daemon/src/agent/serve.rs
@@ -2,6 +2,7 @@
 use crate::agent::desk::Desk;
 use crate::agent::job::Event;
 use crate::agent::methods::Methods;
+use crate::agent::orders;
 use crate::agent::plain::Plain;
 use crate::app::Admin;
 use crate::app::Heart;
@@ -36,7 +37,12 @@
         .as_ref()
         .ok_or_else(|| StartError::Usage("an agent needs an upstream".into()))?;
     let heart = Heart::new(LoadState::default());
-    let (desk, inbox) = Desk::new(settings.host.clone(), upstream, heart.clone());
+    let (desk, inbox) = Desk::new(
+        settings.host.clone(),
+        settings.role,
+        upstream,
+        heart.clone(),
+    );
     let claims = match settings.role {
         Role::Service => {
             let claims = Claims::start(&settings.host, settings.store);
@@ -54,7 +60,11 @@
     };
     let listening = listen(&settings, methods).await?;
     let desk = match settings.role {
-        Role::Prefill | Role::Decode => Some(start_desk(desk)?),
+        Role::Prefill | Role::Decode => {
+            // The port is bound: no earlier agent of this host lives.
+            orders::start(&settings).map_err(StartError::System)?;
+            Some(start_desk(desk)?)
+        }
         Role::Service | Role::Entry => None,
     };
     stop.wait().await;
--- /dev/null
+++ b/crates/daemon/src/app/follow.rs
@@ -0,0 +1,50 @@
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::convert;
+use std::thread;
+use std::time;
+use store::Backoff;
+use store::StoreError;
+use store::Versioned;
+
+const RETRY_FIRST: time::Duration = time::Duration::from_millis(200);
+const RETRY_MOST: time::Duration = time::Duration::from_secs(3);
+
+/// Reads a key of the store and watches it, for ever, with jittered waits
+/// between failures. `take` gets each value, and none where the key is empty.
+pub(crate) fn follow(
+    client: &store::Client,
+    key: &str,
+    seed: u64,
+    mut take: impl FnMut(Option<&Versioned>),
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
+    loop {
+        let error = match follow_once(client, key, &mut take, &mut backoff) {
+            Ok(never) => match never {},
+            Err(error) => error,
+        };
+        trace::Line::new("store_lost")
+            .with("key", key)
+            .with("error", &error)
+            .warn();
+        thread::sleep(backoff.fail(&mut random));
+    }
+}
+
+fn follow_once(
+    client: &store::Client,
+    key: &str,
+    take: &mut impl FnMut(Option<&Versioned>),
+    backoff: &mut Backoff,
+) -> Result<convert::Infallible, StoreError> {
+    let found = client.get(key)?;
+    take(found.as_ref());
+    let after = found.map_or(0, |f| f.revision);
+    let mut watch = client.watch(key, after)?;
+    backoff.succeed();
+    loop {
+        take(Some(&watch.wait()?));
+    }
+}
--- a/crates/daemon/src/app/mod.rs
+++ b/crates/daemon/src/app/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod errors;
+mod follow;
 mod heart;
 mod launch;
 mod program;
@@ -9,6 +10,7 @@
 
 pub(crate) use admin::Admin;
 pub(crate) use errors::StartError;
+pub(crate) use follow::follow;
 pub(crate) use heart::Heart;
 pub use program::run;
 pub(crate) use stop::Stop;
--- /dev/null
+++ b/crates/daemon/src/entry/division.rs
@@ -0,0 +1,150 @@
+//! Who holds slices of allowances: the entry's side of [`quota::Epochs`].
+
+use crate::entry::core::Entry;
+use crate::entry::feeds::DivisionRecord;
+use member::Standing;
+use std::collections;
+use std::sync;
+use std::time;
+use world::Name;
+use world::Role;
+
+/// Silence after which a peer off the list is proven gone. It is longer than a
+/// paused peer can go on without noticing its pause; see [`member::Pulse::PAUSE`].
+const GUARD: time::Duration = time::Duration::from_secs(10);
+/// How often a changed set of entries may be proposed as a new epoch.
+const PROPOSE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+impl Entry {
+    /// Takes a division of allowances, from the store with its revision there
+    /// or from a peer.
+    pub(crate) fn adopt(&self, division: quota::Division, revision: Option<u64>) {
+        if let Some(revision) = revision {
+            let mut known = self.peers.division.lock();
+            *known = (*known).max(revision);
+        }
+        let epoch = {
+            let mut allowances = self.allowances.lock();
+            allowances.epochs.adopt(division);
+            allowances.epochs.epoch()
+        };
+        self.redivide();
+        trace::Line::new("division_adopted")
+            .with("epoch", epoch)
+            .with("part", self.allowances.lock().epochs.part())
+            .info();
+    }
+}
+
+/// Notes which holders of slices are proven gone.
+pub(crate) fn bury_gone(entry: &Entry, now: time::Instant) {
+    let Some(holders) = holders(entry) else {
+        return;
+    };
+    let mut changed = false;
+    for name in holders {
+        if name == entry.settings.host || entry.peers.roster.lock().listed(&name) {
+            continue;
+        }
+        let silent = {
+            let mut heard = entry.peers.heard.lock();
+            let last = *heard.entry(name.clone()).or_insert(now);
+            now.saturating_duration_since(last) > GUARD
+        };
+        if silent {
+            entry.allowances.lock().epochs.bury(&name);
+            changed = true;
+        }
+    }
+    if changed {
+        entry.redivide();
+    }
+}
+
+fn holders(entry: &Entry) -> Option<collections::BTreeSet<Name>> {
+    let allowances = entry.allowances.lock();
+    let division = allowances.epochs.division()?;
+    Some(division.holders.union(&division.prior).cloned().collect())
+}
+
+/// Proposes a division where entries have come or gone. The least of the live
+/// names proposes, so that the others need not race; CAS decides all the same.
+pub(crate) fn propose_division(entry: &sync::Arc<Entry>, now: time::Instant) {
+    let live = live_entries(entry, now);
+    if live.first() != Some(&entry.settings.host) {
+        return;
+    }
+    let Some(division) = entry.allowances.lock().epochs.propose(&live) else {
+        return;
+    };
+    {
+        let mut proposed = entry.peers.proposed.lock();
+        let recently = proposed.is_some_and(|at| now - at < PROPOSE_INTERVAL);
+        if recently {
+            return;
+        }
+        *proposed = Some(now);
+    }
+    let entry = entry.clone();
+    tokio::task::spawn_blocking(move || write_division(&entry, division));
+}
+
+/// Entries that should hold slices: those that beat, and holders that are not
+/// proven gone, who may be paused and come back.
+fn live_entries(entry: &Entry, now: time::Instant) -> collections::BTreeSet<Name> {
+    let roster = entry.peers.roster.lock();
+    let mut live: collections::BTreeSet<Name> = roster
+        .linked()
+        .filter(|(host, identity)| {
+            identity.role == Role::Entry
+                && matches!(
+                    roster.standing(&host.name, now),
+                    Standing::Serving | Standing::Suspect
+                )
+        })
+        .map(|(host, _)| host.name.clone())
+        .collect();
+    let allowances = entry.allowances.lock();
+    let heard = entry.peers.heard.lock();
+    if let Some(division) = allowances.epochs.division() {
+        let paused = division.holders.iter().filter(|h| {
+            let listed = roster.listed(h);
+            let silent = heard
+                .get(*h)
+                .is_none_or(|at| now.saturating_duration_since(*at) > GUARD);
+            let leaving = roster.standing(h, now) == Standing::Leaving;
+            (listed || !silent) && !leaving
+        });
+        live.extend(paused.cloned());
+    }
+    if entry.heart.get().draining || roster.leaving(&entry.settings.host) {
+        live.remove(&entry.settings.host);
+    } else {
+        live.insert(entry.settings.host.clone());
+    }
+    live
+}
+
+fn write_division(entry: &Entry, division: quota::Division) {
+    let client = store::Client::new(entry.settings.store);
+    let known = *entry.peers.division.lock();
+    let record = DivisionRecord {
+        division,
+        writer: format!("{}-{:x}", entry.settings.host, rand::random::<u64>()),
+    };
+    let Ok(value) = serde_json::to_vec(&record) else {
+        return;
+    };
+    match client.swap_surely(store::EPOCH_KEY, known, &value) {
+        Ok(store::Swap::Done(revision)) => entry.adopt(record.division, Some(revision)),
+        Ok(store::Swap::Lost(Some(now))) => {
+            if let Ok(record) = serde_json::from_slice::<DivisionRecord>(&now.value) {
+                entry.adopt(record.division, Some(now.revision));
+            }
+        }
+        Ok(store::Swap::Lost(None)) => {}
+        Err(error) => trace::Line::new("division_unwritten")
+            .with("error", error)
+            .debug(),
+    }
+}
--- a/crates/daemon/src/entry/feeds.rs
+++ b/crates/daemon/src/entry/feeds.rs
@@ -1,19 +1,15 @@
 //! Threads that read the platform: its host list and its key-value service.
 
+use crate::app;
 use crate::entry::core::Entry;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use std::io;
 use std::sync;
 use std::thread;
 use std::time;
-use store::Backoff;
 use store::StoreError;
 
 const LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
 const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-const RETRY_FIRST: time::Duration = time::Duration::from_millis(200);
-const RETRY_MOST: time::Duration = time::Duration::from_secs(3);
 
 /// How the store keeps a division: with its writer, so that a lost answer can
 /// be read back.
@@ -28,10 +24,12 @@
     let hosts = entry.clone();
     spawn("hosts", move || read_hosts(&hosts))?;
     let conf = entry.clone();
-    spawn("conf", move || follow(&conf, store::CONF_KEY, take_conf))?;
+    spawn("conf", move || {
+        follow_key(&conf, store::CONF_KEY, take_conf)
+    })?;
     let epochs = entry.clone();
     spawn("epochs", move || {
-        follow(&epochs, store::EPOCH_KEY, take_division);
+        follow_key(&epochs, store::EPOCH_KEY, take_division);
     })?;
     Ok(())
 }
@@ -65,52 +63,15 @@
     }
 }
 
-/// Reads a key and watches it, for ever, with jittered waits between failures.
-fn follow(entry: &Entry, key: &str, take: fn(&Entry, &store::Versioned)) {
+/// Follows a key and notes that the store was heard.
+fn follow_key(entry: &Entry, key: &str, take: fn(&Entry, &store::Versioned)) {
     let client = store::Client::new(entry.settings.store);
-    let mut random = StdRng::seed_from_u64(entry.incarnation);
-    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
-    let mut down = false;
-    loop {
-        let error = match follow_once(entry, &client, key, take, &mut backoff) {
-            Ok(never) => match never {},
-            Err(error) => error,
-        };
-        if !down {
-            trace::Line::new("store_lost")
-                .with("key", key)
-                .with("error", &error)
-                .warn();
-        }
-        down = true;
-        thread::sleep(backoff.fail(&mut random));
-        if client.get(key).is_ok() {
-            down = false;
-        }
-    }
-}
-
-fn follow_once(
-    entry: &Entry,
-    client: &store::Client,
-    key: &str,
-    take: fn(&Entry, &store::Versioned),
-    backoff: &mut Backoff,
-) -> Result<std::convert::Infallible, StoreError> {
-    let found = client.get(key)?;
-    entry.freshness.lock().hear(time::Instant::now());
-    let mut after = 0;
-    if let Some(found) = found {
-        after = found.revision;
-        take(entry, &found);
-    }
-    let mut watch = client.watch(key, after)?;
-    backoff.succeed();
-    loop {
-        let changed = watch.wait()?;
+    app::follow(&client, key, entry.incarnation, |found| {
         entry.freshness.lock().hear(time::Instant::now());
-        take(entry, &changed);
-    }
+        if let Some(found) = found {
+            take(entry, found);
+        }
+    });
 }
 
 /// Reads both keys once, as after a pause.
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,8 +3,10 @@
 mod admit;
 mod ask;
 mod core;
+mod division;
 mod errors;
 mod feeds;
+mod follow;
 mod http;
 mod methods;
 mod model;
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -4,6 +4,9 @@
 use crate::entry::ask::Ask;
 use crate::entry::core::Decisions;
 use crate::entry::core::Entry;
+use crate::entry::follow;
+use crate::entry::follow::Hold;
+use crate::entry::follow::Ready;
 use route::Action;
 use route::Event;
 use route::Failure;
@@ -14,12 +17,14 @@
 use std::sync;
 use std::time;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use wire::api::AgentClient;
 use wire::api::EntryClient;
 use wire::border;
 use world::Name;
 
+/// Stands for a target between tokens that no engine can meet now.
+const NO_TARGET_MS: u64 = 3_600_000;
+
 /// What the caller's side of a request hears.
 #[derive(Debug)]
 pub(crate) enum Output {
@@ -50,22 +55,6 @@
     hop: trace::Hop,
 }
 
-/// Keeps a subscription open; dropping it ends the subscription.
-///
-/// The task that follows a subscription is never aborted, and ends it only after
-/// the agent's first event: an end that overtakes the agent's own registration
-/// is lost in jsonrpsee, and the agent would hold a seat for nobody.
-struct Hold {
-    _let_go: oneshot::Sender<()>,
-}
-
-impl Hold {
-    fn new() -> (Self, oneshot::Receiver<()>) {
-        let (let_go, released) = oneshot::channel();
-        (Self { _let_go: let_go }, released)
-    }
-}
-
 /// An open prefill, and its result once it is ready.
 struct Prefilling {
     run: u32,
@@ -73,13 +62,6 @@
     ready: sync::Arc<sync::OnceLock<Ready>>,
 }
 
-/// Where a result can be fetched.
-#[derive(Clone, Debug)]
-struct Ready {
-    source: String,
-    kv: String,
-}
-
 /// Who asks.
 pub(crate) struct Caller {
     pub request: String,
@@ -104,6 +86,7 @@
             tokens: ask.tokens,
             max: ask.max,
             pieces: route::pieces_for(ask.tokens, u64::from(ask.max)),
+            token: ask.class.token(),
         };
         Self {
             due: time::Instant::now() + ask.class.first(),
@@ -210,7 +193,9 @@
         let (hold, released) = Hold::new();
         tokio::spawn(async move {
             let fault = match link {
-                Some(link) => follow_seat(&link, bid, round, &name, &events, released).await,
+                Some(link) => {
+                    follow::follow_seat(&link, bid, round, &name, &events, released).await
+                }
                 None => Some(Fault::Lost),
             };
             if let Some(fault) = fault {
@@ -243,7 +228,9 @@
         let (hold, released) = Hold::new();
         tokio::spawn(async move {
             let fault = match link {
-                Some(link) => follow_prefill(&link, ask, run, &found, &events, released).await,
+                Some(link) => {
+                    follow::follow_prefill(&link, ask, run, &found, &events, released).await
+                }
                 None => Some(Fault::Lost),
             };
             if let Some(fault) = fault {
@@ -344,16 +331,21 @@
             .contract()
             .and_then(|c| c.contract.organisation(&self.organisation).map(|o| o.rate))
             .unwrap_or(1);
-        let share = self
-            .entry
-            .decisions
-            .lock()
-            .shares
-            .share(&self.organisation, rate, now);
+        let mut decisions = self.entry.decisions.lock();
+        let share = decisions.shares.share(&self.organisation, rate, now);
+        let known = self.journey.work();
+        let work = decisions
+            .fleet
+            .expect_work(&known.upstream, known.tokens, &known.blocks);
         border::Urgency {
             slack: i64::try_from(slack).unwrap_or(i64::MAX),
             waits: self.ask.class.waits,
             share,
+            work: u64::try_from(work.as_millis()).unwrap_or(u64::MAX),
+            token: match decisions.fleet.attainable(&known.upstream, known.token) {
+                true => self.ask.class.token_ms,
+                false => NO_TARGET_MS,
+            },
         }
     }
 
@@ -397,97 +389,3 @@
             .with("class", &self.ask.class.name)
     }
 }
-
-/// Follows one bid to its end; returns why it failed, if it did.
-async fn follow_seat(
-    link: &wire::Link,
-    bid: border::Bid,
-    round: u32,
-    host: &Name,
-    events: &mpsc::UnboundedSender<Event>,
-    mut released: oneshot::Receiver<()>,
-) -> Option<Fault> {
-    let Ok(mut told) = link.decode(bid).await else {
-        return Some(Fault::Lost);
-    };
-    if !matches!(told.next().await, Some(Ok(border::DecodeEvent::Waiting))) {
-        return Some(Fault::Lost);
-    }
-    loop {
-        let event = tokio::select! {
-            biased;
-            _ = &mut released => return None,
-            event = told.next() => event,
-        };
-        let Some(Ok(event)) = event else {
-            return Some(Fault::Lost);
-        };
-        let event = match event {
-            border::DecodeEvent::Waiting => continue,
-            border::DecodeEvent::Granted => Event::Granted(round, host.clone()),
-            border::DecodeEvent::Imported { micros } => {
-                Event::Imported(round, time::Duration::from_micros(micros))
-            }
-            border::DecodeEvent::Chunk { offset, text } => Event::Chunk(round, offset, text),
-            border::DecodeEvent::End { finish, tokens } => Event::End(round, finish, tokens),
-            border::DecodeEvent::Fault { fault } => return Some(fault_of(&fault)),
-        };
-        if events.send(event).is_err() {
-            return None;
-        }
-    }
-}
-
-/// Follows one prefill to its end; returns why it failed, if it did.
-async fn follow_prefill(
-    link: &wire::Link,
-    ask: border::Prefill,
-    run: u32,
-    ready: &sync::OnceLock<Ready>,
-    events: &mpsc::UnboundedSender<Event>,
-    mut released: oneshot::Receiver<()>,
-) -> Option<Fault> {
-    let Ok(mut told) = link.prefill(ask).await else {
-        return Some(Fault::Lost);
-    };
-    if !matches!(told.next().await, Some(Ok(border::PrefillEvent::Waiting))) {
-        return Some(Fault::Lost);
-    }
-    loop {
-        let event = tokio::select! {
-            biased;
-            _ = &mut released => return None,
-            event = told.next() => event,
-        };
-        let Some(Ok(event)) = event else {
-            return Some(Fault::Lost);
-        };
-        match event {
-            border::PrefillEvent::Waiting | border::PrefillEvent::Started => {}
-            border::PrefillEvent::Ready {
-                source,
-                kv,
-                cached,
-                tokens,
-                ..
-            } => {
-                let _ = ready.set(Ready { source, kv });
-                if events.send(Event::Ready(run, tokens, cached)).is_err() {
-                    return None;
-                }
-            }
-            border::PrefillEvent::Fault { fault } => return Some(fault_of(&fault)),
-        }
-    }
-}
-
-fn fault_of(fault: &border::Fault) -> Fault {
-    match fault.kind {
-        border::FaultKind::Draining => Fault::Draining,
-        border::FaultKind::Stalled => Fault::Stalled,
-        border::FaultKind::Lost => Fault::Lost,
-        border::FaultKind::Crashed => Fault::Crashed(fault.crash.unwrap_or(0)),
-        border::FaultKind::Expired => Fault::Expired,
-        border::FaultKind::Invalid | border::FaultKind::Quarantined => Fault::Invalid,
-    }
-}
--- a/crates/daemon/tests/input_tests.rs
+++ b/crates/daemon/tests/input_tests.rs
@@ -10,34 +10,28 @@
 use std::io::Write;
 use std::net;
 use std::path;
-use std::sync;
 use std::time;
 use yare::parameterized;
 
-/// One site serves all cases; none of them may harm it.
-fn shared() -> &'static (Session, String) {
-    static SHARED: sync::OnceLock<(Session, String)> = sync::OnceLock::new();
-    SHARED.get_or_init(|| {
-        let shape = Shape {
-            decodes: 1,
-            ..Shape::small()
-        };
-        let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
-        let session = Session::start(shape, program, &[]);
-        let (_, key) = session.key(session::RANGERS);
-        (session, key)
-    })
+/// A site of its own for each case, with a key.
+fn start() -> (Session, String) {
+    let shape = Shape {
+        decodes: 1,
+        ..Shape::small()
+    };
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let session = Session::start(shape, program, &[]);
+    let (_, key) = session.key(session::RANGERS);
+    (session, key)
 }
 
-fn post(body: &str) -> Got {
-    let (session, key) = shared();
+fn post((session, key): &(Session, String), body: &str) -> Got {
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str())];
     session::call("POST", &session.url(0, "/v1/completions"), &headers, body)
 }
 
-fn assert_still_serves() {
-    let (session, key) = shared();
+fn assert_still_serves((session, key): &(Session, String)) {
     let got = session.complete(0, key, "still there?", 20);
     assert_eq!(got.text, fake::answer_text("still there?", 20), "{got:?}");
 }
@@ -56,25 +50,28 @@
     negative_tokens = { "{\"model\": \"summary-1\", \"prompt\": \"x\", \"max_tokens\": -1}", 400, "from 1 to" },
 )]
 fn body_that_is_wrong_is_refused(body: &str, status: u16, cause: &str) {
-    let got = post(body);
+    let site = start();
+    let got = post(&site, body);
     assert_eq!(got.status, status, "{got:?}");
     assert!(got.text.contains(cause), "{got:?}");
     assert!(got.text.contains("\"not_run\":true"), "{got:?}");
-    assert_still_serves();
+    assert_still_serves(&site);
 }
 
 #[test]
 fn body_too_large_is_refused() {
     let body = session::completion(&"x".repeat(5 << 20), 10, true);
-    let got = post(&body);
+    let site = start();
+    let got = post(&site, &body);
     assert_eq!(got.status, 413, "{got:?}");
     assert!(got.text.contains("body_too_large"), "{got:?}");
-    assert_still_serves();
+    assert_still_serves(&site);
 }
 
 #[test]
 fn prompt_beyond_the_burst_is_refused() {
-    let got = post(&session::completion(&"x".repeat(1 << 20), 10, true));
+    let site = start();
+    let got = post(&site, &session::completion(&"x".repeat(1 << 20), 10, true));
     assert_eq!(got.status, 400, "{got:?}");
     assert!(got.text.contains("exceeds_burst"), "{got:?}");
 }
@@ -86,7 +83,7 @@
     unknown = { Some("Bearer hbp_000000000000_00"), "bad_key" },
 )]
 fn key_that_is_wrong_is_refused(value: Option<&str>, cause: &str) {
-    let (session, _) = shared();
+    let (session, _) = start();
     let headers: Vec<(&str, &str)> = value.map(|v| ("authorization", v)).into_iter().collect();
     let body = session::completion("x", 10, true);
     let got = session::call("POST", &session.url(0, "/v1/completions"), &headers, &body);
@@ -96,7 +93,7 @@
 
 #[test]
 fn secret_of_another_key_is_refused() {
-    let (session, key) = shared();
+    let (session, key) = start();
     let (_, other) = session.key(session::FARMS);
     let id = key.split('_').nth(1).expect("a key has an id");
     let secret = other.split('_').nth(2).expect("a key has a secret");
@@ -109,7 +106,7 @@
 
 #[test]
 fn class_that_is_unknown_is_refused() {
-    let (session, key) = shared();
+    let (session, key) = start();
     let bearer = format!("Bearer {key}");
     let headers = [
         ("authorization", bearer.as_str()),
@@ -127,7 +124,7 @@
     unknown_path = { "GET", "/nowhere", 404 },
 )]
 fn path_that_is_wrong_is_refused(method: &str, path: &str, status: u16) {
-    let (session, key) = shared();
+    let (session, key) = start();
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str())];
     let got = session::call(method, &session.url(0, path), &headers, "");
@@ -135,8 +132,7 @@
 }
 
 /// Writes raw bytes and reads what comes back until the connection closes.
-fn raw(bytes: &[u8]) -> String {
-    let (session, _) = shared();
+fn raw(session: &Session, bytes: &[u8]) -> String {
     let mut stream = net::TcpStream::connect(session.lab.callers(0)).expect("the entry listens");
     let limit = Some(time::Duration::from_secs(5));
     stream
@@ -155,21 +151,23 @@
         "GET /open/x HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n",
         "y".repeat(100_000)
     );
-    let got = raw(head.as_bytes());
+    let site = start();
+    let got = raw(&site.0, head.as_bytes());
     assert!(got.starts_with("HTTP/1.1 431"), "{got}");
-    assert_still_serves();
+    assert_still_serves(&site);
 }
 
 #[test]
 fn bytes_that_are_no_http_are_refused() {
-    let got = raw(b"\x00\x01\x02 nonsense\r\n\r\n");
+    let site = start();
+    let got = raw(&site.0, b"\x00\x01\x02 nonsense\r\n\r\n");
     assert!(got.is_empty() || got.starts_with("HTTP/1.1 400"), "{got}");
-    assert_still_serves();
+    assert_still_serves(&site);
 }
 
 #[test]
 fn chat_and_plain_answers_have_their_usual_form() {
-    let (session, key) = shared();
+    let (session, key) = start();
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str())];
     let body = serde_json::json!({
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -96,6 +96,7 @@
     reports: collections::VecDeque<(time::Instant, engine::Load)>,
     stats: Stats,
     fence: u64,
+    orders: Vec<engine::Order>,
     working: bool,
     exporting: bool,
     stalled: bool,
@@ -127,6 +128,7 @@
             reports: collections::VecDeque::new(),
             stats: Stats::default(),
             fence: 0,
+            orders: Vec::new(),
             working: false,
             exporting: false,
             stalled: false,
@@ -159,6 +161,11 @@
         state.held.keys().cloned().collect()
     }
 
+    /// The orders that it has taken.
+    pub fn orders(&self) -> Vec<engine::Order> {
+        lock(&self.shared).orders.clone()
+    }
+
     /// Lets transfers out of this engine hang, or go on.
     pub fn stall(&self, stalled: bool) {
         lock(&self.shared).stalled = stalled;
@@ -515,6 +522,7 @@
             return refuse(409);
         }
         state.fence = state.fence.max(order.fence);
+        state.orders.push(order.clone());
         json(&serde_json::json!({}))
     }
 }
--- /dev/null
+++ b/crates/once/src/event.rs
@@ -0,0 +1,93 @@
+use crate::record::Answer;
+use crate::record::KeyHash;
+use crate::record::Record;
+use crate::shard::Shard;
+use std::time;
+
+/// Names a call at this agent while it lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A call that may run at most once.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its name here.
+    pub id: CallId,
+    /// Where its key belongs.
+    pub shard: Shard,
+    /// Its organisation and key.
+    pub key: KeyHash,
+    /// What it consists of.
+    pub content: KeyHash,
+    /// Until when its caller waits.
+    pub until: time::Instant,
+}
+
+/// How a reading of a shard ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Read {
+    /// What stands there and its revision in the store; 0 where nothing does.
+    Found(u64, Record),
+    /// The store did not answer.
+    Failed,
+}
+
+/// How a write of a shard ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Write {
+    /// It was written at this revision.
+    Done(u64),
+    /// Somebody else was first; this stands now.
+    Beaten(u64, Record),
+    /// It had no effect.
+    Failed,
+    /// It may have had an effect.
+    Unknown,
+}
+
+/// What happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A call comes in.
+    Call(Call),
+    /// A shard was read.
+    Read(Shard, Read),
+    /// A shard was written.
+    Written(Shard, Write),
+    /// A call has run: its answer.
+    Ran(CallId, Answer),
+    /// A call has surely not run.
+    NotRun(CallId, String),
+    /// A call may have run.
+    Lost(CallId, String),
+    /// Time passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Read a shard from the store.
+    Read(Shard),
+    /// Write a shard if its revision is still this one.
+    Write(Shard, u64, Vec<u8>),
+    /// Run the call now, once.
+    Run(CallId),
+    /// Answer the call.
+    Reply(CallId, Verdict),
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The call has run; this is its answer. The flag marks a resend.
+    Answered(Answer, bool),
+    /// The key has surely not run, neither by this call nor by an earlier one.
+    NotRun(String),
+    /// This call has surely not run; of an earlier one nothing is known.
+    NotSent(String),
+    /// The call may have run, and is never run again.
+    Unknown(String),
+    /// The key belongs to another call.
+    Mismatch,
+}
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -1,105 +1,20 @@
+use crate::event::Action;
+use crate::event::Call;
+use crate::event::CallId;
+use crate::event::Event;
+use crate::event::Read;
+use crate::event::Verdict;
+use crate::event::Write;
+use crate::page::Page;
+use crate::page::Stage;
 use crate::record::Answer;
 use crate::record::Claim;
 use crate::record::ClaimState;
 use crate::record::KeyHash;
-use crate::record::Record;
 use crate::shard::Shard;
 use std::collections;
 use std::time;
 
-/// Claims that come within this are written together.
-const GATHER: time::Duration = time::Duration::from_millis(5);
-const RETRY_FIRST: time::Duration = time::Duration::from_millis(100);
-const RETRY_MOST: time::Duration = time::Duration::from_secs(2);
-
-/// Names a call at this agent while it lasts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
-/// A call that may run at most once.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Its name here.
-    pub id: CallId,
-    /// Where its key belongs.
-    pub shard: Shard,
-    /// Its organisation and key.
-    pub key: KeyHash,
-    /// What it consists of.
-    pub content: KeyHash,
-    /// Until when its caller waits.
-    pub until: time::Instant,
-}
-
-/// How a reading of a shard ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Read {
-    /// What stands there and its revision in the store; 0 where nothing does.
-    Found(u64, Record),
-    /// The store did not answer.
-    Failed,
-}
-
-/// How a write of a shard ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Write {
-    /// It was written at this revision.
-    Done(u64),
-    /// Somebody else was first; this stands now.
-    Beaten(u64, Record),
-    /// It had no effect.
-    Failed,
-    /// It may have had an effect.
-    Unknown,
-}
-
-/// What happens.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A call comes in.
-    Call(Call),
-    /// A shard was read.
-    Read(Shard, Read),
-    /// A shard was written.
-    Written(Shard, Write),
-    /// A call has run: its answer.
-    Ran(CallId, Answer),
-    /// A call has surely not run.
-    NotRun(CallId, String),
-    /// A call may have run.
-    Lost(CallId, String),
-    /// Time passed.
-    Tick,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Read a shard from the store.
-    Read(Shard),
-    /// Write a shard if its revision is still this one.
-    Write(Shard, u64, Vec<u8>),
-    /// Run the call now, once.
-    Run(CallId),
-    /// Answer the call.
-    Reply(CallId, Verdict),
-}
-
-/// What a caller is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// The call has run; this is its answer. The flag marks a resend.
-    Answered(Answer, bool),
-    /// The key has surely not run, neither by this call nor by an earlier one.
-    NotRun(String),
-    /// This call has surely not run; of an earlier one nothing is known.
-    NotSent(String),
-    /// The call may have run, and is never run again.
-    Unknown(String),
-    /// The key belongs to another call.
-    Mismatch,
-}
-
 /// The claims of one agent, as far as it is home to their shards.
 #[derive(Debug)]
 pub struct Ledger {
@@ -109,40 +24,6 @@
     writes: u64,
 }
 
-/// What is known of one shard.
-#[derive(Debug, Default)]
-struct Page {
-    record: Record,
-    revision: u64,
-    stage: Stage,
-    /// Readings and writes begun so far; one is under way at a time.
-    errands: u64,
-    /// Changes that are not in the store yet.
-    pending: collections::BTreeMap<KeyHash, Claim>,
-    /// What the write under way carries, as it was when the write began.
-    flying: collections::BTreeMap<KeyHash, Claim>,
-    /// Claims of ours whose calls were given up before they ran.
-    void: collections::BTreeSet<String>,
-    /// Calls that wait for the first reading.
-    arrivals: Vec<CallId>,
-    failures: u32,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Stage {
-    /// Nothing has been read.
-    #[default]
-    Blank,
-    Reading,
-    /// What was read is current as far as is known.
-    Ready,
-    /// Changes wait for more until then.
-    Gathering(time::Instant),
-    Writing,
-    /// The store failed; it is asked again then.
-    Resting(time::Instant),
-}
-
 #[derive(Debug)]
 struct Entry {
     call: Call,
@@ -646,69 +527,3 @@
         }
     }
 }
-
-impl Page {
-    fn read(&mut self, shard: Shard, actions: &mut Vec<Action>) {
-        self.stage = Stage::Reading;
-        self.errands += 1;
-        actions.push(Action::Read(shard));
-    }
-
-    fn take(&mut self, revision: u64, record: Record) {
-        self.revision = revision;
-        self.record = record;
-        self.stage = Stage::Ready;
-        self.failures = 0;
-    }
-
-    /// Lets changes wait for company, unless a write or reading is under way.
-    fn gather(&mut self, now: time::Instant) {
-        if self.stage == Stage::Ready {
-            self.stage = Stage::Gathering(now + GATHER);
-        }
-    }
-
-    fn rest(&mut self, now: time::Instant) {
-        let wait = RETRY_FIRST.saturating_mul(1 << self.failures.min(8));
-        self.failures += 1;
-        self.stage = Stage::Resting(now + wait.min(RETRY_MOST));
-    }
-
-    /// Voids claims of ours in the store whose calls were given up.
-    fn void_given_up(&mut self, wall: time::Duration) {
-        let stray: Vec<KeyHash> = self
-            .record
-            .claims
-            .iter()
-            .filter(|(_, c)| c.state == ClaimState::Claimed && self.void.contains(&c.by))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in stray {
-            let Some(claim) = self.record.claims.get(&key) else {
-                continue;
-            };
-            let void = Claim {
-                state: ClaimState::Void,
-                at: wall.as_secs(),
-                ..claim.clone()
-            };
-            self.record.claims.insert(key.clone(), void.clone());
-            self.pending.entry(key).or_insert(void);
-        }
-    }
-
-    fn write(&mut self, writer: String, wall: time::Duration) -> Option<Vec<u8>> {
-        let mut next = self.record.clone();
-        next.writer = writer;
-        next.prune(wall);
-        for (key, claim) in &self.pending {
-            next.claims.insert(key.clone(), claim.clone());
-        }
-        let bytes = next.encode()?;
-        self.flying = self.pending.clone();
-        self.record.prune(wall);
-        self.stage = Stage::Writing;
-        self.errands += 1;
-        Some(bytes)
-    }
-}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -5,10 +5,13 @@
 //! are, only one of them can claim a key. docs/DESIGN.md, "At most once",
 //! weighs this against journals of each agent.
 
+mod event;
 mod ledger;
+mod page;
 mod record;
 mod shard;
 
-pub use ledger::{Action, Call, CallId, Event, Ledger, Read, Verdict, Write};
+pub use event::{Action, Call, CallId, Event, Read, Verdict, Write};
+pub use ledger::Ledger;
 pub use record::{Answer, Claim, ClaimState, KeyHash, Record};
 pub use shard::{Shard, shard_of};
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -14,6 +14,9 @@
 /// How long an agent is avoided after a failure there.
 const TROUBLE: time::Duration = time::Duration::from_secs(2);
 
+/// Time from an import to its first token, with the hops on the way.
+const FIRST_STEP: time::Duration = time::Duration::from_millis(40);
+
 /// An agent's load as it was last reported.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
@@ -252,6 +255,17 @@
         work + transfer
     }
 
+    /// Expects the time from a grant to the first token, at the least busy
+    /// prefill agent. A request that is promised its first token in time by a
+    /// hair is late as a rule, so a margin is part of it.
+    pub fn expect_work(&self, upstream: &str, tokens: u64, blocks: &Blocks) -> time::Duration {
+        let prefill = self
+            .candidates(upstream, Role::Prefill)
+            .map(|(host, view)| self.expect_prefill(host, Some(&view.zone), tokens, blocks))
+            .min();
+        prefill.unwrap_or_default() + FIRST_STEP
+    }
+
     /// Learns from a finished prefill how much was cached.
     pub fn prefilled(&mut self, host: &Name, blocks: &Blocks, expected: u64, cached: u64) {
         if cached < expected {
@@ -279,6 +293,13 @@
         }
     }
 
+    /// Tells whether any decode agent can give one more stream its pace. A
+    /// target that none can meet is no reason to wait for a better one.
+    pub fn attainable(&self, upstream: &str, token: time::Duration) -> bool {
+        self.candidates(upstream, Role::Decode)
+            .any(|(_, view)| !misses(view, token))
+    }
+
     /// Chooses an agent of a plain service: the least busy in its turn.
     pub fn choose_service(&mut self, upstream: &str, not: &[Name]) -> Option<Name> {
         let mut hosts = self.services(upstream);
@@ -326,6 +347,11 @@
     }
 }
 
+/// Tells whether one more stream would be slower than its target there.
+fn misses(view: &View, token: time::Duration) -> bool {
+    view.report.pace > 0.0 && 1.0 / view.report.pace > token.as_secs_f64()
+}
+
 /// Orders decode agents: those with room first, then by what waits.
 fn decode_load(view: &View, pieces: u32) -> (bool, u32, cmp::Reverse<u32>) {
     let free = view.report.seats.saturating_sub(view.sent_bids);
--- a/crates/route/src/journey.rs
+++ b/crates/route/src/journey.rs
@@ -39,6 +39,8 @@
     pub max: u32,
     /// Pieces of memory that it needs.
     pub pieces: u32,
+    /// Its target between tokens.
+    pub token: time::Duration,
 }
 
 /// Why an attempt ended early.
@@ -196,6 +198,11 @@
         self.wasted
     }
 
+    /// What is known of the request.
+    pub fn work(&self) -> &Work {
+        &self.work
+    }
+
     /// Tells whether no engine has seen the request.
     pub fn untouched(&self) -> bool {
         self.run == 0
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -1,3 +1,4 @@
+use crate::line::Fit;
 use crate::line::Line;
 use crate::line::Ticket;
 use crate::urgency::Urgency;
@@ -40,7 +41,7 @@
             return false;
         }
         let work = time::Duration::from_secs_f64(tokens as f64 / self.pace);
-        self.line.join(ticket, urgency, work, tokens);
+        self.line.join(ticket, Urgency { work, ..urgency }, tokens);
         true
     }
 
@@ -48,7 +49,7 @@
     pub fn start(&mut self, now: time::Instant) -> Vec<Ticket> {
         let mut started = Vec::new();
         while self.running.len() < self.width {
-            let Some(waiter) = self.line.take(now, |_| true) else {
+            let Some(waiter) = self.line.take(now, |_| Fit::Now) else {
                 break;
             };
             self.running.insert(waiter.ticket, waiter.need);
@@ -75,11 +76,7 @@
     /// Takes no prompts from now on; gives those that wait, to be refused.
     pub fn drain(&mut self) -> Vec<Ticket> {
         self.draining = true;
-        let waiting: Vec<Ticket> = self.line.iter().map(|w| w.ticket).collect();
-        for ticket in &waiting {
-            self.line.leave(*ticket);
-        }
-        waiting
+        self.line.clear()
     }
 
     /// Tokens that wait or are being worked on.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod seats;
 mod shares;
+mod speed;
 mod urgency;
 
 pub use budget::{Cause, RetryBudget};
@@ -26,6 +27,7 @@
 pub use quarantine::{CrashId, Digest, Quarantine};
 pub use seats::Seats;
 pub use shares::Shares;
+pub use speed::Speed;
 pub use urgency::Urgency;
 
 /// Tokens that one piece of engine memory holds.
--- a/crates/route/src/line.rs
+++ b/crates/route/src/line.rs
@@ -10,12 +10,21 @@
 pub(crate) struct Waiter<N> {
     pub ticket: Ticket,
     pub urgency: Urgency,
-    pub work: time::Duration,
     pub need: N,
     order: u64,
     passed: u32,
 }
 
+/// Whether one that waits can be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fit {
+    Now,
+    /// Not yet; it must not be passed for ever.
+    Later,
+    /// It would do better elsewhere; others may pass.
+    Better,
+}
+
 /// Work that waits, taken by rank; equal ranks in order of arrival.
 #[derive(Clone, Debug)]
 pub(crate) struct Line<N> {
@@ -42,12 +51,11 @@
         self.waiters.iter()
     }
 
-    pub(crate) fn join(&mut self, ticket: Ticket, urgency: Urgency, work: time::Duration, need: N) {
+    pub(crate) fn join(&mut self, ticket: Ticket, urgency: Urgency, need: N) {
         self.arrivals += 1;
         self.waiters.push(Waiter {
             ticket,
             urgency,
-            work,
             need,
             order: self.arrivals,
             passed: 0,
@@ -59,31 +67,37 @@
         Some(self.waiters.remove(i))
     }
 
+    /// Ends every wait; gives those that waited.
+    pub(crate) fn clear(&mut self) -> Vec<Ticket> {
+        self.waiters.drain(..).map(|w| w.ticket).collect()
+    }
+
     /// Takes the first by rank that fits. One that has been passed too often
     /// holds all others back until it fits.
     pub(crate) fn take(
         &mut self,
         now: time::Instant,
-        fits: impl Fn(&N) -> bool,
+        fits: impl Fn(&Waiter<N>) -> Fit,
     ) -> Option<Waiter<N>> {
         let mut order: Vec<usize> = (0..self.waiters.len()).collect();
         order.sort_by_key(|&i| {
             let w = &self.waiters[i];
-            (w.urgency.rank(now, w.work), w.order)
+            (w.urgency.rank(now), w.order)
         });
         let mut passed = Vec::new();
         for i in order {
-            if fits(&self.waiters[i].need) {
-                for p in passed {
-                    let w: &mut Waiter<N> = &mut self.waiters[p];
-                    w.passed += 1;
+            match fits(&self.waiters[i]) {
+                Fit::Now => {
+                    for p in passed {
+                        let w: &mut Waiter<N> = &mut self.waiters[p];
+                        w.passed += 1;
+                    }
+                    return Some(self.waiters.remove(i));
                 }
-                return Some(self.waiters.remove(i));
-            }
-            if self.waiters[i].passed >= MOST_PASSES {
-                return None;
+                Fit::Better => {}
+                Fit::Later if self.waiters[i].passed >= MOST_PASSES => return None,
+                Fit::Later => passed.push(i),
             }
-            passed.push(i);
         }
         None
     }
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -10,7 +10,7 @@
 const HOST_BLOCKS: usize = 16_384;
 
 /// The hashes of a prompt's prefixes, one for each whole block.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Blocks {
     hashes: Vec<u64>,
 }
--- a/crates/route/src/seats.rs
+++ b/crates/route/src/seats.rs
@@ -1,5 +1,8 @@
+use crate::line::Fit;
 use crate::line::Line;
 use crate::line::Ticket;
+use crate::line::Waiter;
+use crate::speed::Speed;
 use crate::urgency::Urgency;
 use std::collections;
 use std::time;
@@ -11,11 +14,47 @@
 pub struct Seats {
     seats: u32,
     pieces: u32,
-    held: collections::BTreeMap<Ticket, u32>,
+    held: collections::BTreeMap<Ticket, Held>,
     line: Line<u32>,
+    speed: Speed,
     draining: bool,
 }
 
+/// What one ticket holds.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    pieces: u32,
+    /// Its target between tokens.
+    token: time::Duration,
+}
+
+/// What one more request would do to the streams of an engine.
+struct Pace {
+    /// The gap between tokens with one more.
+    next: Option<time::Duration>,
+    /// The least target among those that hold seats and can be met now.
+    strictest: time::Duration,
+}
+
+impl Pace {
+    /// A request does better elsewhere where it would miss its target between
+    /// tokens, or make others miss theirs. One that is late is taken all the
+    /// same if it harms nobody.
+    fn fit(&self, waiter: &Waiter<u32>, free: u32, now: time::Instant) -> Fit {
+        if waiter.need > free {
+            return Fit::Later;
+        }
+        let Some(next) = self.next else {
+            return Fit::Now;
+        };
+        let misses = next > waiter.urgency.token && !waiter.urgency.is_late(now);
+        if misses || next > self.strictest {
+            return Fit::Better;
+        }
+        Fit::Now
+    }
+}
+
 impl Seats {
     /// Begins with all seats and pieces free.
     pub fn new(seats: u32, pieces: u32) -> Self {
@@ -24,23 +63,18 @@
             pieces,
             held: collections::BTreeMap::new(),
             line: Line::new(),
+            speed: Speed::default(),
             draining: false,
         }
     }
 
     /// Takes a bid; gives false where the engine could never hold it or is
     /// being emptied.
-    pub fn bid(
-        &mut self,
-        ticket: Ticket,
-        pieces: u32,
-        urgency: Urgency,
-        work: time::Duration,
-    ) -> bool {
+    pub fn bid(&mut self, ticket: Ticket, pieces: u32, urgency: Urgency) -> bool {
         if self.draining || pieces > self.pieces {
             return false;
         }
-        self.line.join(ticket, urgency, work, pieces);
+        self.line.join(ticket, urgency, pieces);
         true
     }
 
@@ -55,10 +89,18 @@
         let mut granted = Vec::new();
         while self.free_seats() > 0 {
             let free = self.free_pieces();
-            let Some(waiter) = self.line.take(now, |pieces| *pieces <= free) else {
+            let pace = Pace {
+                next: self.speed.expect(self.held.len() + 1),
+                strictest: self.strictest(),
+            };
+            let Some(waiter) = self.line.take(now, |w| pace.fit(w, free, now)) else {
                 break;
             };
-            self.held.insert(waiter.ticket, waiter.need);
+            let held = Held {
+                pieces: waiter.need,
+                token: waiter.urgency.token,
+            };
+            self.held.insert(waiter.ticket, held);
             granted.push(waiter.ticket);
         }
         granted
@@ -67,21 +109,41 @@
     /// Takes no bids from now on; gives those that still wait, to be refused.
     pub fn drain(&mut self) -> Vec<Ticket> {
         self.draining = true;
-        let waiting: Vec<Ticket> = self.line.iter().map(|w| w.ticket).collect();
-        for ticket in &waiting {
-            self.line.leave(*ticket);
-        }
-        waiting
+        self.line.clear()
     }
 
     /// Seats that nobody holds.
     pub fn free_seats(&self) -> u32 {
-        self.seats - u32::try_from(self.held.len()).unwrap_or(self.seats)
+        let held = u32::try_from(self.held.len()).unwrap_or(u32::MAX);
+        self.seats.saturating_sub(held)
     }
 
     /// Pieces that nobody holds.
     pub fn free_pieces(&self) -> u32 {
-        self.pieces - self.held.values().sum::<u32>()
+        self.pieces - self.held.values().map(|h| h.pieces).sum::<u32>()
+    }
+
+    /// Learns from one gap between the tokens of a stream.
+    pub fn measure(&mut self, gap: time::Duration) {
+        self.speed.measure(self.held.len(), gap);
+    }
+
+    /// Streams' pace with one more request, in tokens per second; 0 where it
+    /// isn't known yet.
+    pub fn pace(&self) -> f64 {
+        let gap = self.speed.expect(self.held.len() + 1);
+        gap.filter(|g| !g.is_zero())
+            .map_or(0.0, |g| 1.0 / g.as_secs_f64())
+    }
+
+    /// The least target between tokens that those who hold seats still meet.
+    fn strictest(&self) -> time::Duration {
+        let now = self.speed.expect(self.held.len()).unwrap_or_default();
+        let targets = self.held.values().map(|h| h.token);
+        targets
+            .filter(|token| *token >= now)
+            .min()
+            .unwrap_or(time::Duration::MAX)
     }
 
     /// Bids that wait.
--- a/crates/route/src/urgency.rs
+++ b/crates/route/src/urgency.rs
@@ -12,6 +12,10 @@
     pub waits: bool,
     /// The part of its allowance that its organisation has used lately.
     pub share: f64,
+    /// Time from a grant to its first token, as its entry expects it.
+    pub work: time::Duration,
+    /// Its target between tokens.
+    pub token: time::Duration,
 }
 
 /// The order in which waiting work is taken; the least goes first.
@@ -31,9 +35,14 @@
 }
 
 impl Urgency {
-    /// Ranks the request at `now`, if it still needs `work` to its first token.
-    pub(crate) fn rank(&self, now: time::Instant, work: time::Duration) -> Rank {
-        let slack = self.due.saturating_duration_since(now + work);
+    /// Tells whether its first token can no longer come in time.
+    pub(crate) fn is_late(&self, now: time::Instant) -> bool {
+        self.due <= now + self.work
+    }
+
+    /// Ranks the request at `now`.
+    pub(crate) fn rank(&self, now: time::Instant) -> Rank {
+        let slack = self.due.saturating_duration_since(now + self.work);
         let band = match (slack.is_zero(), self.waits) {
             (true, _) => Band::Late,
             (false, true) => Band::Yielding,
--- a/crates/route/tests/journey_tests.rs
+++ b/crates/route/tests/journey_tests.rs
@@ -101,6 +101,7 @@
         tokens: 100,
         max: TOTAL,
         pieces: 1,
+        token: time::Duration::from_millis(31),
     }
 }
 
--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -1421,7 +1421,9 @@
 ///  "required": [
 ///    "share",
 ///    "slack",
-///    "waits"
+///    "token",
+///    "waits",
+///    "work"
 ///  ],
 ///  "properties": {
 ///    "share": {
@@ -1434,9 +1436,21 @@
 ///      "type": "integer",
 ///      "format": "int64"
 ///    },
+///    "token": {
+///      "description": "Target between tokens, in milliseconds.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    },
 ///    "waits": {
 ///      "description": "Whether the class may wait.",
 ///      "type": "boolean"
+///    },
+///    "work": {
+///      "description": "Milliseconds expected from a grant to the first token.",
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
 ///    }
 ///  }
 ///}
@@ -1447,8 +1461,12 @@
     pub share: f64,
     ///Milliseconds left to the target.
     pub slack: i64,
+    ///Target between tokens, in milliseconds.
+    pub token: u64,
     ///Whether the class may wait.
     pub waits: bool,
+    ///Milliseconds expected from a grant to the first token.
+    pub work: u64,
 }
 impl ::std::convert::From<&Urgency> for Urgency {
     fn from(value: &Urgency) -> Self {
