--- a/crates/client/src/app/launch.rs
+++ b/crates/client/src/app/launch.rs
@@ -1,3 +1,5 @@
+//! The words of the command line, read into a command.
+
 use crate::app::errors::ClientError;
 use std::env;
 
--- a/crates/client/src/app/program.rs
+++ b/crates/client/src/app/program.rs
@@ -1,3 +1,5 @@
+//! Runs one command and turns its end into an exit code.
+
 use crate::app::ClientError;
 use crate::app::Command;
 use crate::app::launch::Launch;
--- a/crates/client/src/command/documents.rs
+++ b/crates/client/src/command/documents.rs
@@ -1,3 +1,5 @@
+//! Commands about documents: check, diff, apply, show and watch.
+
 use crate::app::ClientError;
 use crate::site;
 use crate::site::Site;
--- a/crates/client/src/command/hosts.rs
+++ b/crates/client/src/command/hosts.rs
@@ -1,3 +1,5 @@
+//! Commands about hosts: drain, undrain and status.
+
 use crate::app::ClientError;
 use crate::site::Process;
 use crate::site::Site;
--- a/crates/client/src/command/keys.rs
+++ b/crates/client/src/command/keys.rs
@@ -1,3 +1,5 @@
+//! Commands about keys: issue, withdraw and list.
+
 use crate::app::ClientError;
 use crate::site::Site;
 use conf::IssuedKey;
--- a/crates/client/src/site/documents.rs
+++ b/crates/client/src/site/documents.rs
@@ -1,3 +1,5 @@
+//! The configuration in the store, read and changed by compare-and-swap.
+
 use crate::app::ClientError;
 use conf::Revised;
 use std::fs;
--- a/crates/client/src/site/force.rs
+++ b/crates/client/src/site/force.rs
@@ -1,3 +1,5 @@
+//! Asks processes what they have in force, since acceptance alone is not enough for an operator.
+
 use crate::app::ClientError;
 use crate::site::Site;
 use std::io;
--- a/crates/client/src/site/yaml.rs
+++ b/crates/client/src/site/yaml.rs
@@ -1,3 +1,5 @@
+//! Writes a configuration as documents, so that what is shown can be applied again.
+
 use std::io;
 use world::Contract;
 use world::Kind;
--- /dev/null
+++ b/crates/daemon/examples/recovery.rs
@@ -0,0 +1,100 @@
+//! How long a stream stands still when something behind it fails: the longest
+//! gap between two tokens, over several tries of each failure.
+//!
+//! `cargo run --release --example recovery [TRIES]`
+
+#[path = "../tests/session/mod.rs"]
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::env;
+use std::process;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+/// The word that makes this program the daemon.
+const DAEMON: &str = "hornbeampitchd";
+const DEFAULT_TRIES: usize = 5;
+const PROMPT: &str = "Inspection log of the northern mule path [len=120]";
+const ANSWER: u32 = 200;
+
+/// Does harm to the decode host with this number.
+type Harm = fn(&mut Session, usize);
+
+/// What fails, and how.
+const FAILURES: [(&str, Harm); 4] = [
+    ("nothing", |_, _| {}),
+    ("decode agent killed", |s, i| {
+        let agent = s.lab.find(&format!("decode-{}", i + 1));
+        s.lab.daemons[agent].kill();
+    }),
+    ("decode agent frozen", |s, i| signal(s, i, "-STOP")),
+    ("decode engine killed", |s, i| s.lab.decodes[i].kill()),
+];
+
+fn main() -> process::ExitCode {
+    let words: Vec<String> = env::args().skip(1).collect();
+    if words.first().is_some_and(|w| w == DAEMON) {
+        return daemon::run(&words[1..]);
+    }
+    let tries = words.first().and_then(|w| w.parse().ok());
+    for (name, harm) in FAILURES {
+        let mut gaps: Vec<u128> = (0..tries.unwrap_or(DEFAULT_TRIES))
+            .map(|_| longest_gap(harm).as_millis())
+            .collect();
+        gaps.sort_unstable();
+        println!("{name}: longest gap between tokens, ms, by try: {gaps:?}");
+    }
+    process::ExitCode::SUCCESS
+}
+
+fn signal(session: &Session, decode: usize, name: &str) {
+    let agent = session.lab.find(&format!("decode-{}", decode + 1));
+    let id = session.lab.daemons[agent].id().expect("the agent runs");
+    let sent = process::Command::new("kill")
+        .args([name, &id.to_string()])
+        .status();
+    assert!(sent.expect("kill can be run").success());
+}
+
+fn longest_gap(harm: Harm) -> time::Duration {
+    let program = env::current_exe().expect("a running program has a path");
+    let shape = Shape {
+        prefills: 2,
+        ..Shape::small()
+    };
+    let mut session = Session::start(shape, &program, &[DAEMON]);
+    let (_, key) = session.key(session::RANGERS);
+    let url = session.url(0, "/v1/completions");
+    let body = session::completion(PROMPT, ANSWER, true);
+    let tokens = atomic::AtomicUsize::new(0);
+    let mut longest = time::Duration::ZERO;
+    let got = thread::scope(|scope| {
+        let (longest, tokens) = (&mut longest, &tokens);
+        let caller = scope.spawn(move || {
+            let mut last = time::Instant::now();
+            session::stream(&url, &key, &body, |got| {
+                let seen = got.text.split_whitespace().count();
+                if seen > 1 && seen > tokens.swap(seen, atomic::Ordering::SeqCst) {
+                    *longest = (*longest).max(last.elapsed());
+                }
+                last = time::Instant::now();
+                true
+            })
+        });
+        while tokens.load(atomic::Ordering::SeqCst) < 10 && !caller.is_finished() {
+            thread::sleep(time::Duration::from_millis(1));
+        }
+        let busy = session
+            .lab
+            .decodes
+            .iter()
+            .position(|e| !e.held().is_empty());
+        harm(&mut session, busy.expect("an engine streams"));
+        caller.join().expect("the caller does not panic")
+    });
+    assert_eq!(got.text, fake::answer_text(PROMPT, ANSWER));
+    longest
+}
--- a/crates/daemon/src/agent/claims.rs
+++ b/crates/daemon/src/agent/claims.rs
@@ -26,6 +26,8 @@
 /// Each shard has one call to the store at a time.
 const STORE_THREADS: usize = 4;
 const TICK: time::Duration = time::Duration::from_millis(5);
+/// With nothing under way, ticks only cost.
+const IDLE_TICK: time::Duration = time::Duration::from_secs(1);
 /// Calls of the store that one agent may make for its claims.
 const CALLS_PER_SECOND: f64 = 60.0;
 const CALLS_AT_ONCE: f64 = 60.0;
@@ -153,7 +155,11 @@
 impl Keeper {
     fn run(mut self) {
         loop {
-            let event = match self.messages.recv_timeout(TICK) {
+            let wait = match self.ledger.is_idle() {
+                true => IDLE_TICK,
+                false => TICK,
+            };
+            let event = match self.messages.recv_timeout(wait) {
                 Ok(Message::Submit(id, submission, reply)) => self.take(id, submission, reply),
                 Ok(Message::Event(event)) => event,
                 Err(channel::RecvTimeoutError::Timeout) => Event::Tick,
--- a/crates/daemon/src/agent/job.rs
+++ b/crates/daemon/src/agent/job.rs
@@ -1,3 +1,5 @@
+//! What an agent's desk works on, and the events that move it.
+
 use route::Ticket;
 use std::time;
 use tokio::sync::mpsc;
--- a/crates/daemon/src/agent/serve.rs
+++ b/crates/daemon/src/agent/serve.rs
@@ -1,3 +1,5 @@
+//! An agent's life from its listening port to its graceful stop.
+
 use crate::agent::claims::Claims;
 use crate::agent::desk::Desk;
 use crate::agent::job::Event;
--- a/crates/daemon/src/app/admin.rs
+++ b/crates/daemon/src/app/admin.rs
@@ -1,3 +1,5 @@
+//! The port for operators' tools, apart from callers and peers.
+
 use crate::app::errors::StartError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
--- a/crates/daemon/src/app/follow.rs
+++ b/crates/daemon/src/app/follow.rs
@@ -1,3 +1,5 @@
+//! Keeps up with one key of the store through outages.
+
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::convert;
--- a/crates/daemon/src/app/heart.rs
+++ b/crates/daemon/src/app/heart.rs
@@ -1,3 +1,5 @@
+//! Heartbeats and load, pushed to every peer that subscribes.
+
 use jsonrpsee::core;
 use jsonrpsee::server;
 use std::time;
--- a/crates/daemon/src/app/launch.rs
+++ b/crates/daemon/src/app/launch.rs
@@ -1,3 +1,5 @@
+//! The words of the daemon's command line.
+
 use crate::app::errors::StartError;
 
 const BRIEF: &str = "usage: hornbeampitchd [options] SETTINGS.yaml";
--- a/crates/daemon/src/app/program.rs
+++ b/crates/daemon/src/app/program.rs
@@ -1,3 +1,5 @@
+//! From the command line to a role that serves.
+
 use crate::agent;
 use crate::app::Admin;
 use crate::app::StartError;
--- a/crates/daemon/src/app/stop.rs
+++ b/crates/daemon/src/app/stop.rs
@@ -1,3 +1,5 @@
+//! The platform's request to stop.
+
 use signal_hook::consts;
 use signal_hook::iterator;
 use std::io;
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -1,3 +1,5 @@
+//! An entry's life from its listening ports to its graceful stop.
+
 use crate::app::Admin;
 use crate::app::StartError;
 use crate::app::Stop;
--- a/crates/daemon/tests/secret_tests.rs
+++ b/crates/daemon/tests/secret_tests.rs
@@ -6,12 +6,17 @@
 use session::Session;
 use std::fs;
 use std::path;
+use std::time;
 use tokio::runtime;
 use wire::api::PeerClient;
 
 fn start() -> Session {
     let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
-    Session::start(Shape::small(), program, &[])
+    let shape = Shape {
+        traces: true,
+        ..Shape::small()
+    };
+    Session::start(shape, program, &[])
 }
 
 #[test]
@@ -41,6 +46,10 @@
         seen.contains("order-1") && !seen.contains(&secret),
         "{seen}"
     );
+    let limit = time::Duration::from_secs(8);
+    let sent = |lab: &fake::Lab| lab.collector.dump().contains("\"agent\"");
+    assert!(session.lab.wait(limit, sent));
+    assert!(!session.lab.collector.dump().contains(&secret));
     let stored = format!("{:?}", session.lab.store.dump());
     assert!(stored.contains(session::RANGERS) && !stored.contains(&secret));
     for file in fs::read_dir(&session.lab.folder).expect("the lab has a folder") {
--- a/crates/daemon/tests/store_tests.rs
+++ b/crates/daemon/tests/store_tests.rs
@@ -225,3 +225,20 @@
     });
     assert!(back);
 }
+
+#[test]
+fn watch_prints_each_revision_as_it_comes() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let watched = thread::scope(|scope| {
+        let watcher = scope.spawn(|| session.client(&["watch", "-n", "1"]));
+        session::pause(300);
+        session.key(session::RANGERS);
+        watcher.join().expect("the watcher does not panic")
+    });
+    assert_eq!(watched.0, 0);
+    assert!(
+        watched.1.starts_with("revision 1\nrevision 2\n"),
+        "{}",
+        watched.1
+    );
+}
--- a/crates/fake/src/collector.rs
+++ b/crates/fake/src/collector.rs
@@ -11,9 +11,11 @@
 pub struct Collector {
     site: Site,
     spans: Spans,
+    raw: Raw,
 }
 
 type Spans = sync::Arc<sync::Mutex<Vec<Span>>>;
+type Raw = sync::Arc<sync::Mutex<String>>;
 
 #[derive(Clone, Debug)]
 struct Span {
@@ -29,11 +31,13 @@
     /// Starts an empty collector.
     pub fn start() -> Self {
         let spans = Spans::default();
+        let raw = Raw::default();
         let answers = Answers {
             spans: spans.clone(),
+            raw: raw.clone(),
         };
         let site = Site::start(crate::free_address(), answers);
-        Self { site, spans }
+        Self { site, spans, raw }
     }
 
     /// Where it listens.
@@ -41,6 +45,11 @@
         self.site.address
     }
 
+    /// Everything that was sent, to search for what must not be there.
+    pub fn dump(&self) -> String {
+        self.raw.lock().expect("no panic holds it").clone()
+    }
+
     /// Counts the spans of a trace.
     pub fn count(&self, trace: &str) -> usize {
         let spans = self.spans.lock().expect("no panic holds it");
@@ -74,6 +83,7 @@
 
 struct Answers {
     spans: Spans,
+    raw: Raw,
 }
 
 impl Handler for Answers {
@@ -82,7 +92,9 @@
         request: web::Request<web::Incoming>,
     ) -> Option<web::Response<web::Body>> {
         let body = web::read_body(request.into_body(), 16 << 20).await?;
-        let json: Value = serde_json::from_slice(&body).ok()?;
+        let text = String::from_utf8_lossy(&body);
+        *self.raw.lock().expect("no panic holds it") += &text;
+        let json: Value = serde_json::from_str(&text).ok()?;
         let mut found = Vec::new();
         for resource in json["resourceSpans"].as_array()? {
             let service = attribute(&resource["resource"]["attributes"], "service.name");
--- a/crates/member/src/fence.rs
+++ b/crates/member/src/fence.rs
@@ -1,3 +1,5 @@
+//! Fencing numbers, so that two givers never order one upstream; see docs/DESIGN.md, "Membership".
+
 use std::time;
 
 /// Longest time that an order of an earlier giver may still be on its way to an
--- a/crates/member/src/pulse.rs
+++ b/crates/member/src/pulse.rs
@@ -1,3 +1,5 @@
+//! A process's watch on its own pauses; see docs/DESIGN.md, "Membership".
+
 use std::time;
 
 /// Notices that the process was paused, by the ticks it missed.
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -1,3 +1,5 @@
+//! The peers of a process and their standing; see docs/DESIGN.md, "Membership".
+
 use rand::Rng;
 use rand::SeedableRng;
 use std::collections;
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -1,3 +1,5 @@
+//! What a ledger hears, does and tells.
+
 use crate::record::Answer;
 use crate::record::KeyHash;
 use crate::record::Record;
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -1,3 +1,5 @@
+//! The claims of one agent as a state machine; see docs/DESIGN.md, "At most once".
+
 use crate::event::Action;
 use crate::event::Call;
 use crate::event::CallId;
--- a/crates/once/src/page.rs
+++ b/crates/once/src/page.rs
@@ -1,3 +1,5 @@
+//! One shard as a ledger knows it, with the changes that are on their way to the store.
+
 use crate::event::Action;
 use crate::event::CallId;
 use crate::record::Claim;
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -1,3 +1,5 @@
+//! The form in which claims lie in the store.
+
 use sha2::Digest;
 use std::collections;
 use std::time;
--- a/crates/once/src/shard.rs
+++ b/crates/once/src/shard.rs
@@ -1,3 +1,5 @@
+//! The division of claims, so that calls for different shards never wait for each other.
+
 use xxhash_rust::xxh3;
 
 /// Claims are divided among so many keys of the store.
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -1,3 +1,5 @@
+//! One slice of one allowance; docs/DESIGN.md, "Allowances", shows why refunds and loans keep the bound.
+
 use std::collections;
 use std::time;
 
--- a/crates/quota/src/division.rs
+++ b/crates/quota/src/division.rs
@@ -1,3 +1,5 @@
+//! Who holds slices, and when a larger one may be used; see docs/DESIGN.md, "Allowances".
+
 use std::collections;
 use world::Name;
 
--- a/crates/quota/src/escrow.rs
+++ b/crates/quota/src/escrow.rs
@@ -1,3 +1,5 @@
+//! All slices that one entry holds.
+
 use crate::bucket::Bucket;
 use crate::bucket::ChargeId;
 use std::collections;
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,3 +1,5 @@
+//! A bound on retries, so that a failure never becomes a surge.
+
 use std::time;
 
 /// Retries for each first attempt that are allowed for one cause.
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -1,3 +1,5 @@
+//! An entry's views of all agents, and its choices among them; see docs/DESIGN.md, "Placement".
+
 use crate::links::Links;
 use crate::prefix::Blocks;
 use crate::prefix::Prefixes;
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -1,3 +1,5 @@
+//! The order of prompts at one prefill engine.
+
 use crate::line::Fit;
 use crate::line::Line;
 use crate::line::Ticket;
--- a/crates/route/src/line.rs
+++ b/crates/route/src/line.rs
@@ -1,3 +1,5 @@
+//! Waiting work, ordered by what it can still reach.
+
 use crate::urgency::Urgency;
 use std::time;
 
--- a/crates/route/src/links.rs
+++ b/crates/route/src/links.rs
@@ -1,3 +1,5 @@
+//! What transfers between availability zones cost, learnt from those that were made.
+
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -1,3 +1,5 @@
+//! Guesses at what engines have cached, since their own events come late and with gaps.
+
 use std::collections;
 use world::Name;
 use xxhash_rust::xxh3;
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -1,3 +1,5 @@
+//! Requests that crash engines; see docs/DESIGN.md, "Requests that crash engines".
+
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/route/src/seats.rs
+++ b/crates/route/src/seats.rs
@@ -1,3 +1,5 @@
+//! Who may use one decode engine; see docs/DESIGN.md, "Placement".
+
 use crate::line::Fit;
 use crate::line::Line;
 use crate::line::Ticket;
--- a/crates/route/src/shares.rs
+++ b/crates/route/src/shares.rs
@@ -1,3 +1,5 @@
+//! How organisations have been served lately, so that the worst-served goes first among equals.
+
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/route/src/speed.rs
+++ b/crates/route/src/speed.rs
@@ -1,3 +1,5 @@
+//! The speed of one engine's streams, which nobody tells and which differs from host to host.
+
 use std::time;
 
 /// Weight of the past against each new measurement.
--- a/crates/route/src/urgency.rs
+++ b/crates/route/src/urgency.rs
@@ -1,3 +1,5 @@
+//! The order among requests that wait.
+
 use std::time;
 
 /// Slacks closer than this count as equal, so that fairness decides.
--- a/crates/trace/src/hop.rs
+++ b/crates/trace/src/hop.rs
@@ -1,3 +1,5 @@
+//! Spans, one for each hop of a request, joined by W3C trace context.
+
 use crate::sender::Sender;
 use opentelemetry::Context;
 use opentelemetry::KeyValue;
--- a/crates/trace/src/line.rs
+++ b/crates/trace/src/line.rs
@@ -1,3 +1,5 @@
+//! Log lines that people can read and programs can split.
+
 use std::fmt;
 use std::fmt::Write;
 
--- a/crates/world/src/class.rs
+++ b/crates/world/src/class.rs
@@ -1,3 +1,5 @@
+//! Classes of work, by which operators steer.
+
 use crate::Name;
 use std::time;
 
--- a/crates/world/src/contract.rs
+++ b/crates/world/src/contract.rs
@@ -1,3 +1,5 @@
+//! The whole agreement between operators and organisations.
+
 use crate::Class;
 use crate::Kind;
 use crate::Name;
--- a/crates/world/src/host.rs
+++ b/crates/world/src/host.rs
@@ -1,3 +1,5 @@
+//! Hosts and what runs on them.
+
 use crate::Name;
 use std::net;
 
--- a/crates/world/src/organisation.rs
+++ b/crates/world/src/organisation.rs
@@ -1,3 +1,5 @@
+//! Organisations and their allowances.
+
 use crate::Name;
 
 /// An organisation with its allowance over the whole fleet.
--- a/crates/world/src/upstream.rs
+++ b/crates/world/src/upstream.rs
@@ -1,3 +1,5 @@
+//! Upstreams and the paths that lead to them.
+
 use crate::Name;
 
 /// A pool of like engines or services, under the one name operators use.
