--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -70,11 +70,6 @@
         // The last connection drops the last sender, which ends this wait.
         while self.open.changed().await.is_ok() {}
     }
-
-    /// Ends everything at once, as a crash would.
-    pub fn abort(&self) {
-        self.accept.abort();
-    }
 }
 
 async fn accept<H: Handler>(
