--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -55,6 +55,14 @@
     Joined,
 }
 
+/// One step while it lasts: its time, and what it has decided so far.
+struct Turn {
+    now: time::Instant,
+    /// Since the Unix epoch.
+    wall: time::Duration,
+    actions: Vec<Action>,
+}
+
 impl Ledger {
     /// Begins empty. `me` must differ with each start of the process.
     pub fn new(me: String) -> Self {
@@ -68,18 +76,22 @@
 
     /// Moves on by one event. `wall` is the time since the Unix epoch.
     pub fn step(&mut self, event: Event, now: time::Instant, wall: time::Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
+        let turn = &mut Turn {
+            now,
+            wall,
+            actions: Vec::new(),
+        };
         match event {
-            Event::Call(call) => self.arrive(call, now, wall, &mut actions),
-            Event::Read(shard, read) => self.read(shard, read, now, wall, &mut actions),
-            Event::Written(shard, write) => self.written(shard, write, now, wall, &mut actions),
-            Event::Ran(id, answer) => self.ran(id, answer, now, wall, &mut actions),
-            Event::NotRun(id, reason) => self.not_run(id, &reason, now, wall),
-            Event::Lost(id, reason) => self.finish(id, Verdict::Unknown(reason), &mut actions),
-            Event::Tick => self.give_up(now, &mut actions),
+            Event::Call(call) => self.arrive(call, turn),
+            Event::Read(shard, read) => self.read(shard, read, turn),
+            Event::Written(shard, write) => self.written(shard, write, turn),
+            Event::Ran(id, answer) => self.ran(id, answer, turn),
+            Event::NotRun(id, reason) => self.not_run(id, &reason, turn),
+            Event::Lost(id, reason) => self.finish(id, Verdict::Unknown(reason), turn),
+            Event::Tick => self.give_up(turn),
         }
-        self.proceed(now, wall, &mut actions);
-        actions
+        self.proceed(turn);
+        std::mem::take(&mut turn.actions)
     }
 
     /// Tells whether no call is under way and nothing waits to be written.
@@ -92,13 +104,7 @@
         self.calls.len()
     }
 
-    fn arrive(
-        &mut self,
-        call: Call,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn arrive(&mut self, call: Call, turn: &mut Turn) {
         let (id, shard) = (call.id, call.shard);
         let entry = Entry {
             call,
@@ -114,33 +120,21 @@
         let since = page.errands;
         self.calls.insert(id, Entry { since, ..entry });
         if !matches!(page.stage, Stage::Blank | Stage::Reading) {
-            self.admit(shard, now, wall, actions);
+            self.admit(shard, turn);
         }
     }
 
     /// Decides on the calls that waited for a reading.
-    fn admit(
-        &mut self,
-        shard: Shard,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn admit(&mut self, shard: Shard, turn: &mut Turn) {
         let Some(page) = self.shards.get_mut(&shard) else {
             return;
         };
         for id in std::mem::take(&mut page.arrivals) {
-            self.decide(id, now, wall, actions);
+            self.decide(id, turn);
         }
     }
 
-    fn decide(
-        &mut self,
-        id: CallId,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn decide(&mut self, id: CallId, turn: &mut Turn) {
         let Some(entry) = self.calls.get(&id) else {
             return;
         };
@@ -152,34 +146,34 @@
         let known = known.or_else(|| page.record.claims.get(&call.key)).cloned();
         match known {
             Some(claim) if claim.state != ClaimState::Void && claim.content != call.content => {
-                self.finish(id, Verdict::Mismatch, actions);
+                self.finish(id, Verdict::Mismatch, turn);
             }
             Some(Claim {
                 state: ClaimState::Done(answer),
                 ..
-            }) => self.finish(id, Verdict::Answered(answer, true), actions),
+            }) => self.finish(id, Verdict::Answered(answer, true), turn),
             Some(Claim {
                 state: ClaimState::Ran,
                 ..
             }) => {
                 let text = "the call has run, but its answer was not kept";
-                self.finish(id, Verdict::Unknown(text.into()), actions);
+                self.finish(id, Verdict::Unknown(text.into()), turn);
             }
             Some(Claim {
                 state: ClaimState::Claimed,
                 ..
-            }) => self.join(id, &call, actions),
+            }) => self.join(id, &call, turn),
             Some(Claim {
                 state: ClaimState::Void,
                 ..
             })
-            | None => self.claim(id, call, now, wall, actions),
+            | None => self.claim(id, call, turn),
         }
     }
 
     /// Lets a resend wait for the first one, if that is under way here. Of
     /// another home's claim, what became of it is read first.
-    fn join(&mut self, id: CallId, call: &Call, actions: &mut Vec<Action>) {
+    fn join(&mut self, id: CallId, call: &Call, turn: &mut Turn) {
         let first = self.calls.iter_mut().find(|(other, entry)| {
             **other != id
                 && entry.call.key == call.key
@@ -192,15 +186,15 @@
             }
             return;
         }
-        if self.check(id, call.shard, actions) {
+        if self.check(id, call.shard, turn) {
             return;
         }
         let text = "the call was claimed before and its outcome was not recorded";
-        self.finish(id, Verdict::Unknown(text.into()), actions);
+        self.finish(id, Verdict::Unknown(text.into()), turn);
     }
 
     /// Has a call wait for a fresh reading; gives false where it had one.
-    fn check(&mut self, id: CallId, shard: Shard, actions: &mut Vec<Action>) -> bool {
+    fn check(&mut self, id: CallId, shard: Shard, turn: &mut Turn) -> bool {
         let (Some(entry), Some(page)) = (self.calls.get_mut(&id), self.shards.get_mut(&shard))
         else {
             return false;
@@ -212,24 +206,17 @@
         page.arrivals.push(id);
         // One errand at a time: what is under way ends first.
         if matches!(page.stage, Stage::Ready | Stage::Gathering(_)) {
-            page.read(shard, actions);
+            page.read(shard, &mut turn.actions);
         }
         true
     }
 
-    fn claim(
-        &mut self,
-        id: CallId,
-        call: Call,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
-        self.reply_void(&call.key, actions);
+    fn claim(&mut self, id: CallId, call: Call, turn: &mut Turn) {
+        self.reply_void(&call.key, turn);
         let claim = Claim {
             content: call.content,
             by: format!("{}/{}", self.me, id.0),
-            at: wall.as_secs(),
+            at: turn.wall.as_secs(),
             state: ClaimState::Claimed,
         };
         if let Some(entry) = self.calls.get_mut(&id) {
@@ -237,39 +224,25 @@
         }
         if let Some(page) = self.shards.get_mut(&call.shard) {
             page.pending.insert(call.key, claim);
-            page.gather(now);
+            page.gather(turn.now);
         }
     }
 
-    fn read(
-        &mut self,
-        shard: Shard,
-        read: Read,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn read(&mut self, shard: Shard, read: Read, turn: &mut Turn) {
         let Some(page) = self.shards.get_mut(&shard) else {
             return;
         };
         match read {
-            Read::Failed => page.rest(now),
+            Read::Failed => page.rest(turn.now),
             Read::Found(revision, record) => {
                 page.take(revision, record);
-                self.settle(shard, now, wall, actions);
-                self.admit(shard, now, wall, actions);
+                self.settle(shard, turn);
+                self.admit(shard, turn);
             }
         }
     }
 
-    fn written(
-        &mut self,
-        shard: Shard,
-        write: Write,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn written(&mut self, shard: Shard, write: Write, turn: &mut Turn) {
         let Some(page) = self.shards.get_mut(&shard) else {
             return;
         };
@@ -279,39 +252,33 @@
                 let mut record = page.record.clone();
                 record.claims.extend(flying);
                 page.take(revision, record);
-                self.settle(shard, now, wall, actions);
-                self.admit(shard, now, wall, actions);
+                self.settle(shard, turn);
+                self.admit(shard, turn);
             }
             Write::Beaten(revision, record) => {
                 page.flying.clear();
                 page.take(revision, record);
-                self.settle(shard, now, wall, actions);
-                self.admit(shard, now, wall, actions);
+                self.settle(shard, turn);
+                self.admit(shard, turn);
             }
             Write::Failed => {
                 page.flying.clear();
-                page.rest(now);
+                page.rest(turn.now);
             }
             // Only a reading tells whose write stands.
             Write::Unknown => {
                 page.flying.clear();
-                page.read(shard, actions);
+                page.read(shard, &mut turn.actions);
             }
         }
     }
 
     /// Compares what stands in the store with what was to be written.
-    fn settle(
-        &mut self,
-        shard: Shard,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
+    fn settle(&mut self, shard: Shard, turn: &mut Turn) {
         let Some(page) = self.shards.get_mut(&shard) else {
             return;
         };
-        page.void_given_up(wall);
+        page.void_given_up(turn.wall);
         let newer = |e: &&mut Entry| e.call.shard == shard && page.errands > e.since;
         for entry in self.calls.values_mut().filter(newer) {
             let claim = page.record.claims.get(&entry.call.key);
@@ -341,18 +308,18 @@
             }
         }
         if !page.pending.is_empty() {
-            page.gather(now);
+            page.gather(turn.now);
         }
         for key in runs {
-            self.run(&key, actions);
+            self.run(&key, turn);
         }
         for key in voided {
-            self.reply_void(&key, actions);
+            self.reply_void(&key, turn);
         }
         for key in again {
-            self.reply_void(&key, actions);
+            self.reply_void(&key, turn);
             for id in self.claiming(&key) {
-                self.decide(id, now, wall, actions);
+                self.decide(id, turn);
             }
         }
     }
@@ -365,13 +332,13 @@
             .collect()
     }
 
-    fn run(&mut self, key: &KeyHash, actions: &mut Vec<Action>) {
+    fn run(&mut self, key: &KeyHash, turn: &mut Turn) {
         for id in self.claiming(key) {
             let Some(entry) = self.calls.get_mut(&id) else {
                 continue;
             };
             entry.state = CallState::Running;
-            actions.push(Action::Run(id));
+            turn.actions.push(Action::Run(id));
             // Whoever claims a key has found it free, for its resends as well.
             for other in entry.others.clone() {
                 if let Some(other) = self.calls.get_mut(&other) {
@@ -381,20 +348,13 @@
         }
     }
 
-    fn ran(
-        &mut self,
-        id: CallId,
-        answer: Answer,
-        now: time::Instant,
-        wall: time::Duration,
-        actions: &mut Vec<Action>,
-    ) {
-        self.note(id, ClaimState::of_answer(answer.clone()), now, wall);
-        self.finish(id, Verdict::Answered(answer, false), actions);
+    fn ran(&mut self, id: CallId, answer: Answer, turn: &mut Turn) {
+        self.note(id, ClaimState::of_answer(answer.clone()), turn);
+        self.finish(id, Verdict::Answered(answer, false), turn);
     }
 
-    fn not_run(&mut self, id: CallId, reason: &str, now: time::Instant, wall: time::Duration) {
-        self.note(id, ClaimState::Void, now, wall);
+    fn not_run(&mut self, id: CallId, reason: &str, turn: &mut Turn) {
+        self.note(id, ClaimState::Void, turn);
         let Some(entry) = self.calls.get_mut(&id) else {
             return;
         };
@@ -407,7 +367,7 @@
     }
 
     /// Answers the calls of a key whose void claim is written or overtaken.
-    fn reply_void(&mut self, key: &KeyHash, actions: &mut Vec<Action>) {
+    fn reply_void(&mut self, key: &KeyHash, turn: &mut Turn) {
         let voided: Vec<(CallId, String)> = self
             .calls
             .iter()
@@ -415,29 +375,29 @@
             .map(|(id, e)| (*id, e.reason.clone()))
             .collect();
         for (id, reason) in voided {
-            self.finish(id, Verdict::NotRun(reason), actions);
+            self.finish(id, Verdict::NotRun(reason), turn);
         }
     }
 
     /// Notes what became of a running call, to be written in its turn.
-    fn note(&mut self, id: CallId, state: ClaimState, now: time::Instant, wall: time::Duration) {
+    fn note(&mut self, id: CallId, state: ClaimState, turn: &mut Turn) {
         let Some(entry) = self.calls.get(&id) else {
             return;
         };
         let claim = Claim {
             content: entry.call.content.clone(),
             by: format!("{}/{}", self.me, id.0),
-            at: wall.as_secs(),
+            at: turn.wall.as_secs(),
             state,
         };
         let key = entry.call.key.clone();
         if let Some(page) = self.shards.get_mut(&entry.call.shard) {
             page.pending.insert(key, claim);
-            page.gather(now);
+            page.gather(turn.now);
         }
     }
 
-    fn finish(&mut self, id: CallId, verdict: Verdict, actions: &mut Vec<Action>) {
+    fn finish(&mut self, id: CallId, verdict: Verdict, turn: &mut Turn) {
         let Some(entry) = self.calls.remove(&id) else {
             return;
         };
@@ -445,23 +405,23 @@
             Verdict::Answered(answer, _) => Verdict::Answered(answer.clone(), true),
             other => other.clone(),
         };
-        actions.push(Action::Reply(id, verdict));
+        turn.actions.push(Action::Reply(id, verdict));
         for other in entry.others {
             let free = self.calls.get(&other).is_some_and(|o| o.free);
             let verdict = match &repeated {
                 Verdict::NotRun(reason) if !free => Verdict::NotSent(reason.clone()),
                 verdict => verdict.clone(),
             };
-            self.finish(other, verdict, actions);
+            self.finish(other, verdict, turn);
         }
     }
 
     /// Refuses calls whose callers' time is up and that have not run.
-    fn give_up(&mut self, now: time::Instant, actions: &mut Vec<Action>) {
+    fn give_up(&mut self, turn: &mut Turn) {
         let late: Vec<CallId> = self
             .calls
             .iter()
-            .filter(|(_, e)| e.call.until <= now)
+            .filter(|(_, e)| e.call.until <= turn.now)
             .filter(|(_, e)| matches!(e.state, CallState::Arrived | CallState::Claiming))
             .map(|(id, _)| *id)
             .collect();
@@ -472,16 +432,16 @@
                 false => Verdict::NotSent(text),
             };
             self.abandon(id);
-            self.finish(id, verdict, actions);
+            self.finish(id, verdict, turn);
         }
         let unwritten: Vec<(CallId, String)> = self
             .calls
             .iter()
-            .filter(|(_, e)| e.call.until <= now && e.state == CallState::Voiding)
+            .filter(|(_, e)| e.call.until <= turn.now && e.state == CallState::Voiding)
             .map(|(id, e)| (*id, e.reason.clone()))
             .collect();
         for (id, reason) in unwritten {
-            self.finish(id, Verdict::NotRun(reason), actions);
+            self.finish(id, Verdict::NotRun(reason), turn);
         }
     }
 
@@ -500,23 +460,26 @@
     }
 
     /// Starts the readings and writes that are due.
-    fn proceed(&mut self, now: time::Instant, wall: time::Duration, actions: &mut Vec<Action>) {
+    fn proceed(&mut self, turn: &mut Turn) {
         let me = self.me.clone();
         for (shard, page) in &mut self.shards {
             match page.stage {
                 Stage::Blank if !page.arrivals.is_empty() => {
-                    page.read(*shard, actions);
+                    page.read(*shard, &mut turn.actions);
                 }
                 // After a failure what stands is read again before a write.
-                Stage::Resting(until) if until <= now => {
-                    page.read(*shard, actions);
+                Stage::Resting(until) if until <= turn.now => {
+                    page.read(*shard, &mut turn.actions);
                 }
-                Stage::Gathering(until) if until <= now => {
+                Stage::Gathering(until) if until <= turn.now => {
                     self.writes += 1;
                     let writer = format!("{me}#{}", self.writes);
-                    match page.write(writer, wall) {
-                        Some(bytes) => actions.push(Action::Write(*shard, page.revision, bytes)),
-                        None => page.rest(now),
+                    match page.write(writer, turn.wall) {
+                        Some(bytes) => {
+                            turn.actions
+                                .push(Action::Write(*shard, page.revision, bytes))
+                        }
+                        None => page.rest(turn.now),
                     }
                 }
                 Stage::Blank
