Read again: accessors nobody calls are gone, twins in tests are one

Removed: Escrow's copy of the part (Epochs has it), Bucket::open, Fleet::view, views and serving, Lane::is_idle, an unused parameter of the load report. A bid takes its pieces from the journey instead of working them out again.

Behaviour unchanged.

--- a/crates/daemon/examples/load/main.rs
+++ b/crates/daemon/examples/load/main.rs
@@ -40,7 +40,7 @@
             let runs: Vec<Measures> = (0..options.seeds)
                 .map(|seed| run(&options, policy, *load, seed))
                 .collect();
-            let row = report::Row::of_runs(&options, policy, *load, &runs);
+            let row = report::Row::of_runs(policy, *load, &runs);
             println!("{row}");
             rows.push(row);
         }
--- a/crates/daemon/examples/load/report.rs
+++ b/crates/daemon/examples/load/report.rs
@@ -1,7 +1,6 @@
 //! What the users measure: goodput under both targets, wasted prefill, the
 //! worst-served organisation, and refusals within an organisation's rate.
 
-use crate::options::Options;
 use crate::plan::Plan;
 use crate::session::Session;
 use hdrhistogram::Histogram;
@@ -161,7 +160,7 @@
 }
 
 impl Row {
-    pub fn of_runs(_options: &Options, policy: &str, load: u32, runs: &[Measures]) -> Self {
+    pub fn of_runs(policy: &str, load: u32, runs: &[Measures]) -> Self {
         let median = |value: fn(&Measures) -> f64| {
             let mut all: Vec<f64> = runs.iter().map(value).collect();
             all.sort_by(f64::total_cmp);
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -183,7 +183,7 @@
             attempt: round,
             organisation: self.organisation.to_string(),
             upstream: self.ask.upstream.to_string(),
-            pieces: route::pieces_for(self.ask.tokens, u64::from(self.ask.max)),
+            pieces: self.journey.work().pieces,
             urgency: self.urgency(),
             trace: self.hop.traceparent(),
         };
--- a/crates/daemon/tests/plain_tests.rs
+++ b/crates/daemon/tests/plain_tests.rs
@@ -36,6 +36,12 @@
     session::call("POST", &url, &headers, body)
 }
 
+/// Sets what goes wrong at every service from now on.
+fn trouble(session: &Session, trouble: Trouble) {
+    let services = session.lab.services.iter();
+    services.for_each(|s| s.trouble(trouble));
+}
+
 /// How often the services ran a key, by their own record.
 fn executions(session: &Session, claim: &str) -> usize {
     let services = session.lab.services.iter();
@@ -117,7 +123,7 @@
     let session = start();
     let (_, key) = session.key(session::RANGERS);
     let slow = Trouble::Slow(time::Duration::from_millis(100));
-    session.lab.services.iter().for_each(|s| s.trouble(slow));
+    trouble(&session, slow);
     let got: Vec<Got> = thread::scope(|scope| {
         let callers: Vec<_> = (0..8)
             .map(|i| {
@@ -136,17 +142,9 @@
 fn order_whose_answer_was_lost_is_unknown_and_never_run_again() {
     let session = start();
     let (_, key) = session.key(session::RANGERS);
-    session
-        .lab
-        .services
-        .iter()
-        .for_each(|s| s.trouble(Trouble::LoseAnswer));
+    trouble(&session, Trouble::LoseAnswer);
     let first = order(&session, 0, &key, "order-1", ORDER);
-    session
-        .lab
-        .services
-        .iter()
-        .for_each(|s| s.trouble(Trouble::None));
+    trouble(&session, Trouble::None);
     let again = order(&session, 1, &key, "order-1", ORDER);
     for got in [first, again] {
         assert_eq!(got.status, 502, "{got:?}");
@@ -160,7 +158,7 @@
     let mut session = start();
     let (_, key) = session.key(session::RANGERS);
     let slow = Trouble::Slow(time::Duration::from_millis(600));
-    session.lab.services.iter().for_each(|s| s.trouble(slow));
+    trouble(&session, slow);
     let first = thread::scope(|scope| {
         let (url, bearer) = (
             session.url(0, "/dispatch/orders?unit=tracks"),
@@ -250,11 +248,7 @@
 fn call_without_a_key_is_sent_once() {
     let session = start();
     let (_, key) = session.key(session::RANGERS);
-    session
-        .lab
-        .services
-        .iter()
-        .for_each(|s| s.trouble(Trouble::LoseAnswer));
+    trouble(&session, Trouble::LoseAnswer);
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str())];
     let got = session::call("POST", &session.url(0, "/dispatch/orders"), &headers, ORDER);
--- a/crates/daemon/tests/stop_tests.rs
+++ b/crates/daemon/tests/stop_tests.rs
@@ -23,7 +23,7 @@
     Session::start(shape, program, &[])
 }
 
-fn terminate(session: &mut Session, host: &str) {
+fn terminate(session: &Session, host: &str) {
     let i = session.lab.find(host);
     let id = session.lab.daemons[i].id().expect("the daemon runs");
     let sent = process::Command::new("kill")
@@ -68,12 +68,7 @@
             })
             .collect();
         session::pause(700);
-        let i = shared.lab.find(host);
-        let id = shared.lab.daemons[i].id().expect("the daemon runs");
-        let sent = process::Command::new("kill")
-            .args(["-TERM", &id.to_string()])
-            .status();
-        assert!(sent.expect("kill can be run").success());
+        terminate(shared, host);
         let joined = callers.into_iter().map(|c| c.join());
         joined.map(|c| c.expect("no caller is cut off")).sum()
     });
@@ -101,8 +96,8 @@
             session::call("POST", &url, &headers, "{}")
         });
         session::pause(400);
-        terminate(&mut session, "service-1");
-        terminate(&mut session, "service-2");
+        terminate(&session, "service-1");
+        terminate(&session, "service-2");
         caller.join().expect("the caller does not panic")
     });
     assert_eq!(got.status, 201, "{got:?}");
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -112,11 +112,6 @@
         self.note_peaks();
     }
 
-    /// Charges that are not settled yet.
-    pub fn open(&self) -> usize {
-        self.open.len()
-    }
-
     fn take(&mut self, id: ChargeId, tokens: f64) {
         self.level -= tokens;
         let peak = self.level;
--- a/crates/quota/src/escrow.rs
+++ b/crates/quota/src/escrow.rs
@@ -21,7 +21,6 @@
 /// This entry's slices of all organisations' allowances.
 #[derive(Clone, Debug)]
 pub struct Escrow {
-    part: f64,
     slices: collections::BTreeMap<Name, Slice>,
 }
 
@@ -35,14 +34,12 @@
     /// Begins without slices.
     pub fn new() -> Self {
         Self {
-            part: 0.0,
             slices: collections::BTreeMap::new(),
         }
     }
 
     /// Takes the organisations of a configuration and this entry's part.
     pub fn divide(&mut self, organisations: &[Organisation], part: f64, now: time::Instant) {
-        self.part = part;
         self.slices
             .retain(|name, _| organisations.iter().any(|o| o.name == *name));
         for organisation in organisations {
@@ -111,11 +108,6 @@
             .map_or(1.0, |s| s.organisation.rate as f64);
         time::Duration::from_secs_f64((missing / rate.max(1.0)).clamp(0.0, 86_400.0))
     }
-
-    /// The part of every allowance that this entry may spend.
-    pub fn part(&self) -> f64 {
-        self.part
-    }
 }
 
 impl Default for Escrow {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -139,21 +139,6 @@
         }
     }
 
-    /// Finds an agent.
-    pub fn view(&self, host: &str) -> Option<&View> {
-        self.views.get(host)
-    }
-
-    /// All agents in the order of their names.
-    pub fn views(&self) -> impl Iterator<Item = (&Name, &View)> {
-        self.views.iter()
-    }
-
-    /// Counts the agents that may be given work.
-    pub fn serving(&self, upstream: &str, role: Role) -> usize {
-        self.candidates(upstream, role).count()
-    }
-
     /// Chooses decode agents to bid at. A suspect of a crash goes where no
     /// other suspect runs, so that the guilty one is found.
     pub fn choose_decode(
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -91,9 +91,4 @@
     pub fn pace(&self) -> f64 {
         self.pace
     }
-
-    /// Tells whether nothing waits or runs.
-    pub fn is_idle(&self) -> bool {
-        self.running.is_empty() && self.line.len() == 0
-    }
 }
