--- a/crates/daemon/tests/plain_tests.rs
+++ b/crates/daemon/tests/plain_tests.rs
@@ -246,7 +246,7 @@
     let session = start();
     let (_, key) = session.key(session::RANGERS);
     session.lab.services.iter().for_each(fake::Service::kill);
-    let refused = order(&session, 0, &key, "order-1", ORDER);
+    let refused = order_within(&session, 0, &key, "order-1", ORDER, "3000");
     assert_eq!(refused.status, 503, "{refused:?}");
     assert!(refused.text.contains("\"not_run\":true"), "{refused:?}");
     assert_honest(&session, &refused, "order-1");
