An entry that may be cut off stops: the host list vouches only if it names it

Cause: the allowance's histories buried an entry only when it was truly dead or paused (`dead_since`), while the daemon buried by list and silence. An entry that lives, but is off the list and cut off from store and peers, stayed trusted by reading that very list and went on with its slice after the others had divided it.

Ruled out: leases for slices (an outage would stop all keyed work), any sign of life from a peer (two entries cut off together vouch for each other).

Changed: `member::Trust` holds by the store, or by a list that names the entry with every other listed holder in sight; `member::Holders` proves a holder gone by 15 s of silence and of absence from a list that is read all the while (was 10 s of silence and one reading). The histories now drop living hosts from the list, cut them off from store, list and peers, and let all spend what they can. `conf::Freshness` and its test are replaced by these.

--- a/crates/conf/src/adoption.rs
+++ b/crates/conf/src/adoption.rs
@@ -1,9 +1,6 @@
-//! Which configuration a process goes by, and whether it may trust it.
-//!
-//! Both are pure state machines; docs/DESIGN.md, "Configuration", weighs them.
+//! Which configuration a process goes by; see docs/DESIGN.md, "Configuration".
 
 use std::sync;
-use std::time;
 use world::Contract;
 
 /// A configuration with its revision.
@@ -44,29 +41,3 @@
         true
     }
 }
-
-/// Tells whether a process that hears from nobody may still trust its keys.
-#[derive(Clone, Copy, Debug)]
-pub struct Freshness {
-    heard: time::Instant,
-}
-
-impl Freshness {
-    /// How long keyed work goes on with neither store, peers nor host list.
-    pub const LIMIT: time::Duration = time::Duration::from_secs(10);
-
-    /// Begins at the start of the process.
-    pub fn new(now: time::Instant) -> Self {
-        Self { heard: now }
-    }
-
-    /// Notes that the store, a peer or the host list has answered.
-    pub fn hear(&mut self, now: time::Instant) {
-        self.heard = self.heard.max(now);
-    }
-
-    /// Tells whether the process has been cut off for too long.
-    pub fn expired(&self, now: time::Instant) -> bool {
-        now.saturating_duration_since(self.heard) > Self::LIMIT
-    }
-}
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,7 +10,7 @@
 mod key;
 mod settings;
 
-pub use adoption::{Adoption, Freshness, Revised};
+pub use adoption::{Adoption, Revised};
 pub use document::read_document;
 pub use errors::{Finding, Findings};
 pub use key::{IssuedKey, KeyError, verify_key};
--- a/crates/conf/tests/conf_tests.rs
+++ b/crates/conf/tests/conf_tests.rs
@@ -2,13 +2,11 @@
 
 use conf::Adoption;
 use conf::Findings;
-use conf::Freshness;
 use conf::IssuedKey;
 use conf::KeyError;
 use conf::Revised;
 use conf::Settings;
 use rand::SeedableRng;
-use std::time;
 use world::Contract;
 use yare::parameterized;
 
@@ -111,14 +109,3 @@
     assert!(adoption.offer(revised(5)));
     assert_eq!(adoption.revision(), 5);
 }
-
-#[test]
-fn freshness_ends_after_silence_and_comes_back() {
-    let base = time::Instant::now();
-    let mut fresh = Freshness::new(base);
-    let late = base + Freshness::LIMIT + time::Duration::from_millis(1);
-    assert!(!fresh.expired(base + Freshness::LIMIT));
-    assert!(fresh.expired(late));
-    fresh.hear(late);
-    assert!(!fresh.expired(late));
-}
--- a/crates/daemon/src/entry/core.rs
+++ b/crates/daemon/src/entry/core.rs
@@ -35,7 +35,7 @@
     pub revision: watch::Sender<u64>,
     pub decisions: Mutex<Decisions>,
     pub allowances: Mutex<Allowances>,
-    pub freshness: Mutex<conf::Freshness>,
+    pub trust: Mutex<member::Trust>,
     pub pulse: Mutex<member::Pulse>,
     pub peers: Peers,
     pub heart: Heart,
@@ -65,7 +65,7 @@
             revision: watch::channel(0).0,
             decisions: Mutex::new(decisions),
             allowances: Mutex::new(allowances),
-            freshness: Mutex::new(conf::Freshness::new(now)),
+            trust: Mutex::new(member::Trust::new(now)),
             pulse: Mutex::new(member::Pulse::new(now)),
             peers: Peers::new(me, incarnation),
             heart: Heart::new(wire::LoadState::default()),
@@ -131,9 +131,9 @@
     }
 
     /// Tells whether keyed work may be decided now: this process has neither
-    /// slept nor been cut off from all that could tell of a withdrawal.
+    /// slept nor been cut off from what could tell of a withdrawal or an epoch.
     pub(crate) fn trusted(&self) -> bool {
         let now = time::Instant::now();
-        self.pulse.lock().awake(now) && !self.freshness.lock().expired(now)
+        self.pulse.lock().awake(now) && self.trust.lock().holds(now)
     }
 }
--- a/crates/daemon/src/entry/division.rs
+++ b/crates/daemon/src/entry/division.rs
@@ -9,9 +9,6 @@
 use world::Name;
 use world::Role;
 
-/// Silence after which a peer off the list is proven gone. It is longer than a
-/// paused peer can go on without noticing its pause; see [`member::Pulse::PAUSE`].
-const GUARD: time::Duration = time::Duration::from_secs(10);
 /// How often a changed set of entries may be proposed as a new epoch.
 const PROPOSE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -36,35 +33,46 @@
     }
 }
 
-/// Notes which holders of slices are proven gone.
-pub(crate) fn bury_gone(entry: &Entry, now: time::Instant) {
-    let Some(holders) = holders(entry) else {
+/// Keeps track of the other holders of slices; `read` tells that the host list
+/// was read anew.
+pub(crate) fn watch_holders(entry: &Entry, read: bool, now: time::Instant) {
+    let Some(names) = others(entry) else {
         return;
     };
-    let mut changed = false;
-    for name in holders {
-        if name == entry.settings.host || entry.peers.roster.lock().listed(&name) {
-            continue;
-        }
-        let silent = {
-            let mut heard = entry.peers.heard.lock();
-            let last = *heard.entry(name.clone()).or_insert(now);
-            now.saturating_duration_since(last) > GUARD
-        };
-        if silent {
-            entry.allowances.lock().epochs.bury(&name);
-            changed = true;
+    let isolated = {
+        let roster = entry.peers.roster.lock();
+        let mut holders = entry.peers.holders.lock();
+        holders.watch(&names, now);
+        if read {
+            holders.read(|name| roster.listed(name), now);
         }
+        holders.isolated(now)
+    };
+    entry.trust.lock().isolate(isolated);
+}
+
+/// Notes which holders of slices are proven gone.
+pub(crate) fn bury_gone(entry: &Entry, now: time::Instant) {
+    let gone = entry.peers.holders.lock().gone(now);
+    if gone.is_empty() {
+        return;
     }
-    if changed {
-        entry.redivide();
+    for name in gone {
+        entry.allowances.lock().epochs.bury(&name);
     }
+    entry.redivide();
 }
 
-fn holders(entry: &Entry) -> Option<collections::BTreeSet<Name>> {
+/// All but this entry that hold slices or may still do.
+fn others(entry: &Entry) -> Option<collections::BTreeSet<Name>> {
     let allowances = entry.allowances.lock();
     let division = allowances.epochs.division()?;
-    Some(division.holders.union(&division.prior).cloned().collect())
+    let all = division.holders.union(&division.prior);
+    Some(
+        all.filter(|h| **h != entry.settings.host)
+            .cloned()
+            .collect(),
+    )
 }
 
 /// Proposes a division where entries have come or gone. The least of the live
@@ -105,15 +113,11 @@
         .map(|(host, _)| host.name.clone())
         .collect();
     let allowances = entry.allowances.lock();
-    let heard = entry.peers.heard.lock();
+    let holders = entry.peers.holders.lock();
     if let Some(division) = allowances.epochs.division() {
         let paused = division.holders.iter().filter(|h| {
-            let listed = roster.listed(h);
-            let silent = heard
-                .get(*h)
-                .is_none_or(|at| now.saturating_duration_since(*at) > GUARD);
             let leaving = roster.standing(h, now) == Standing::Leaving;
-            (listed || !silent) && !leaving
+            holders.remains(h, now) && !leaving
         });
         live.extend(paused.cloned());
     }
--- a/crates/daemon/src/entry/feeds.rs
+++ b/crates/daemon/src/entry/feeds.rs
@@ -9,6 +9,7 @@
 use store::StoreError;
 
 const LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
+const VOUCH_INTERVAL: time::Duration = time::Duration::from_secs(2);
 const LIST_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// How the store keeps a division: with its writer, so that a lost answer can
@@ -31,6 +32,8 @@
     spawn("epochs", move || {
         follow_key(&epochs, store::EPOCH_KEY, take_division);
     })?;
+    let voucher = entry.clone();
+    spawn("vouch", move || vouch(&voucher))?;
     Ok(())
 }
 
@@ -52,7 +55,8 @@
             .and_then(|mut response| response.body_mut().read_json::<Vec<world::Host>>());
         match listed {
             Ok(hosts) => {
-                entry.freshness.lock().hear(time::Instant::now());
+                let named = hosts.iter().any(|h| h.name == entry.settings.host);
+                entry.trust.lock().hear_list(named, time::Instant::now());
                 entry.peers.list(hosts);
             }
             Err(error) => trace::Line::new("hosts_unread")
@@ -67,13 +71,29 @@
 fn follow_key(entry: &Entry, key: &str, take: fn(&Entry, &store::Versioned)) {
     let client = store::Client::new(entry.settings.store);
     app::follow(&client, key, entry.incarnation, |found| {
-        entry.freshness.lock().hear(time::Instant::now());
+        entry.trust.lock().hear_store(time::Instant::now());
         if let Some(found) = found {
             take(entry, found);
         }
     });
 }
 
+/// Asks the store while the host list is no sign that nothing has changed: a
+/// watch that is silent may be one that was cut.
+fn vouch(entry: &Entry) {
+    loop {
+        thread::sleep(VOUCH_INTERVAL);
+        if entry.trust.lock().listed(time::Instant::now()) {
+            continue;
+        }
+        if let Err(error) = read_once(entry) {
+            trace::Line::new("store_silent")
+                .with("error", error)
+                .debug();
+        }
+    }
+}
+
 /// Reads both keys once, as after a pause.
 pub(crate) fn read_once(entry: &Entry) -> Result<(), StoreError> {
     let client = store::Client::new(entry.settings.store);
@@ -83,6 +103,7 @@
     if let Some(found) = client.get(store::EPOCH_KEY)? {
         take_division(entry, &found);
     }
+    entry.trust.lock().hear_store(time::Instant::now());
     Ok(())
 }
 
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -5,6 +5,7 @@
 use crate::entry::feeds;
 use member::Action;
 use member::Event;
+use member::Holders;
 use member::Identity;
 use member::Pulse;
 use member::Roster;
@@ -28,7 +29,7 @@
     pub roster: Mutex<Roster>,
     links: Mutex<collections::BTreeMap<Name, Linked>>,
     listed: Mutex<Option<Vec<Host>>>,
-    pub heard: Mutex<collections::BTreeMap<Name, time::Instant>>,
+    pub holders: Mutex<Holders>,
     pub division: Mutex<u64>,
     pub proposed: Mutex<Option<time::Instant>>,
 }
@@ -46,7 +47,7 @@
             roster: Mutex::new(Roster::new(me, seed)),
             links: Mutex::default(),
             listed: Mutex::default(),
-            heard: Mutex::default(),
+            holders: Mutex::default(),
             division: Mutex::new(0),
             proposed: Mutex::default(),
         }
@@ -94,8 +95,10 @@
         tokio::spawn(recheck(entry.clone()));
     }
     let listed = entry.peers.listed.lock().take();
+    let read = listed.is_some();
     let event = listed.map_or(Event::Tick, Event::Listed);
     step(entry, event, now);
+    division::watch_holders(entry, read, now);
     refresh_standings(entry, now);
     division::bury_gone(entry, now);
     division::propose_division(entry, now);
@@ -224,7 +227,7 @@
     state: LoadState,
 ) {
     let now = time::Instant::now();
-    entry.peers.heard.lock().insert(name.clone(), now);
+    entry.peers.holders.lock().hear(name, now);
     let heard = Event::Heard(name.clone(), state.draining);
     step(entry, heard, now);
     if role != Role::Entry {
@@ -238,7 +241,6 @@
         entry.decisions.lock().fleet.report(name, report);
         return;
     }
-    entry.freshness.lock().hear(now);
     let (part, epoch) = {
         let mut allowances = entry.allowances.lock();
         let before = allowances.epochs.part();
--- a/crates/daemon/tests/store_tests.rs
+++ b/crates/daemon/tests/store_tests.rs
@@ -223,6 +223,28 @@
     assert!(back);
 }
 
+#[test]
+fn entry_dropped_from_the_list_in_an_outage_stops_keyed_work() {
+    let session = Session::start(two_entries(), program(), &[]);
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.store.kill();
+    // Its peers may take it for gone and divide its slice among them.
+    session.lab.hosts.remove("entry-1");
+    let stopped = session.lab.wait(session::READY, |_| {
+        session
+            .complete(0, &key, PROMPT, 40)
+            .text
+            .contains("cut_off")
+    });
+    assert!(stopped);
+    assert_answers(&session, 1, &key);
+    session.lab.store.restart();
+    let back = session.lab.wait(session::READY, |_| {
+        session.complete(0, &key, PROMPT, 40).status == 200
+    });
+    assert!(back);
+}
+
 #[test]
 fn watch_prints_each_revision_as_it_comes() {
     let session = Session::start(two_entries(), program(), &[]);
--- a/crates/fake/src/lab.rs
+++ b/crates/fake/src/lab.rs
@@ -5,15 +5,14 @@
 use crate::engine::Engine;
 use crate::engine::EngineConfig;
 use crate::hosts::Hosts;
+use crate::ports::free_address;
 use crate::service::Service;
 use crate::store::Store;
 use std::fs;
 use std::io;
 use std::net;
-use std::ops;
 use std::path;
 use std::process;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 use world::Host;
@@ -132,26 +131,6 @@
     words: Vec<String>,
 }
 
-/// Ports below those that the system gives to outgoing connections.
-const PORTS: ops::Range<u32> = 10_000..30_000;
-
-/// Finds a port that is free now and that no outgoing connection will take.
-pub fn free_address() -> net::SocketAddr {
-    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-    let span = PORTS.end - PORTS.start;
-    // Test programs that run side by side begin at different places.
-    let begin = process::id().wrapping_mul(997) % span;
-    loop {
-        let step = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = PORTS.start + (begin + step) % span;
-        let port = u16::try_from(port).expect("the range is one of ports");
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Lab {
     /// Starts the stand-ins and writes the settings, but starts no daemon.
     /// `program` with `words` before the settings' path is the daemon.
--- a/crates/member/tests/member_tests.rs
+++ b/crates/member/tests/member_tests.rs
@@ -3,12 +3,16 @@
 use member::Action;
 use member::Event;
 use member::Fence;
+use member::Holders;
 use member::Identity;
 use member::Pulse;
 use member::Roster;
 use member::Standing;
+use member::Trust;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::collections;
+use std::ops;
 use std::time;
 use world::Host;
 use world::HostState;
@@ -221,3 +225,87 @@
         prop_assert_eq!(roster.standing("decode-1", after(base, now)), Standing::Serving);
     }
 }
+
+fn others(names: &[&str]) -> collections::BTreeSet<Name> {
+    names.iter().map(|n| Name::from(*n)).collect()
+}
+
+/// Seconds of silence of the store, whether the list names this host, whether
+/// another holder is listed and silent.
+#[parameterized(
+    store_heard = { 9, None, false, true },
+    all_silent = { 11, None, false, false },
+    outage_and_all_in_sight = { 11, Some(true), false, true },
+    outage_and_a_holder_silent = { 11, Some(true), true, false },
+    dropped_from_the_list = { 11, Some(false), false, false },
+    dropped_but_the_store_is_heard = { 9, Some(false), true, true },
+)]
+fn trust_needs_the_store_or_all_in_sight(
+    silence: u64,
+    named: Option<bool>,
+    isolated: bool,
+    expected: bool,
+) {
+    let base = time::Instant::now();
+    let mut trust = Trust::new(base);
+    let now = after(base, silence * 1_000);
+    if let Some(named) = named {
+        trust.hear_list(named, now);
+    }
+    trust.isolate(isolated);
+    assert_eq!(trust.holds(now), expected);
+    trust.hear_store(now);
+    assert!(trust.holds(now));
+}
+
+/// Lets time pass with a reading of the list twice a second.
+fn watch_list(holders: &mut Holders, base: time::Instant, seconds: ops::Range<u64>, listed: bool) {
+    for half in seconds.start * 2..=seconds.end * 2 {
+        holders.read(|_| listed, after(base, half * 500));
+    }
+}
+
+#[parameterized(
+    silent_and_absent = { false, None, true },
+    silent_but_listed = { true, None, false },
+    absent_but_heard = { false, Some(10), false },
+)]
+fn holder_is_gone_when_silent_and_absent(listed: bool, heard: Option<u64>, expected: bool) {
+    let base = time::Instant::now();
+    let mut holders = Holders::default();
+    holders.watch(&others(&["entry-2"]), base);
+    if let Some(second) = heard {
+        holders.hear("entry-2", after(base, second * 1_000));
+    }
+    watch_list(&mut holders, base, 0..16, listed);
+    let gone = holders.gone(after(base, 16_100));
+    assert_eq!(!gone.is_empty(), expected, "{gone:?}");
+}
+
+#[test]
+fn holder_is_not_gone_by_an_old_list() {
+    let base = time::Instant::now();
+    let mut holders = Holders::default();
+    holders.watch(&others(&["entry-2"]), base);
+    watch_list(&mut holders, base, 0..16, false);
+    assert!(!holders.gone(after(base, 16_100)).is_empty());
+    // The list has not been read since: the holder may be on it again.
+    assert!(holders.gone(after(base, 19_000)).is_empty());
+    // Nor does the first reading after a gap tell of the time between.
+    holders.read(|_| false, after(base, 40_000));
+    assert!(holders.gone(after(base, 40_100)).is_empty());
+}
+
+#[test]
+fn holder_that_is_listed_and_silent_isolates() {
+    let base = time::Instant::now();
+    let mut holders = Holders::default();
+    holders.watch(&others(&["entry-2"]), base);
+    watch_list(&mut holders, base, 0..11, true);
+    assert!(holders.isolated(after(base, 11_000)));
+    holders.hear("entry-2", after(base, 11_000));
+    assert!(!holders.isolated(after(base, 11_000)));
+    // One that the list has dropped is not waited for.
+    watch_list(&mut holders, base, 12..30, false);
+    assert!(!holders.isolated(after(base, 30_000)));
+}
--- a/crates/quota/tests/escrow_tests.rs
+++ b/crates/quota/tests/escrow_tests.rs
@@ -1,7 +1,9 @@
 //! Over any window, all entries together admit at most burst + rate x time:
 //! for random orders of joins, crashes, pauses, partitions, lost and late
-//! messages and store outages.
+//! messages, outages, and a host list that drops hosts that live.
 
+use member::Holders;
+use member::Trust;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use quota::Admission;
@@ -17,9 +19,9 @@
 const HOSTS: usize = 3;
 const RATE: u64 = 100;
 const BURST: u64 = 1_000;
-/// As the daemon's: a pause that is noticed, and the silence that proves death.
+/// As the daemon's: a pause that is noticed, and the reading of the host list.
 const PAUSE: u64 = 1_500;
-const GUARD: u64 = 10_000;
+const LIST_INTERVAL: u64 = 500;
 /// As the daemon's: loans are used this long at most after the first was asked.
 const LOANS: u64 = 700;
 
@@ -39,6 +41,27 @@
     Bury(usize, usize),
     Outage(bool),
     Cut(usize, usize, bool),
+    /// The host list names a host or not, whether it lives or not.
+    List(usize, bool),
+    /// A host is cut off from the store.
+    Adrift(usize, bool),
+    /// A host is cut off from the host list.
+    Blind(usize, bool),
+    Exile(usize, Exile),
+    /// The others divide the allowance without a host.
+    Redraw(usize),
+    /// All spend what they can, for steps of 500 ms.
+    Spend(u64),
+    /// All three, with the spending before and after the division.
+    Schism(usize, Exile, u64, u64),
+}
+
+/// What of the platform a host that lost its peers loses as well.
+#[derive(Clone, Copy, Debug)]
+struct Exile {
+    unlisted: bool,
+    adrift: bool,
+    blind: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -53,6 +76,8 @@
     awake: bool,
     escrow: Escrow,
     epochs: Epochs,
+    trust: Trust,
+    holders: Holders,
 }
 
 struct Open {
@@ -72,7 +97,9 @@
     store: Option<Division>,
     out: bool,
     cut: collections::BTreeSet<(usize, usize)>,
-    dead_since: Vec<Option<u64>>,
+    listed: [bool; HOSTS],
+    adrift: [bool; HOSTS],
+    blind: [bool; HOSTS],
     open: Vec<Open>,
     admitted: Vec<(u64, u64)>,
     count: u64,
@@ -92,15 +119,18 @@
 
 impl World {
     fn new() -> Self {
+        let base = time::Instant::now();
         Self {
-            base: time::Instant::now(),
+            base,
             now: 0,
-            hosts: (0..HOSTS).map(fresh).collect(),
+            hosts: (0..HOSTS).map(|i| fresh(i, base)).collect(),
             incarnations: vec![0; HOSTS],
             store: None,
             out: false,
             cut: collections::BTreeSet::new(),
-            dead_since: vec![None; HOSTS],
+            listed: [true; HOSTS],
+            adrift: [false; HOSTS],
+            blind: [false; HOSTS],
             open: Vec::new(),
             admitted: Vec::new(),
             count: 0,
@@ -119,16 +149,60 @@
         a != b && self.runs(a) && self.runs(b) && !self.cut.contains(&(a.min(b), a.max(b)))
     }
 
+    /// Whether an entry would decide now, as the daemon's `trusted`.
+    fn trusted(&self, i: usize) -> bool {
+        let host = &self.hosts[i];
+        self.runs(i) && host.awake && host.trust.holds(self.at())
+    }
+
+    /// Lets time pass, with heartbeats and readings of the host list.
+    fn advance(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now = end.min(self.now + LIST_INTERVAL);
+            for i in 0..HOSTS {
+                self.tick(i);
+            }
+        }
+    }
+
+    fn tick(&mut self, i: usize) {
+        if !self.runs(i) {
+            return;
+        }
+        let now = self.at();
+        let heard: Vec<usize> = (0..HOSTS).filter(|j| self.linked(i, *j)).collect();
+        let listed = self.listed;
+        let host = &mut self.hosts[i];
+        for j in heard {
+            host.holders.hear(&name(j), now);
+        }
+        if !self.blind[i] {
+            host.trust.hear_list(listed[i], now);
+            host.holders.read(|n| listed[number(n)], now);
+        }
+        host.trust.isolate(host.holders.isolated(now));
+        if !host.trust.listed(now) {
+            self.read_store(i);
+        }
+    }
+
     fn redivide(&mut self, i: usize) {
         let now = self.at();
         let host = &mut self.hosts[i];
+        if let Some(division) = host.epochs.division() {
+            let mut names = division.holders.clone();
+            names.extend(division.prior.iter().cloned());
+            names.remove(&name(i));
+            host.holders.watch(&names, now);
+        }
         let part = host.epochs.part();
         host.escrow.divide(&[organisation()], part, now);
     }
 
     fn step(&mut self, op: Op) {
         match op {
-            Op::Advance(millis) => self.now += millis,
+            Op::Advance(millis) => self.advance(millis),
             Op::Ask(i, tokens, percent, fates) => self.ask(i, tokens, percent, fates),
             Op::Settle(index) => self.settle(index),
             Op::Gossip(from, to) => self.gossip(from, to),
@@ -137,13 +211,9 @@
             Op::Crash(i) => {
                 self.hosts[i].up = false;
                 self.hosts[i].paused = None;
-                self.dead_since[i].get_or_insert(self.now);
             }
             Op::Restart(i) => self.restart(i),
-            Op::Pause(i) if self.runs(i) => {
-                self.hosts[i].paused = Some(self.now);
-                self.dead_since[i].get_or_insert(self.now);
-            }
+            Op::Pause(i) if self.runs(i) => self.hosts[i].paused = Some(self.now),
             Op::Resume(i) => self.resume(i),
             Op::Bury(i, j) => self.bury(i, j),
             Op::Outage(out) => self.out = out,
@@ -155,11 +225,23 @@
                 };
             }
             Op::Pause(_) | Op::Cut(..) => {}
+            Op::List(i, named) => self.listed[i] = named,
+            Op::Adrift(i, cut) => self.adrift[i] = cut,
+            Op::Blind(i, cut) => self.blind[i] = cut,
+            Op::Exile(i, parts) => self.exile(i, parts),
+            Op::Redraw(without) => self.redraw(without),
+            Op::Spend(steps) => self.spend(steps),
+            Op::Schism(i, parts, before, after) => {
+                self.exile(i, parts);
+                self.spend(before);
+                self.redraw(i);
+                self.spend(after);
+            }
         }
     }
 
     fn ask(&mut self, i: usize, tokens: u64, percent: u64, fates: [Fate; HOSTS]) {
-        if !self.runs(i) || !self.hosts[i].awake {
+        if !self.trusted(i) {
             return;
         }
         self.count += 1;
@@ -169,7 +251,7 @@
         let mut peers: Vec<usize> = (0..HOSTS).filter(|j| *j != i).collect();
         loop {
             let lent: u64 = loans.iter().map(|(_, t)| t).sum();
-            let late = self.now - began > LOANS;
+            let late = self.now - began > LOANS || !self.trusted(i);
             let now = self.at();
             let admission = match late {
                 true => Admission::TooLarge,
@@ -204,7 +286,7 @@
     }
 
     fn borrow(&mut self, i: usize, j: usize, id: &ChargeId, missing: f64, fate: Fate) -> u64 {
-        if !self.linked(i, j) || !self.hosts[j].awake {
+        if !self.linked(i, j) || !self.trusted(j) {
             return 0;
         }
         let now = self.at();
@@ -250,9 +332,11 @@
     }
 
     fn gossip(&mut self, from: usize, to: usize) {
-        if !self.linked(from, to) || !self.hosts[from].awake {
+        if !self.linked(from, to) || !self.trusted(from) {
             return;
         }
+        let now = self.at();
+        self.hosts[to].holders.hear(&name(from), now);
         let epoch = self.hosts[from].epochs.epoch();
         let division = self.hosts[from].epochs.division().cloned();
         if epoch > self.hosts[to].epochs.epoch()
@@ -267,9 +351,11 @@
     }
 
     fn read_store(&mut self, i: usize) {
-        if self.out || !self.runs(i) {
+        if self.out || self.adrift[i] || !self.runs(i) {
             return;
         }
+        let now = self.at();
+        self.hosts[i].trust.hear_store(now);
         if let Some(division) = self.store.clone() {
             self.hosts[i].epochs.adopt(division);
         }
@@ -278,7 +364,7 @@
     }
 
     fn propose(&mut self, i: usize, live: [bool; HOSTS]) {
-        if self.out || !self.runs(i) || !self.hosts[i].awake {
+        if self.out || self.adrift[i] || !self.trusted(i) {
             return;
         }
         let live = (0..HOSTS).filter(|j| live[*j]).map(name).collect();
@@ -298,9 +384,8 @@
         if self.hosts[i].up {
             return;
         }
-        self.hosts[i] = fresh(i);
+        self.hosts[i] = fresh(i, self.at());
         self.incarnations[i] += 1;
-        self.dead_since[i] = None;
         for j in 0..HOSTS {
             if j != i {
                 self.hosts[j].epochs.restart(&name(i));
@@ -313,45 +398,99 @@
         let Some(since) = self.hosts[i].paused.take() else {
             return;
         };
-        self.dead_since[i] = None;
         if self.now - since > PAUSE {
             self.hosts[i].awake = false;
         }
     }
 
     fn bury(&mut self, i: usize, j: usize) {
-        let silent = self.dead_since[j].is_some_and(|since| self.now - since > GUARD);
-        if i != j && self.runs(i) && silent {
+        let gone = self.hosts[i].holders.gone(self.at());
+        if self.runs(i) && gone.contains(&name(j)) {
             self.hosts[i].epochs.bury(&name(j));
             self.redivide(i);
         }
     }
 
-    /// Finds a window in which more was admitted than is allowed.
-    fn violation(&self) -> Option<(u64, u64, u64)> {
-        for first in 0..self.admitted.len() {
-            let mut sum = 0;
-            for (at, used) in &self.admitted[first..] {
-                sum += used;
-                let span = at - self.admitted[first].0;
-                let allowed = BURST as f64 + RATE as f64 * span as f64 / 1_000.0;
-                // The sums are of floating-point levels.
-                if sum as f64 > allowed + 1e-6 * allowed {
-                    return Some((self.admitted[first].0, *at, sum));
-                }
+    /// Every entry spends what it can, for steps of 500 ms.
+    fn spend(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.advance(500);
+            for i in 0..HOSTS {
+                self.spend_at(i);
+            }
+        }
+    }
+
+    fn spend_at(&mut self, i: usize) {
+        for tokens in [150, 30] {
+            let mut before = usize::MAX;
+            while before != self.admitted.len() {
+                before = self.admitted.len();
+                self.ask(i, tokens, 100, [Fate::Fine(1); HOSTS]);
+            }
+        }
+    }
+
+    /// Cuts a host off from its peers and from parts of the platform.
+    fn exile(&mut self, i: usize, parts: Exile) {
+        for j in 0..HOSTS {
+            self.step(Op::Cut(i, j, true));
+        }
+        self.listed[i] &= !parts.unlisted;
+        self.adrift[i] |= parts.adrift;
+        self.blind[i] |= parts.blind;
+    }
+
+    /// The others divide the allowance anew without a host.
+    fn redraw(&mut self, without: usize) {
+        let mut live = [true; HOSTS];
+        live[without] = false;
+        for i in 0..HOSTS {
+            if i != without {
+                self.propose(i, live);
+            }
+        }
+        for i in 0..HOSTS {
+            self.read_store(i);
+            self.bury(i, without);
+        }
+        for i in 0..HOSTS {
+            (0..HOSTS).for_each(|j| self.gossip(i, j));
+        }
+    }
+
+    /// Finds the moment at which more has been admitted than is allowed over
+    /// some window before it, as a bucket of the whole allowance sees it.
+    fn violation(&self) -> Option<(u64, u64)> {
+        let mut level = BURST as f64;
+        let mut last = 0;
+        for (at, used) in &self.admitted {
+            let filled = level + RATE as f64 * (at - last) as f64 / 1_000.0;
+            level = filled.min(BURST as f64) - *used as f64;
+            last = *at;
+            // The sums are of floating-point levels.
+            if level < -1e-6 * BURST as f64 {
+                return Some((*at, *used));
             }
         }
         None
     }
 }
 
-fn fresh(i: usize) -> Host {
+fn number(name: &str) -> usize {
+    let found = (0..HOSTS).find(|i| *self::name(*i) == *name);
+    found.expect("every name has a number")
+}
+
+fn fresh(i: usize, now: time::Instant) -> Host {
     Host {
         up: true,
         paused: None,
         awake: true,
         escrow: Escrow::new(),
         epochs: Epochs::new(name(i)),
+        trust: Trust::new(now),
+        holders: Holders::default(),
     }
 }
 
@@ -366,7 +505,7 @@
 fn op() -> impl Strategy<Value = Op> {
     let host = 0..HOSTS;
     prop_oneof![
-        5 => prop_oneof![0..100u64, 0..3_000u64, 8_000..12_000u64].prop_map(Op::Advance),
+        5 => prop_oneof![0..100u64, 0..3_000u64, 8_000..20_000u64].prop_map(Op::Advance),
         10 => (
             host.clone(),
             1..600u64,
@@ -384,10 +523,26 @@
         2 => host.clone().prop_map(Op::Resume),
         2 => (host.clone(), host.clone()).prop_map(|(a, b)| Op::Bury(a, b)),
         1 => any::<bool>().prop_map(Op::Outage),
-        1 => (host.clone(), host, any::<bool>()).prop_map(|(a, b, c)| Op::Cut(a, b, c)),
+        2 => (host.clone(), host.clone(), any::<bool>()).prop_map(|(a, b, c)| Op::Cut(a, b, c)),
+        2 => (host.clone(), any::<bool>()).prop_map(|(h, l)| Op::List(h, l)),
+        1 => (host.clone(), any::<bool>()).prop_map(|(h, c)| Op::Adrift(h, c)),
+        1 => (host.clone(), any::<bool>()).prop_map(|(h, c)| Op::Blind(h, c)),
+        2 => (host.clone(), exile()).prop_map(|(h, e)| Op::Exile(h, e)),
+        2 => host.clone().prop_map(Op::Redraw),
+        2 => (1..16u64).prop_map(Op::Spend),
+        2 => (host, exile(), 0..50u64, 1..16u64)
+            .prop_map(|(h, e, before, after)| Op::Schism(h, e, before, after)),
     ]
 }
 
+fn exile() -> impl Strategy<Value = Exile> {
+    any::<[bool; 3]>().prop_map(|[unlisted, adrift, blind]| Exile {
+        unlisted,
+        adrift,
+        blind,
+    })
+}
+
 /// The same histories in each run.
 fn histories(cases: u32) -> ProptestConfig {
     ProptestConfig {
@@ -421,7 +576,7 @@
     #![proptest_config(histories(12_000))]
 
     #[test]
-    fn admitted_never_exceeds_burst_and_rate(ops in prop::collection::vec(op(), 1..120)) {
+    fn admitted_never_exceeds_burst_and_rate(ops in prop::collection::vec(op(), 1..80)) {
         let mut all = opening();
         all.extend(ops);
         let world = run(all);
