Pairs of failures, a whole availability zone and frozen engines, each by a test

Cause: failures were only caused one at a time; the issue asks for pairs, and a decode engine that stands still with its agent alive had no test at all.

The stand-in engine can be frozen: connections stay open and nothing comes. Thirteen pairs strike one stream, the second at whatever serves it by then.

--- /dev/null
+++ b/crates/daemon/tests/pair_tests.rs
@@ -0,0 +1,210 @@
+//! Failures that come together or one after the other: the caller still gets
+//! the whole answer, and no engine holds memory afterwards.
+
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::path;
+use std::process;
+use std::time;
+use yare::parameterized;
+
+const PROMPT: &str = "Condition of the washed-out western track [len=80]";
+const MAX: u32 = 120;
+
+fn start() -> Session {
+    let mut shape = Shape {
+        entries: 2,
+        prefills: 2,
+        decodes: 3,
+        services: 2,
+        ..Shape::small()
+    };
+    shape.engine.step = time::Duration::from_millis(20);
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    Session::start(shape, program, &[])
+}
+
+/// What fails.
+#[derive(Clone, Copy, Debug)]
+enum Harm {
+    DecodeAgentKilled,
+    DecodeAgentFrozen,
+    DecodeEngineKilled,
+    DecodeEngineFrozen,
+    PrefillAgentKilled,
+    PrefillEngineKilled,
+    TransfersStalled,
+    OtherEntryKilled,
+    StoreOut,
+    ListOut,
+}
+
+impl Harm {
+    /// Does it to the host that streams, or else to the first of its kind.
+    fn strike(self, session: &mut Session) {
+        match self {
+            Harm::DecodeAgentKilled => {
+                let agent = session.lab.find(&busy_host(session));
+                session.lab.daemons[agent].kill();
+            }
+            Harm::DecodeAgentFrozen => signal(session, &busy_host(session), "-STOP"),
+            Harm::DecodeEngineKilled => session.lab.decodes[busy(session)].kill(),
+            Harm::DecodeEngineFrozen => session.lab.decodes[busy(session)].freeze(true),
+            Harm::PrefillAgentKilled => {
+                let agent = session.lab.find("prefill-1");
+                session.lab.daemons[agent].kill();
+            }
+            Harm::PrefillEngineKilled => session.lab.prefills[0].kill(),
+            Harm::TransfersStalled => session.lab.prefills[0].stall(true),
+            Harm::OtherEntryKilled => session.lab.daemons[1].kill(),
+            Harm::StoreOut => session.lab.store.kill(),
+            Harm::ListOut => session.lab.hosts.kill(),
+        }
+    }
+}
+
+/// The decode engine that streams for its agent, once one does.
+fn busy(session: &Session) -> usize {
+    let find = |lab: &fake::Lab| (0..lab.decodes.len()).find(|i| is_streaming(lab, *i));
+    session.lab.wait(session::READY, |lab| find(lab).is_some());
+    find(&session.lab).expect("an engine streams")
+}
+
+/// An engine whose agent was killed goes on for nobody.
+fn is_streaming(lab: &fake::Lab, i: usize) -> bool {
+    let agent = &lab.daemons[lab.find(&format!("decode-{}", i + 1))];
+    let engine = &lab.decodes[i];
+    agent.id().is_some() && engine.answers() && !engine.held().is_empty()
+}
+
+fn busy_host(session: &Session) -> String {
+    format!("decode-{}", busy(session) + 1)
+}
+
+fn signal(session: &Session, host: &str, name: &str) {
+    let daemon = &session.lab.daemons[session.lab.find(host)];
+    let Some(id) = daemon.id() else { return };
+    let status = process::Command::new("kill")
+        .args([name, &id.to_string()])
+        .status();
+    assert!(status.expect("kill can be run").success());
+}
+
+/// Brings back what was frozen, and agents that were killed: they free what
+/// their engines hold for nobody, as after an import that died with its agent.
+fn mend(session: &mut Session) {
+    for engine in &session.lab.decodes {
+        engine.freeze(false);
+    }
+    for host in ["decode-1", "decode-2", "decode-3", "prefill-1"] {
+        signal(session, host, "-CONT");
+        let agent = session.lab.find(host);
+        if session.lab.daemons[agent].id().is_none() {
+            session.lab.spawn(agent);
+        }
+    }
+}
+
+#[parameterized(
+    agent_then_agent = { Harm::DecodeAgentKilled, Harm::DecodeAgentKilled },
+    agent_then_engine = { Harm::DecodeAgentKilled, Harm::DecodeEngineKilled },
+    engine_then_agent_frozen = { Harm::DecodeEngineKilled, Harm::DecodeAgentFrozen },
+    engine_frozen_then_engine = { Harm::DecodeEngineFrozen, Harm::DecodeEngineKilled },
+    prefill_agent_then_engine = { Harm::PrefillAgentKilled, Harm::DecodeEngineKilled },
+    prefill_engine_then_agent = { Harm::PrefillEngineKilled, Harm::DecodeAgentKilled },
+    stall_then_engine = { Harm::TransfersStalled, Harm::DecodeEngineKilled },
+    stall_then_agent = { Harm::TransfersStalled, Harm::DecodeAgentKilled },
+    peer_then_engine = { Harm::OtherEntryKilled, Harm::DecodeEngineKilled },
+    store_then_agent = { Harm::StoreOut, Harm::DecodeAgentKilled },
+    store_then_engine_frozen = { Harm::StoreOut, Harm::DecodeEngineFrozen },
+    store_then_list = { Harm::StoreOut, Harm::ListOut },
+    list_then_agent = { Harm::ListOut, Harm::DecodeAgentKilled },
+)]
+fn stream_survives(first: Harm, second: Harm) {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let got = session::stream_during(&mut session, &key, PROMPT, MAX, |s| {
+        first.strike(s);
+        second.strike(s);
+    });
+    mend(&mut session);
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(got.text, fake::answer_text(PROMPT, MAX));
+    assert!(got.whole);
+    let empty = session
+        .lab
+        .wait(session::READY, |lab| lab.held().is_empty());
+    assert!(empty, "{:?}", session.lab.held());
+}
+
+/// Everything in the second of two availability zones goes at once.
+fn lose_zone(session: &mut Session) {
+    for host in ["entry-2", "prefill-2", "decode-2", "service-2"] {
+        let i = session.lab.find(host);
+        session.lab.daemons[i].kill();
+    }
+    session.lab.prefills[1].kill();
+    session.lab.decodes[1].kill();
+    session.lab.services[1].kill();
+}
+
+#[test]
+fn zone_gone_at_once_cuts_off_no_stream_of_the_others() {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    let got = session::stream_during(&mut session, &key, PROMPT, MAX, lose_zone);
+    assert_eq!(got.text, fake::answer_text(PROMPT, MAX), "{got:?}");
+    for i in 0..6 {
+        let prompt = format!("{PROMPT} again {i}");
+        let got = session.complete(0, &key, &prompt, 40);
+        assert_eq!(got.text, fake::answer_text(&prompt, 40), "{got:?}");
+    }
+    let bearer = format!("Bearer {key}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "order-1"),
+    ];
+    let order = session::call("POST", &session.url(0, "/dispatch/orders"), &headers, "{}");
+    assert_eq!(order.status, 201, "{order:?}");
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+}
+
+#[test]
+fn entry_dead_while_its_transfer_stalls_leaves_nothing() {
+    let mut session = start();
+    let (_, key) = session.key(session::RANGERS);
+    session.lab.prefills.iter().for_each(|e| e.stall(true));
+    std::thread::scope(|scope| {
+        let url = session.url(0, "/v1/completions");
+        let body = session::completion(PROMPT, MAX, true);
+        let key = &key;
+        let caller = scope.spawn(move || session::stream(&url, key, &body, |_| true));
+        busy(&session);
+        session.lab.daemons[0].kill();
+        let got = caller.join().expect("the caller does not panic");
+        assert_eq!(got.text, "");
+    });
+    session.lab.prefills.iter().for_each(|e| e.stall(false));
+    assert!(session.wait_empty(), "{:?}", session.lab.held());
+    let got = session.complete(1, &key, PROMPT, MAX);
+    assert_eq!(got.text, fake::answer_text(PROMPT, MAX), "{got:?}");
+}
+
+#[test]
+fn key_withdrawn_while_its_agent_dies_ends_the_stream() {
+    let mut session = start();
+    let (id, key) = session.key(session::RANGERS);
+    // The answer would take far longer than a withdrawal.
+    let prompt = "A very long dossier [len=4000]";
+    let got = session::stream_during(&mut session, &key, prompt, 5_000, |s| {
+        Harm::DecodeAgentKilled.strike(s);
+        let (code, out) = s.client(&["key", "withdraw", &id]);
+        assert_eq!(code, 0, "{out}");
+    });
+    assert!(!got.whole);
+    assert!(fake::answer_text(prompt, 5_000).starts_with(&got.text));
+    let again = session.complete(1, &key, PROMPT, MAX);
+    assert_eq!(again.status, 401, "{again:?}");
+}
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -100,6 +100,7 @@
     working: bool,
     exporting: bool,
     stalled: bool,
+    frozen: bool,
     dying: bool,
     count: u64,
 }
@@ -132,6 +133,7 @@
             working: false,
             exporting: false,
             stalled: false,
+            frozen: false,
             dying: false,
             count: 0,
         };
@@ -171,6 +173,16 @@
         lock(&self.shared).stalled = stalled;
     }
 
+    /// Stands still with its connections open, or goes on.
+    pub fn freeze(&self, frozen: bool) {
+        lock(&self.shared).frozen = frozen;
+    }
+
+    /// Tells whether it neither is dead nor stands still.
+    pub fn answers(&self) -> bool {
+        self.site.runs() && !lock(&self.shared).frozen
+    }
+
     /// Changes its speed without a word.
     pub fn slow(&self, factor: f64) {
         let mut state = lock(&self.shared);
@@ -215,6 +227,13 @@
     });
 }
 
+/// Waits for as long as the engine stands still.
+async fn thawed(shared: &Shared) {
+    while lock(shared).frozen {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 fn lock(shared: &Shared) -> sync::MutexGuard<'_, State> {
     shared.lock().expect("no panic holds it")
 }
@@ -323,6 +342,7 @@
     ) -> Option<web::Response<web::Body>> {
         let path = request.uri().path().to_owned();
         let body = web::read_body(request.into_body(), 16 << 20).await?;
+        thawed(&self.shared).await;
         match path.as_str() {
             "/kv/prefill" => self.prefill(parse(&body)?).await,
             "/kv/export" => self.export(parse(&body)?).await,
@@ -491,6 +511,7 @@
                     state.config.step.mul_f64(1.0 + BATCH_SLOWDOWN * beside)
                 };
                 tokio::time::sleep(step).await;
+                thawed(&shared).await;
                 if !lock(&shared).held.contains_key(&ask.request) {
                     return;
                 }
--- a/crates/fake/src/site.rs
+++ b/crates/fake/src/site.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Tells whether it listens.
+    pub(crate) fn runs(&self) -> bool {
+        self.runtime.lock().expect("no panic holds it").is_some()
+    }
+
     pub(crate) fn restart<H: Handler>(&self, handler: H) {
         self.kill();
         let (runtime, _) = serve(self.address, handler);
