An engine that fails gets nothing until it answers; a third crash is not run

Cause, found by five copies of the tests side by side: a request that had crashed two engines crashed a third when its caller sent it again at once through another entry. The refusal reached the caller before the crash reached that entry, and a journey looked at the quarantine when it bid, never before it prefilled. Its log showed more: nine prefills "lost" in 110 ms against engines that were down, each taking from the retry budget; twelve end a request.

Ruled out: a lost report (it came 20 ms later), a wrong count.

Changed: a caller is told only after the other entries were; a journey looks again before each prefill; where all prefill agents failed lately, it waits. An agent gives nothing to an engine that failed until it answers, frees what it then holds for nobody, and begins its life the same way (before, an agent that started while its engine was down never swept it).

Found on the way: a suspect of a crash bids at one host only and waited there for ever once that host's engine was down (61 s in a pair of failures, then the caller left). Histories with one silent host reproduce it; a suspect now moves to a host with room. A crash during an import blamed the prefill host; it now blames the one whose engine died.

--- a/crates/daemon/src/agent/desk.rs
+++ b/crates/daemon/src/agent/desk.rs
@@ -44,6 +44,11 @@
     outbox: channel::Sender<Event>,
     crashes: u64,
     crashed: Option<time::Instant>,
+    /// Whether the engine has not answered since it failed or this process
+    /// began; nothing is given to it meanwhile, since that would be in vain.
+    down: bool,
+    /// What the engine holds for nobody.
+    leftovers: collections::BTreeSet<String>,
     draining: bool,
 }
 
@@ -69,27 +74,17 @@
             outbox: outbox.clone(),
             crashes: 0,
             crashed: None,
+            down: true,
+            leftovers: collections::BTreeSet::new(),
             draining: false,
         };
         (desk, outbox)
     }
 
-    /// Frees what an earlier agent left at the engine: nobody claims it.
-    pub(crate) fn sweep(&self) {
-        let Ok(running) = self.model.running() else {
-            return;
-        };
-        for id in running.requests {
-            trace::Line::new("unclaimed_cancelled")
-                .with("id", &id)
-                .warn();
-            // Whatever survives is found again by the next sweep.
-            let _ = self.model.cancel(&id);
-        }
-    }
-
     /// Serves until drained and empty.
     pub(crate) fn run(mut self) {
+        // Nothing is granted before what an earlier agent left is swept.
+        self.look();
         self.publish();
         while let Ok(event) = self.inbox.recv() {
             self.step(event);
@@ -120,6 +115,9 @@
             Event::StreamEnd(ticket, result) => self.stream_end(ticket, result),
             Event::Prefilled(ticket, result, took) => self.prefilled(ticket, result, took),
             Event::Freed(ticket) => self.forget(ticket),
+            Event::Silent => self.shed_prompts(),
+            Event::Answers(held) => self.answers(held),
+            Event::Swept(id) => self.swept(&id),
             Event::Drain => self.drain(),
         }
     }
@@ -206,6 +204,9 @@
 
     /// Grants free seats and starts the next prompts.
     fn proceed(&mut self) {
+        if self.down {
+            return;
+        }
         let now = time::Instant::now();
         for ticket in self.seats.grant(now) {
             if let Some(Job::Decode(job)) = self.jobs.get_mut(&ticket) {
@@ -284,6 +285,10 @@
         if let Some(hop) = &job.hop {
             hop.fail(&error.to_string());
         }
+        // A transfer that stalls is its source's fault.
+        if stage != DecodeStage::Importing || error != engine::EngineError::Stalled {
+            self.doubt(&error);
+        }
         let fresh = matches!(stage, DecodeStage::Importing | DecodeStage::Streaming(0));
         let gone = matches!(error, engine::EngineError::Gone(_));
         let crash = gone.then(|| self.count_crash());
@@ -330,6 +335,7 @@
                 tell(&out, ready);
             }
             Err(error) => {
+                self.doubt(&error);
                 let gone = matches!(error, engine::EngineError::Gone(_));
                 let crash = gone.then(|| self.count_crash());
                 let kind = match error {
@@ -343,6 +349,59 @@
         }
     }
 
+    /// After a failure the engine is looked at before it gets anything more.
+    fn doubt(&mut self, error: &engine::EngineError) {
+        let failed = matches!(
+            error,
+            engine::EngineError::Absent(_)
+                | engine::EngineError::Gone(_)
+                | engine::EngineError::Stalled
+        );
+        if failed && !self.down {
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        let spawned = worker::look(self.model.clone(), self.outbox.clone());
+        self.down = !note_refused(spawned);
+    }
+
+    /// The engine answers. What it holds for no job here is left from before,
+    /// and takes up room until it is freed.
+    fn answers(&mut self, held: Vec<String>) {
+        let jobs = &self.jobs;
+        let claimed = |id: &String| jobs.values().any(|job| job.id() == id);
+        self.leftovers = held.into_iter().filter(|id| !claimed(id)).collect();
+        for id in self.leftovers.clone() {
+            let spawned = worker::sweep(self.model.clone(), id.clone(), self.outbox.clone());
+            if note_refused(spawned) {
+                self.leftovers.remove(&id);
+            }
+        }
+        self.down = !self.leftovers.is_empty();
+    }
+
+    fn swept(&mut self, id: &str) {
+        self.leftovers.remove(id);
+        self.down = !self.leftovers.is_empty();
+    }
+
+    /// Sends prompts that wait for a silent engine elsewhere. Bids may stay:
+    /// each waits at several agents.
+    fn shed_prompts(&mut self) {
+        for ticket in self.lane.shed() {
+            self.refuse_prompt(ticket, "the engine does not answer");
+        }
+    }
+
+    fn refuse_prompt(&mut self, ticket: Ticket, detail: &str) {
+        if let Some(Job::Prefill(job)) = self.jobs.remove(&ticket) {
+            let kind = border::FaultKind::Draining;
+            tell(&job.out, prefill_fault(kind, detail, None));
+        }
+    }
+
     /// Ends a job whose entry wants it no more.
     fn left(&mut self, ticket: Ticket) {
         match self.jobs.get(&ticket) {
@@ -388,11 +447,9 @@
 
     /// Without a thread nothing can be done for the job, so it fails.
     fn unless_spawned(&mut self, ticket: Ticket, spawned: io::Result<()>) {
-        let Err(error) = spawned else { return };
-        trace::Line::new("thread_refused")
-            .with("error", error)
-            .error();
-        self.forget(ticket);
+        if note_refused(spawned) {
+            self.forget(ticket);
+        }
     }
 
     fn drain(&mut self) {
@@ -404,9 +461,7 @@
             }
         }
         for ticket in self.lane.drain() {
-            if let Some(Job::Prefill(job)) = self.jobs.remove(&ticket) {
-                tell(&job.out, prefill_fault(kind, "this agent stops", None));
-            }
+            self.refuse_prompt(ticket, "this agent stops");
         }
     }
 
@@ -428,17 +483,20 @@
     }
 
     fn publish(&self) {
-        let now = (
-            self.seats.free_seats(),
-            self.seats.free_pieces(),
-            u32::try_from(self.seats.waiting()).unwrap_or(u32::MAX),
-        );
-        metrics::gauge!("hornbeampitch_seats_free").set(now.0);
-        metrics::gauge!("hornbeampitch_bids_waiting").set(now.2);
+        let seats = self.seats.free_seats();
+        let waiting = u32::try_from(self.seats.waiting()).unwrap_or(u32::MAX);
+        metrics::gauge!("hornbeampitch_seats_free").set(seats);
+        metrics::gauge!("hornbeampitch_bids_waiting").set(waiting);
+        metrics::gauge!("hornbeampitch_engine_answers").set(u32::from(!self.down));
         self.heart.set(|load| {
-            (load.seats, load.pieces, load.waiting) = now;
+            load.waiting = waiting;
+            (load.seats, load.pieces) = match self.down {
+                true => (0, 0),
+                false => (seats, self.seats.free_pieces()),
+            };
             load.backlog = self.lane.backlog();
             load.pace = match self.role {
+                _ if self.down => 0.0,
                 Role::Decode => self.seats.pace(),
                 Role::Prefill | Role::Entry | Role::Service => self.lane.pace(),
             };
@@ -447,6 +505,15 @@
     }
 }
 
+/// Tells whether the system refused a thread.
+fn note_refused(spawned: io::Result<()>) -> bool {
+    let Err(error) = spawned else { return false };
+    trace::Line::new("thread_refused")
+        .with("error", error)
+        .error();
+    true
+}
+
 fn urgency_of(urgency: &border::Urgency) -> Urgency {
     let now = time::Instant::now();
     let slack = time::Duration::from_millis(u64::try_from(urgency.slack).unwrap_or(0));
--- a/crates/daemon/src/agent/job.rs
+++ b/crates/daemon/src/agent/job.rs
@@ -34,6 +34,12 @@
     ),
     /// The engine has freed what a ticket held.
     Freed(Ticket),
+    /// The engine has not answered a look.
+    Silent,
+    /// The engine answers and holds these requests.
+    Answers(Vec<String>),
+    /// The engine has freed a request that no job here claims.
+    Swept(String),
     /// The process stops.
     Drain,
 }
@@ -44,6 +50,16 @@
     Prefill(PrefillJob),
 }
 
+impl Job {
+    /// The request's id at the engine.
+    pub(crate) fn id(&self) -> &str {
+        match self {
+            Job::Decode(job) => &job.id,
+            Job::Prefill(job) => &job.id,
+        }
+    }
+}
+
 /// A bid, and what becomes of it.
 pub(crate) struct DecodeJob {
     /// The request's id at the engine.
--- a/crates/daemon/src/agent/serve.rs
+++ b/crates/daemon/src/agent/serve.rs
@@ -95,11 +95,7 @@
 fn start_desk(desk: Desk) -> Result<thread::JoinHandle<()>, StartError> {
     thread::Builder::new()
         .name("desk".into())
-        .spawn(move || {
-            // Nothing is granted before the leftovers are swept.
-            desk.sweep();
-            desk.run();
-        })
+        .spawn(move || desk.run())
         .map_err(StartError::System)
 }
 
--- a/crates/daemon/src/agent/worker.rs
+++ b/crates/daemon/src/agent/worker.rs
@@ -10,6 +10,8 @@
 /// A transfer is tried again while the result may still live.
 const IMPORT_TRIES: u32 = 2;
 const CANCEL_WAIT: time::Duration = time::Duration::from_millis(100);
+/// How often an engine that failed is looked at.
+const LOOK_WAIT: time::Duration = time::Duration::from_millis(100);
 /// An engine that does not answer for so long holds nothing any more.
 const CANCEL_TRIES: u32 = 50;
 
@@ -71,6 +73,23 @@
     })
 }
 
+/// Looks at an engine that failed until it answers.
+pub(crate) fn look(model: engine::Model, desk: Desk) -> io::Result<()> {
+    spawn("look", move || {
+        loop {
+            let event = match model.running() {
+                Ok(running) => Event::Answers(running.requests),
+                Err(_) => Event::Silent,
+            };
+            let over = matches!(event, Event::Answers(_));
+            if desk.send(event).is_err() || over {
+                return;
+            }
+            thread::sleep(LOOK_WAIT);
+        }
+    })
+}
+
 /// Frees what the engine holds of a request, however often that takes.
 pub(crate) fn cancel(
     model: engine::Model,
@@ -79,19 +98,32 @@
     desk: Desk,
 ) -> io::Result<()> {
     spawn("cancel", move || {
-        for _ in 0..CANCEL_TRIES {
-            match model.cancel(&id) {
-                // An engine that is gone holds nothing.
-                Ok(()) | Err(engine::EngineError::Absent(_) | engine::EngineError::Gone(_)) => {
-                    break;
-                }
-                Err(_) => thread::sleep(CANCEL_WAIT),
-            }
-        }
+        cancel_surely(&model, &id);
         let _ = desk.send(Event::Freed(ticket));
     })
 }
 
+/// Frees what the engine holds for nobody here.
+pub(crate) fn sweep(model: engine::Model, id: String, desk: Desk) -> io::Result<()> {
+    trace::Line::new("unclaimed_cancelled")
+        .with("id", &id)
+        .warn();
+    spawn("cancel", move || {
+        cancel_surely(&model, &id);
+        let _ = desk.send(Event::Swept(id));
+    })
+}
+
+fn cancel_surely(model: &engine::Model, id: &str) {
+    for _ in 0..CANCEL_TRIES {
+        match model.cancel(id) {
+            // An engine that is gone holds nothing.
+            Ok(()) | Err(engine::EngineError::Absent(_) | engine::EngineError::Gone(_)) => return,
+            Err(_) => thread::sleep(CANCEL_WAIT),
+        }
+    }
+}
+
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
     thread::Builder::new().name(name.into()).spawn(work)?;
     Ok(())
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -22,6 +22,10 @@
 use wire::border;
 use world::Name;
 
+/// Most time for peers to hear of a crash before its caller does, who may send
+/// the request again at once.
+const CRASH_TOLD: time::Duration = time::Duration::from_millis(500);
+
 /// Stands for a target between tokens that no engine can meet now.
 const NO_TARGET_MS: u64 = 3_600_000;
 
@@ -53,6 +57,10 @@
     answer: String,
     output: mpsc::UnboundedSender<Output>,
     hop: trace::Hop,
+    /// Crashes on their way to other entries.
+    reports: tokio::task::JoinSet<()>,
+    /// Why there is no answer, until the caller is told.
+    failure: Option<Failure>,
 }
 
 /// An open prefill, and its result once it is ready.
@@ -104,6 +112,8 @@
             answer: String::new(),
             output,
             hop,
+            reports: tokio::task::JoinSet::new(),
+            failure: None,
         }
     }
 
@@ -126,6 +136,11 @@
             let actions = self.decide(Some(event));
             over = self.act(actions);
         }
+        if let Some(failure) = self.failure.take() {
+            self.end_reports().await;
+            self.fail(failure);
+        }
+        self.reports.detach_all();
         let wasted = self.journey.wasted();
         metrics::counter!("hornbeampitch_wasted_prefill_tokens_total").increment(wasted);
     }
@@ -167,7 +182,7 @@
                     over = true;
                 }
                 Action::Fail(failure) => {
-                    self.fail(failure);
+                    self.failure = Some(failure);
                     over = true;
                 }
                 Action::Report(digest, id) => self.report_crash(digest, &id),
@@ -363,8 +378,15 @@
             .info();
     }
 
+    /// Waits until the other entries know of the crashes seen here.
+    async fn end_reports(&mut self) {
+        let told = async { while self.reports.join_next().await.is_some() {} };
+        // A peer that does not answer hears of the next crash.
+        let _ = tokio::time::timeout(CRASH_TOLD, told).await;
+    }
+
     /// Tells all other entries of a crash, since a resend may come in anywhere.
-    fn report_crash(&self, digest: route::Digest, id: &route::CrashId) {
+    fn report_crash(&mut self, digest: route::Digest, id: &route::CrashId) {
         self.line("crash_noted")
             .with("digest", digest)
             .with("host", &id.host)
@@ -375,7 +397,7 @@
                 host: id.host.to_string(),
                 count: id.count,
             };
-            tokio::spawn(async move {
+            self.reports.spawn(async move {
                 // An entry that is away hears of the next crash.
                 let _ = link.crash(crash).await;
             });
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -72,6 +72,11 @@
             trouble: None,
         }
     }
+
+    /// Tells whether it has not failed lately.
+    fn is_well(&self, now: time::Instant) -> bool {
+        self.trouble.is_none_or(|until| until <= now)
+    }
 }
 
 /// A prefill agent that was chosen.
@@ -175,10 +180,16 @@
     }
 
     /// Finds another agent with a free seat for one that waits elsewhere.
-    pub fn choose_free(&mut self, upstream: &str, pieces: u32, bids: &[Name]) -> Option<Name> {
+    pub fn choose_free(
+        &mut self,
+        upstream: &str,
+        pieces: u32,
+        suspect: bool,
+        bids: &[Name],
+    ) -> Option<Name> {
         let (name, _) = self
             .candidates(upstream, Role::Decode)
-            .filter(|(name, _)| !bids.contains(name))
+            .filter(|(name, v)| !bids.contains(name) && (!suspect || v.suspects == 0))
             .find(|(_, v)| v.report.seats > v.sent_bids && v.report.pieces >= pieces)?;
         let name = name.clone();
         if let Some(view) = self.views.get_mut(&name) {
@@ -221,6 +232,12 @@
         Some(Pick { host: best, cached })
     }
 
+    /// Tells whether a prefill agent has not failed lately.
+    pub fn has_well_prefill(&self, upstream: &str, now: time::Instant) -> bool {
+        self.candidates(upstream, Role::Prefill)
+            .any(|(_, view)| view.is_well(now))
+    }
+
     /// Expects the time from now until a prompt's result is at a decode zone.
     pub fn expect_prefill(
         &self,
@@ -311,7 +328,7 @@
 
     /// Leaves out agents that failed lately, unless that leaves nobody.
     fn avoid_trouble(&self, hosts: &mut Vec<Name>, now: time::Instant) {
-        let well = |host: &Name| self.views[host].trouble.is_none_or(|until| until <= now);
+        let well = |host: &Name| self.views[host].is_well(now);
         if hosts.iter().any(well) {
             hosts.retain(well);
         }
--- a/crates/route/src/journey.rs
+++ b/crates/route/src/journey.rs
@@ -17,7 +17,7 @@
 
 /// Rounds of bids after which a request is given up with a clear error.
 const MOST_ROUNDS: u32 = 12;
-/// Prefills after which a request is given up with a clear error.
+/// Failed prefills after which a request is given up with a clear error.
 const MOST_RUNS: u32 = 12;
 /// Wait before looking for agents again where there were none.
 const RETRY_WAIT: time::Duration = time::Duration::from_millis(100);
@@ -159,6 +159,8 @@
     round: u32,
     /// Counts prefills; one seat may see several.
     run: u32,
+    /// Prefills that failed where work was taken.
+    failed: u32,
     emitted: u32,
     expected: u64,
     prefilled: u64,
@@ -175,6 +177,7 @@
             stage: Stage::Waiting(Vec::new()),
             round: 0,
             run: 0,
+            failed: 0,
             emitted: 0,
             expected: 0,
             prefilled: 0,
@@ -279,7 +282,11 @@
 
     /// Prefills for the seat held at `host`.
     fn prefill(&mut self, host: Name, cx: &mut Context<'_>) -> Vec<Action> {
-        if self.run >= MOST_RUNS {
+        // A peer may have told of a crash since the bid.
+        if cx.quarantine.holds(self.work.digest) {
+            return self.fail(Failure::Quarantined, cx);
+        }
+        if self.failed >= MOST_RUNS {
             return self.fail(Failure::Exhausted, cx);
         }
         let tokens = self.work.tokens + u64::from(self.emitted);
@@ -325,11 +332,14 @@
                 actions.extend(self.again(cx));
                 return actions;
             }
-            Fault::Draining | Fault::Stalled | Fault::Lost | Fault::Expired => {}
+            Fault::Stalled | Fault::Lost | Fault::Expired => self.failed += 1,
+            Fault::Draining => {}
         }
         cx.fleet.blame(&prefill, cx.now);
         let mut actions = vec![Action::DropPrefill(run)];
-        if fault == Fault::Draining || cx.budget.retry(Cause::Prefill, cx.now) {
+        // Where all have failed lately, trying them in turn helps nobody.
+        let elsewhere = cx.fleet.has_well_prefill(&self.work.upstream, cx.now);
+        if elsewhere && (fault == Fault::Draining || cx.budget.retry(Cause::Prefill, cx.now)) {
             actions.extend(self.prefill(decode, cx));
             return actions;
         }
@@ -399,9 +409,7 @@
         if round != self.round {
             return Vec::new();
         }
-        if fault != Fault::Draining {
-            self.blame(&host, cx);
-        }
+        self.blame(&host, fault, cx);
         let cause = match &self.stage {
             Stage::Waiting(_) => return self.lose_bid(host, fault, cx),
             Stage::Holding(d) | Stage::Prefilling(d, _) if *d == host => Cause::Prefill,
@@ -423,9 +431,12 @@
     }
 
     /// Blames the source of a transfer that failed, and else the agent itself.
-    fn blame(&self, host: &Name, cx: &mut Context<'_>) {
-        match &self.stage {
-            Stage::Importing(_, prefill) => cx.fleet.blame(prefill, cx.now),
+    fn blame(&self, host: &Name, fault: Fault, cx: &mut Context<'_>) {
+        match (&self.stage, fault) {
+            (_, Fault::Draining) => {}
+            (Stage::Importing(_, prefill), Fault::Stalled | Fault::Expired) => {
+                cx.fleet.blame(prefill, cx.now);
+            }
             _ => cx.fleet.blame(host, cx.now),
         }
     }
@@ -492,20 +503,24 @@
         }
     }
 
-    /// Adds a bid where a seat has come free since the first were made.
+    /// Adds a bid where a seat has come free since the first were made. A
+    /// suspect moves there, since it bids at one host at a time.
     fn look(&mut self, mut bids: Vec<Name>, cx: &mut Context<'_>) -> Vec<Action> {
         let mut actions = vec![Action::Wake(LOOK_WAIT)];
-        if cx.quarantine.suspects(self.work.digest) {
-            return actions;
-        }
+        let suspect = cx.quarantine.suspects(self.work.digest);
         let free = cx
             .fleet
-            .choose_free(&self.work.upstream, self.work.pieces, &bids);
-        if let Some(host) = free {
-            actions.push(Action::Bid(self.round, host.clone()));
-            bids.push(host);
-            self.stage = Stage::Waiting(bids);
+            .choose_free(&self.work.upstream, self.work.pieces, suspect, &bids);
+        let Some(host) = free else {
+            return actions;
+        };
+        if suspect {
+            actions.extend(self.drop_all());
+            bids.clear();
         }
+        actions.push(Action::Bid(self.round, host.clone()));
+        bids.push(host);
+        self.stage = Stage::Waiting(bids);
         actions
     }
 
--- a/crates/route/src/lane.rs
+++ b/crates/route/src/lane.rs
@@ -78,6 +78,11 @@
     /// Takes no prompts from now on; gives those that wait, to be refused.
     pub fn drain(&mut self) -> Vec<Ticket> {
         self.draining = true;
+        self.shed()
+    }
+
+    /// Gives up the prompts that wait, to be sent elsewhere.
+    pub fn shed(&mut self) -> Vec<Ticket> {
         self.line.clear()
     }
 
--- a/crates/route/tests/journey_tests.rs
+++ b/crates/route/tests/journey_tests.rs
@@ -7,6 +7,7 @@
 use route::Action;
 use route::Blocks;
 use route::Context;
+use route::CrashId;
 use route::Digest;
 use route::Event;
 use route::Failure;
@@ -68,21 +69,27 @@
     over: bool,
     failure: Option<Failure>,
     wrong: Option<String>,
+    /// A decode host whose engine does not answer: it grants nothing.
+    silent: Option<Name>,
 }
 
 fn host(role: &str, i: usize) -> Name {
     format!("{role}-{i}").into()
 }
 
-fn fleet(policy: Policy) -> Fleet {
-    let mut fleet = Fleet::new(policy);
-    let report = Report {
+fn report() -> Report {
+    Report {
         seats: 20,
         pieces: 200,
         waiting: 0,
         backlog: 0,
         pace: 8_000.0,
-    };
+    }
+}
+
+fn fleet(policy: Policy) -> Fleet {
+    let mut fleet = Fleet::new(policy);
+    let report = report();
     for i in 0..3 {
         for (word, role) in [("prefill", Role::Prefill), ("decode", Role::Decode)] {
             let zone = format!("zone-{i}").into();
@@ -124,6 +131,7 @@
             over: false,
             failure: None,
             wrong: None,
+            silent: None,
         };
         let actions = world.decide(None);
         world.act(actions);
@@ -222,7 +230,9 @@
     }
 
     fn seat(&mut self, n: usize, answer: Answer) {
-        let open: Vec<_> = self.seats.iter().cloned().collect();
+        let silent = self.silent.as_ref();
+        let open = self.seats.iter().filter(|(_, h)| Some(h) != silent);
+        let open: Vec<_> = open.cloned().collect();
         if open.is_empty() {
             return;
         }
@@ -288,11 +298,30 @@
         self.event(events[n % events.len()].clone());
     }
 
+    /// One host's engine falls silent; its agent says so with the next report.
+    fn silence(&mut self, i: usize) {
+        if i < 3 {
+            self.silent = Some(host("decode", i));
+        }
+    }
+
+    fn report(&mut self) {
+        for i in 0..3 {
+            let host = host("decode", i);
+            let seats = match self.silent.as_ref() == Some(&host) {
+                true => 0,
+                false => 20,
+            };
+            self.fleet.report(&host, Report { seats, ..report() });
+        }
+    }
+
     fn calm_down(&mut self) {
         for _ in 0..200 {
             if self.over {
                 return;
             }
+            self.report();
             self.step(Op::Wake(1_000));
             self.step(Op::Seat(0, Answer::Well));
             self.step(Op::Prefill(Answer::Well));
@@ -349,8 +378,12 @@
     #![proptest_config(histories(20_000))]
 
     #[test]
-    fn journey_ends_and_leaves_nothing_open(ops in prop::collection::vec(op(), 0..120)) {
+    fn journey_ends_and_leaves_nothing_open(
+        ops in prop::collection::vec(op(), 0..120),
+        silent in 0..4usize,
+    ) {
         let mut world = World::new(Policy::Goodput);
+        world.silence(silent);
         for op in ops {
             world.step(op);
         }
@@ -387,6 +420,50 @@
     assert_eq!(world.left_open(), 0);
 }
 
+#[test]
+fn suspect_leaves_a_silent_host_for_one_with_room() {
+    let mut world = World::new(Policy::Goodput);
+    world.step(Op::Seat(0, Answer::Well));
+    world.step(Op::Prefill(Answer::Fault(Fault::Crashed(1))));
+    // A suspect bids at one host, and this one falls silent.
+    let bids: Vec<_> = world.seats.iter().map(|(_, h)| h.clone()).collect();
+    assert_eq!(bids.len(), 1, "{bids:?}");
+    world.silent = Some(bids[0].clone());
+    world.calm_down();
+    assert_eq!(world.text, whole());
+    assert_eq!(world.left_open(), 0);
+}
+
+#[test]
+fn crash_heard_of_while_waiting_stops_the_prefill() {
+    let mut world = World::new(Policy::Goodput);
+    for count in 1..=2 {
+        let id = CrashId {
+            host: host("prefill", 1),
+            count,
+        };
+        let at = world.base;
+        world.quarantine.note(work().digest, id, at);
+    }
+    world.step(Op::Seat(0, Answer::Well));
+    assert_eq!(world.failure, Some(Failure::Quarantined));
+    assert_eq!((world.prefill, world.left_open()), (None, 0));
+}
+
+#[test]
+fn prefills_that_all_failed_are_waited_for() {
+    let mut world = World::new(Policy::Goodput);
+    world.step(Op::Seat(0, Answer::Well));
+    for _ in 0..3 {
+        assert!(world.prefill.is_some(), "{:?}", world.journey);
+        world.step(Op::Prefill(Answer::Fault(Fault::Draining)));
+    }
+    // Asking the same three again at once would only fail again.
+    assert!(matches!(world.journey.stage(), Stage::Holding(_)));
+    world.calm_down();
+    assert_eq!(world.text, whole());
+}
+
 #[test]
 fn grant_after_the_end_is_given_back() {
     let mut world = World::new(Policy::Goodput);
