--- a/crates/daemon/tests/input_tests.rs
+++ b/crates/daemon/tests/input_tests.rs
@@ -4,8 +4,12 @@
 mod session;
 
 use fake::Shape;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use session::Got;
 use session::Session;
+use std::io;
 use std::io::Read;
 use std::io::Write;
 use std::net;
@@ -133,16 +137,37 @@
 
 /// Writes raw bytes and reads what comes back until the connection closes.
 fn raw(session: &Session, bytes: &[u8]) -> String {
-    let mut stream = net::TcpStream::connect(session.lab.callers(0)).expect("the entry listens");
-    let limit = Some(time::Duration::from_secs(5));
+    let heard = send(session.lab.callers(0), bytes, session::READY);
+    assert!(heard.closed, "the connection stays open: {}", heard.text);
+    heard.text
+}
+
+/// What a process sent back, and whether it then closed the connection.
+struct Heard {
+    text: String,
+    closed: bool,
+}
+
+/// Writes raw bytes and reads for as long as something comes within `wait`.
+fn send(address: net::SocketAddr, bytes: &[u8], wait: time::Duration) -> Heard {
+    let mut stream = net::TcpStream::connect(address).expect("the process listens");
     stream
-        .set_read_timeout(limit)
+        .set_read_timeout(Some(wait))
         .expect("a socket takes a timeout");
     // The entry may close before all is written.
     let _ = stream.write_all(bytes);
     let mut text = Vec::new();
-    let _ = stream.read_to_end(&mut text);
-    String::from_utf8_lossy(&text).into_owned()
+    let ended = stream.read_to_end(&mut text);
+    let waiting = ended.is_err_and(|e| {
+        matches!(
+            e.kind(),
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+        )
+    });
+    Heard {
+        text: String::from_utf8_lossy(&text).into_owned(),
+        closed: !waiting,
+    }
 }
 
 #[test]
@@ -165,6 +190,88 @@
     assert_still_serves(&site);
 }
 
+#[test]
+fn body_that_comes_too_slowly_is_refused() {
+    let site = start();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {}\r\ncontent-length: 100\r\n\r\n{{\"model\":",
+        site.1
+    );
+    let got = raw(&site.0, head.as_bytes());
+    assert!(got.starts_with("HTTP/1.1 408"), "{got}");
+    assert!(got.contains("body_too_slow"), "{got}");
+    assert!(got.contains("\"not_run\":true"), "{got}");
+    assert_still_serves(&site);
+}
+
+#[test]
+fn head_that_comes_too_slowly_is_hung_up_on() {
+    let site = start();
+    let began = b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nx-slow";
+    let got = raw(&site.0, began);
+    assert!(got.is_empty() || got.starts_with("HTTP/1.1 408"), "{got}");
+    assert_still_serves(&site);
+}
+
+const SEED: u64 = 0x5eed;
+
+/// Damages a valid body in one of several ways.
+fn damage(body: &str, random: &mut ChaCha8Rng) -> Vec<u8> {
+    let mut bytes = body.as_bytes().to_vec();
+    let at = random.random_range(0..bytes.len());
+    match random.random_range(0..5) {
+        0 => bytes.truncate(at),
+        1 => bytes[at] = random.random(),
+        2 => drop(bytes.splice(at..at, [b'[', b'{', b'"'])),
+        3 => drop(bytes.splice(at..at, "\u{0}\u{7f}\u{fffd}".bytes())),
+        _ => bytes.rotate_left(at),
+    }
+    bytes
+}
+
+#[test]
+fn damaged_bodies_are_answered_or_refused_with_a_cause() {
+    let site = start();
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let whole = session::completion("How is the track? [len=3]", 4, false);
+    for _ in 0..300 {
+        let body = damage(&whole, &mut random);
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+             authorization: Bearer {}\r\ncontent-length: {}\r\n\r\n",
+            site.1,
+            body.len()
+        );
+        let got = raw(&site.0, &[head.as_bytes(), &body].concat());
+        let status = got.get(9..12).unwrap_or_default();
+        assert!(["200", "400", "404"].contains(&status), "{got} to {body:?}");
+        assert!(status == "200" || got.contains("\"code\":"), "{got}");
+    }
+    assert_still_serves(&site);
+}
+
+#[test]
+fn random_bytes_harm_no_port() {
+    let site = start();
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let short = time::Duration::from_millis(20);
+    for daemon in &site.0.lab.daemons {
+        for address in [Some(daemon.listen), Some(daemon.admin), daemon.callers] {
+            let Some(address) = address else { continue };
+            for _ in 0..10 {
+                let mut bytes = vec![0; random.random_range(1..2_000)];
+                random.fill(bytes.as_mut_slice());
+                send(address, &bytes, short);
+            }
+        }
+    }
+    assert_still_serves(&site);
+    for daemon in &site.0.lab.daemons {
+        assert!(!daemon.log().contains("panicked"), "{}", daemon.log());
+    }
+}
+
 #[test]
 fn chat_and_plain_answers_have_their_usual_form() {
     let (session, key) = start();
