Tolerant work goes to slow hosts; cache events reach the entries

Cause: one urgent stream keeps an engine that is too slow for it when full at 6 of 20 seats, since no further seat may break its pace. Reports would live with all 20 taken.

Changed: agents report their pace with all seats taken; requests that tolerate it go there first, strict ones last, and an agent declines a strict one that would displace tolerant ones. Engines publish cache events, late and with gaps; the agent mirrors them and tells entries the blocks that two prompts or more began with.

--- a/crates/daemon/examples/capacity.rs
+++ b/crates/daemon/examples/capacity.rs
@@ -114,8 +114,14 @@
     let blocks = route::Blocks::of_prompt(&"a prompt ".repeat(400));
     let began = time::Instant::now();
     const CHOICES: u32 = 1_000;
+    let want = route::Want {
+        upstream: "summary",
+        pieces: 1,
+        token: time::Duration::from_millis(31),
+        strictest: time::Duration::from_millis(31),
+    };
     for _ in 0..CHOICES {
-        hint::black_box(fleet.choose_decode("summary", 1, false, now));
+        hint::black_box(fleet.choose_decode(&want, false, now));
         hint::black_box(fleet.choose_prefill("summary", "agent-1", 900, &blocks, now));
     }
     println!(
@@ -168,7 +174,8 @@
         pieces: 140,
         waiting: 3,
         backlog: 12_345,
-        pace: 8_123.456_789,
+        pace: 8_123.0,
+        crowded: 67.0,
         revision: 5_700,
         epoch: 12,
         draining: false,
--- a/crates/daemon/examples/load/report.rs
+++ b/crates/daemon/examples/load/report.rs
@@ -56,6 +56,19 @@
     }
 }
 
+/// How many of a tenant's requests attained their targets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    good: usize,
+    all: usize,
+}
+
+impl Tally {
+    fn part(self) -> f64 {
+        self.good as f64 / self.all.max(1) as f64
+    }
+}
+
 /// The measures of one run.
 #[derive(Clone, Debug, Default)]
 pub struct Measures {
@@ -69,6 +82,8 @@
     pub worst: f64,
     /// Mean attainment over tenants within their rate.
     pub mean: f64,
+    /// Attained and all requests of each tenant within its rate.
+    pub tenants: collections::BTreeMap<&'static str, Tally>,
     /// Requests refused although within the rate.
     pub refused: usize,
     /// Requests that got neither a refusal nor a whole answer, or a wrong one.
@@ -88,22 +103,19 @@
             .iter()
             .filter(|o| !plan.tenants[o.tenant].greedy)
             .collect();
-        let mut tenants: collections::BTreeMap<usize, (usize, usize)> =
-            collections::BTreeMap::new();
+        let mut tenants: collections::BTreeMap<&'static str, Tally> = collections::BTreeMap::new();
         let mut firsts = Histogram::<u64>::new(3).expect("three digits are allowed");
         for outcome in &within {
-            let (good, all) = tenants.entry(outcome.tenant).or_default();
-            *good += usize::from(outcome.attained(plan));
-            *all += 1;
+            let name = plan.tenants[outcome.tenant].name;
+            let tally = tenants.entry(name).or_default();
+            tally.good += usize::from(outcome.attained(plan));
+            tally.all += 1;
             if let Some(first) = outcome.first {
                 let millis = u64::try_from(first.as_millis()).unwrap_or(u64::MAX);
                 firsts.record(millis).expect("the histogram grows");
             }
         }
-        let parts: Vec<f64> = tenants
-            .values()
-            .map(|(g, a)| *g as f64 / *a as f64)
-            .collect();
+        let (worst, mean) = worst_and_mean(&tenants);
         let engines = session.lab.prefills.iter().chain(&session.lab.decodes);
         let stats: Vec<_> = engines.map(fake::Engine::stats).collect();
         let prefilled: u64 = stats.iter().map(|s| s.prefilled).sum();
@@ -112,8 +124,9 @@
             goodput: good as f64 / seconds as f64,
             attained: part(&within, |o| o.attained(plan)),
             waste: wasted as f64 / prefilled.max(1) as f64,
-            worst: parts.iter().copied().fold(1.0, f64::min),
-            mean: parts.iter().sum::<f64>() / parts.len().max(1) as f64,
+            worst,
+            mean,
+            tenants,
             refused: within.iter().filter(|o| o.status == 429).count(),
             broken: outcomes
                 .iter()
@@ -127,6 +140,24 @@
     }
 }
 
+fn worst_and_mean(tenants: &collections::BTreeMap<&'static str, Tally>) -> (f64, f64) {
+    let parts = tenants.values().map(|t| t.part());
+    let worst = parts.clone().fold(1.0, f64::min);
+    (worst, parts.sum::<f64>() / tenants.len().max(1) as f64)
+}
+
+/// Adds the runs up: one run has too few requests of a small tenant to tell its
+/// attainment from chance.
+fn pool(runs: &[Measures]) -> collections::BTreeMap<&'static str, Tally> {
+    let mut all: collections::BTreeMap<&'static str, Tally> = collections::BTreeMap::new();
+    for (name, tally) in runs.iter().flat_map(|r| &r.tenants) {
+        let sum = all.entry(name).or_default();
+        sum.good += tally.good;
+        sum.all += tally.all;
+    }
+    all
+}
+
 fn part(outcomes: &[&Outcome], holds: impl Fn(&Outcome) -> bool) -> f64 {
     let found = outcomes.iter().filter(|o| holds(o)).count();
     found as f64 / outcomes.len().max(1) as f64
@@ -150,7 +181,7 @@
     }
 }
 
-/// The medians of several runs.
+/// The medians of several runs; tenants' attainments are of all runs together.
 pub struct Row {
     policy: String,
     load: u32,
@@ -167,6 +198,8 @@
             all[all.len() / 2]
         };
         let goodputs = runs.iter().map(|r| r.goodput);
+        let tenants = pool(runs);
+        let (worst, mean) = worst_and_mean(&tenants);
         Self {
             policy: policy.to_owned(),
             load,
@@ -176,8 +209,9 @@
                 goodput: median(|m| m.goodput),
                 attained: median(|m| m.attained),
                 waste: median(|m| m.waste),
-                worst: median(|m| m.worst),
-                mean: median(|m| m.mean),
+                worst,
+                mean,
+                tenants,
                 // Of what must not be, the sum is told.
                 refused: runs.iter().map(|r| r.refused).sum(),
                 broken: runs.iter().map(|r| r.broken).sum(),
@@ -211,7 +245,11 @@
             100.0 * m.slow,
             m.first_p50,
             m.first_p99,
-        )
+        )?;
+        for (name, tally) in &m.tenants {
+            write!(f, "  {name} {:.1}", 100.0 * tally.part())?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/daemon/src/agent/desk.rs
+++ b/crates/daemon/src/agent/desk.rs
@@ -500,6 +500,9 @@
                 Role::Decode => self.seats.pace(),
                 Role::Prefill | Role::Entry | Role::Service => self.lane.pace(),
             };
+            // Whole tokens a second: less is no news worth a message.
+            load.pace = load.pace.round();
+            load.crowded = self.seats.crowded().round();
             load.draining = self.draining;
         });
     }
--- a/crates/daemon/src/agent/methods.rs
+++ b/crates/daemon/src/agent/methods.rs
@@ -1,5 +1,6 @@
 //! What peers may call at an agent.
 
+use crate::agent::cache::Cache;
 use crate::agent::job::Event;
 use crate::agent::plain::Plain;
 use crate::app::Heart;
@@ -21,6 +22,8 @@
     pub heart: Heart,
     pub desk: channel::Sender<Event>,
     pub plain: sync::Arc<Plain>,
+    /// Only beside a prefill engine.
+    pub cache: Option<Cache>,
     pub tickets: sync::Arc<atomic::AtomicU64>,
 }
 
@@ -73,10 +76,20 @@
         let (out, events) = mpsc::unbounded_channel();
         let held = self.hold();
         let _ = out.send(border::PrefillEvent::Waiting);
+        if let Some(cache) = &self.cache {
+            cache.ask(&prefill.prompt);
+        }
         self.tell(Event::Prefill(held.ticket, prefill, out));
         relay(&sink, events).await
     }
 
+    async fn cache(&self, pending: server::PendingSubscriptionSink) -> core::SubscriptionResult {
+        match &self.cache {
+            Some(cache) => cache.report(pending).await,
+            None => Ok(()),
+        }
+    }
+
     async fn call(&self, call: border::PlainCall) -> core::RpcResult<border::PlainReply> {
         Ok(self.plain.clone().call(call).await)
     }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,5 +1,6 @@
 //! The process beside one upstream: the only one that talks to it.
 
+mod cache;
 mod claims;
 mod desk;
 mod job;
--- a/crates/daemon/src/agent/serve.rs
+++ b/crates/daemon/src/agent/serve.rs
@@ -1,5 +1,6 @@
 //! An agent's life from its listening port to its graceful stop.
 
+use crate::agent::cache::Cache;
 use crate::agent::claims::Claims;
 use crate::agent::desk::Desk;
 use crate::agent::job::Event;
@@ -53,7 +54,15 @@
         Role::Entry | Role::Prefill | Role::Decode => None,
     };
     let plain = sync::Arc::new(Plain::new(upstream, claims, heart.clone()));
+    let cache = match settings.role {
+        Role::Prefill => {
+            let model = engine::Model::new(upstream.address);
+            Some(Cache::start(model).map_err(StartError::System)?)
+        }
+        Role::Entry | Role::Decode | Role::Service => None,
+    };
     let methods = Methods {
+        cache,
         hello: hello(&settings, &upstream.name),
         heart,
         desk: inbox.clone(),
--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request for a model and finds what is wrong with it.
 
 use crate::entry::errors::Refusal;
+use std::time;
 use world::Class;
 use world::Contract;
 use world::Kind;
@@ -29,6 +30,8 @@
     pub upstream: Name,
     pub model: Name,
     pub class: Class,
+    /// The strictest target between tokens of any class.
+    pub strictest: time::Duration,
     pub prompt: String,
     /// Tokens of the prompt, estimated.
     pub tokens: u64,
@@ -72,6 +75,7 @@
             upstream: upstream.name.clone(),
             model: model.into(),
             class: class.clone(),
+            strictest: strictest(contract),
             tokens: prompt.len().div_ceil(TOKEN_BYTES) as u64,
             prompt,
             max: max_tokens(&json)?,
@@ -85,6 +89,11 @@
     }
 }
 
+fn strictest(contract: &Contract) -> time::Duration {
+    let targets = contract.classes.iter().map(Class::token);
+    targets.min().unwrap_or(time::Duration::MAX)
+}
+
 fn invalid(text: impl Into<String>) -> Refusal {
     Refusal::not_run(400, "invalid_request", text)
 }
--- a/crates/daemon/src/entry/peers.rs
+++ b/crates/daemon/src/entry/peers.rs
@@ -15,6 +15,7 @@
 use std::sync;
 use std::time;
 use wire::LoadState;
+use wire::api::AgentClient;
 use wire::api::PeerClient;
 use wire::border;
 use world::Host;
@@ -210,6 +211,9 @@
     }
     let opened = Event::Opened(host.name.clone(), identity.clone());
     step(&entry, opened, time::Instant::now());
+    let cache = (identity.role == Role::Prefill)
+        .then(|| tokio::spawn(listen_cache(entry.clone(), host.name.clone(), link.clone())));
+    let _cache = cache.map(|task| AbortOnDrop(task.abort_handle()));
     let mut listener = wire::Listener::default();
     while let Some(Ok(report)) = reports.next().await {
         let Some(state) = listener.take(&report) else {
@@ -219,6 +223,35 @@
     }
 }
 
+/// Ends a task with whatever began it.
+struct AbortOnDrop(tokio::task::AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Listens to what a prefill engine has cached; after a gap, from the beginning.
+async fn listen_cache(entry: sync::Arc<Entry>, name: Name, link: sync::Arc<wire::Link>) {
+    while let Ok(mut reports) = link.cache().await {
+        let mut listener = wire::CacheListener::default();
+        while let Some(Ok(report)) = reports.next().await {
+            let Some(delta) = listener.take(&report) else {
+                break;
+            };
+            let news = route::CacheNews {
+                added: delta.added,
+                removed: delta.removed,
+            };
+            metrics::counter!("hornbeampitch_cache_blocks_told_total")
+                .increment(news.added.len() as u64);
+            entry.decisions.lock().fleet.cache_told(&name, &news);
+        }
+        tokio::time::sleep(RECHECK_WAIT).await;
+    }
+}
+
 fn take_report(
     entry: &sync::Arc<Entry>,
     name: &Name,
@@ -237,6 +270,7 @@
             waiting: state.waiting,
             backlog: state.backlog,
             pace: state.pace,
+            crowded: state.crowded,
         };
         entry.decisions.lock().fleet.report(name, report);
         return;
--- a/crates/daemon/src/entry/runner.rs
+++ b/crates/daemon/src/entry/runner.rs
@@ -95,6 +95,7 @@
             max: ask.max,
             pieces: route::pieces_for(ask.tokens, u64::from(ask.max)),
             token: ask.class.token(),
+            strictest: ask.strictest,
         };
         Self {
             due: time::Instant::now() + ask.class.first(),
--- /dev/null
+++ b/crates/daemon/tests/cache_tests.rs
@@ -0,0 +1,60 @@
+//! What one entry's prompts left in an engine's cache serves another's, though
+//! the engines' events come late and with gaps.
+
+mod session;
+
+use fake::Shape;
+use session::Session;
+use std::path;
+
+const HEADS: usize = 6;
+
+/// Prompts of a head begin alike; 16 blocks of it.
+fn prompt(head: usize, tail: usize) -> String {
+    let shared = format!("Standing text {head} of the unit. ").repeat(160);
+    format!("{shared} and defect {tail} [len=3]")
+}
+
+fn prefilled(session: &Session) -> u64 {
+    let engines = session.lab.prefills.iter();
+    engines.map(|e| e.stats().prefilled).sum()
+}
+
+fn told(session: &Session, entry: usize) -> u64 {
+    let text = session::metrics(session.lab.daemons[entry].admin);
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix("hornbeampitch_cache_blocks_told_total "));
+    line.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn prompt_goes_where_another_entry_warmed_it() {
+    let mut shape = Shape {
+        entries: 2,
+        prefills: 3,
+        ..Shape::small()
+    };
+    shape.engine.gaps = 3;
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let session = Session::start(shape, program, &[]);
+    let (_, key) = session.key(session::RANGERS);
+    for head in 0..HEADS {
+        for tail in 0..2 {
+            let got = session.complete(0, &key, &prompt(head, tail), 9);
+            assert!(got.whole, "{got:?}");
+        }
+    }
+    let blocks = (prompt(0, 0).len() / 256 * HEADS) as u64;
+    let knows = |_: &fake::Lab| told(&session, 1) >= blocks;
+    let all = session.lab.wait(session::READY, knows);
+    assert!(all, "told of {} of {blocks} blocks", told(&session, 1));
+    let before = prefilled(&session);
+    for head in 0..HEADS {
+        let got = session.complete(1, &key, &prompt(head, 2), 9);
+        assert!(got.whole, "{got:?}");
+    }
+    let fresh = prefilled(&session) - before;
+    let tokens = fake::prompt_tokens(&prompt(0, 0)) * HEADS as u64;
+    assert!(fresh < tokens / 4, "{fresh} of {tokens} tokens anew");
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,9 @@
 mod service;
 
 pub use errors::EngineError;
-pub use message::{Import, Load, Order, OrderKind, Prefill, Prefilled, Resume, Running, Token};
+pub use message::{
+    CacheChange, CacheContent, Import, Load, Order, OrderKind, Prefill, Prefilled, Resume, Running,
+    Token,
+};
 pub use model::Model;
 pub use service::{Answer, Call, CallError, Field, Service};
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -81,6 +81,27 @@
     pub requests: Vec<String>,
 }
 
+/// A change of the engine's prompt cache. Blocks are named by a hash of the
+/// prompt up to their end, in hexadecimal digits.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct CacheChange {
+    /// Grows by one with each change; some are never published.
+    pub seq: u64,
+    /// Blocks that were cached.
+    pub stored: Vec<String>,
+    /// Blocks that were thrown out.
+    pub removed: Vec<String>,
+}
+
+/// The whole prompt cache, as of a change.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct CacheContent {
+    /// The last change that it holds.
+    pub seq: u64,
+    /// All cached blocks.
+    pub blocks: Vec<String>,
+}
+
 /// Load as the engine reports it, with a lag.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
 pub struct Load {
--- a/crates/engine/src/model.rs
+++ b/crates/engine/src/model.rs
@@ -14,6 +14,8 @@
 const PREFILL_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// A transfer that takes longer than the result lives has stalled.
 const IMPORT_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+/// A feed of cache changes that is silent so long is opened anew.
+const CACHE_SILENCE: time::Duration = time::Duration::from_secs(5);
 const SHORT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// A client of one engine.
@@ -68,28 +70,33 @@
         if response.status() != 200 {
             return Err(EngineError::of_status(response.status().as_u16()));
         }
-        let body = response.into_body().into_with_config().limit(u64::MAX);
-        let mut lines = io::BufReader::new(body.reader());
-        let mut line = String::new();
-        loop {
-            line.clear();
-            let read = lines.read_line(&mut line);
-            let read = read.map_err(|e| EngineError::of_io(&e))?;
-            if read == 0 {
-                return Err(EngineError::Gone("the stream broke off".into()));
-            }
-            let Some(data) = line.trim().strip_prefix("data: ") else {
-                continue;
-            };
-            if data == "[DONE]" {
-                return Ok(());
-            }
-            let token: message::Token = serde_json::from_str(data)
-                .map_err(|e| EngineError::Gone(format!("a broken line: {e}")))?;
-            if !sink(token) {
-                return Err(EngineError::Cancelled);
-            }
+        read_events(response, &mut sink)
+    }
+
+    /// Follows changes of the prompt cache into `sink`, which returns false to
+    /// stop listening; ends with an error otherwise.
+    pub fn cache_changes(
+        &self,
+        mut sink: impl FnMut(message::CacheChange) -> bool,
+    ) -> Result<(), EngineError> {
+        let response = self
+            .agent
+            .get(format!("{}/cache/events", self.base))
+            .config()
+            .timeout_recv_response(Some(SHORT_TIMEOUT))
+            .timeout_per_read(Some(CACHE_SILENCE))
+            .build()
+            .call()
+            .map_err(EngineError::of_http)?;
+        if response.status() != 200 {
+            return Err(EngineError::of_status(response.status().as_u16()));
         }
+        read_events(response, &mut sink)
+    }
+
+    /// Reads the whole prompt cache.
+    pub fn cache_content(&self) -> Result<message::CacheContent, EngineError> {
+        self.get("/cache")
     }
 
     /// Frees all that the engine holds of a request; may be repeated.
@@ -144,6 +151,36 @@
     }
 }
 
+/// Hands each event of a stream to `sink` until the last, or until it returns
+/// false.
+fn read_events<T: serde::de::DeserializeOwned>(
+    response: ureq::http::Response<ureq::Body>,
+    sink: &mut impl FnMut(T) -> bool,
+) -> Result<(), EngineError> {
+    let body = response.into_body().into_with_config().limit(u64::MAX);
+    let mut lines = io::BufReader::new(body.reader());
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let read = lines.read_line(&mut line);
+        let read = read.map_err(|e| EngineError::of_io(&e))?;
+        if read == 0 {
+            return Err(EngineError::Gone("the stream broke off".into()));
+        }
+        let Some(data) = line.trim().strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            return Ok(());
+        }
+        let event = serde_json::from_str(data)
+            .map_err(|e| EngineError::Gone(format!("a broken line: {e}")))?;
+        if !sink(event) {
+            return Err(EngineError::Cancelled);
+        }
+    }
+}
+
 fn read<A: serde::de::DeserializeOwned>(
     mut response: ureq::http::Response<ureq::Body>,
 ) -> Result<A, EngineError> {
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -4,6 +4,7 @@
 //! worst of the real ones do, so that forgotten work shows.
 
 use crate::answer;
+use crate::cache_log::CacheLog;
 use crate::site::Site;
 use bytes::Bytes;
 use serde_json::Value;
@@ -45,6 +46,8 @@
     pub lag: time::Duration,
     /// Blocks of prompts that it caches.
     pub cache: usize,
+    /// Every so many cache events, one is never published; 0 for none.
+    pub gaps: u64,
 }
 
 impl Default for EngineConfig {
@@ -59,6 +62,7 @@
             fencing: true,
             lag: time::Duration::from_millis(500),
             cache: 2_048,
+            gaps: 10,
         }
     }
 }
@@ -93,6 +97,7 @@
     held: collections::BTreeMap<String, Held>,
     results: collections::BTreeMap<String, Outcome>,
     cached: collections::VecDeque<u64>,
+    changes: sync::Arc<CacheLog>,
     reports: collections::VecDeque<(time::Instant, engine::Load)>,
     stats: Stats,
     fence: u64,
@@ -126,6 +131,7 @@
             held: collections::BTreeMap::new(),
             results: collections::BTreeMap::new(),
             cached: collections::VecDeque::new(),
+            changes: sync::Arc::new(CacheLog::new()),
             reports: collections::VecDeque::new(),
             stats: Stats::default(),
             fence: 0,
@@ -245,6 +251,7 @@
         self.held.clear();
         self.results.clear();
         self.cached.clear();
+        self.changes = sync::Arc::new(CacheLog::new());
         self.working = false;
         self.exporting = false;
         self.dying = false;
@@ -282,6 +289,7 @@
     fn cache(&mut self, prompt: &str) -> u64 {
         let mut state = xxh3::Xxh3::new();
         let mut found = 0;
+        let mut change = engine::CacheChange::default();
         let mut matching = true;
         for block in prompt.as_bytes().chunks_exact(BLOCK_BYTES) {
             state.update(block);
@@ -292,13 +300,26 @@
                 continue;
             }
             self.cached.push_back(hash);
-            if self.cached.len() > self.config.cache {
-                self.cached.pop_front();
+            change.stored.push(format!("{hash:x}"));
+            if self.cached.len() > self.config.cache
+                && let Some(old) = self.cached.pop_front()
+            {
+                change.removed.push(format!("{old:x}"));
             }
         }
+        if !change.stored.is_empty() {
+            self.changes.publish(change, self.config.gaps);
+        }
         found
     }
 
+    fn cache_content(&self) -> engine::CacheContent {
+        engine::CacheContent {
+            seq: self.changes.seq(),
+            blocks: self.cached.iter().map(|hash| format!("{hash:x}")).collect(),
+        }
+    }
+
     fn seated(&self) -> usize {
         self.held.values().filter(|h| h.seated).count()
     }
@@ -360,6 +381,8 @@
                 json(&engine::Running { requests })
             }
             "/load" => json(&lock(&self.shared).load()),
+            "/cache" => json(&lock(&self.shared).cache_content()),
+            "/cache/events" => Some(self.cache_events()),
             "/orders" => self.order(&parse(&body)?),
             _ => refuse(404),
         }
@@ -537,6 +560,20 @@
         Some(response)
     }
 
+    /// Publishes changes of the cache, each a lag after it was made.
+    fn cache_events(&self) -> web::Response<web::Body> {
+        let (feed, body) = web::body_channel();
+        let (changes, lag) = {
+            let state = lock(&self.shared);
+            (state.changes.clone(), state.config.lag)
+        };
+        tokio::spawn(async move { changes.feed(&feed, lag).await });
+        web::Response::builder()
+            .header("content-type", "text/event-stream")
+            .body(body)
+            .expect("a known head makes a response")
+    }
+
     fn order(&self, order: &engine::Order) -> Option<web::Response<web::Body>> {
         let mut state = lock(&self.shared);
         if state.config.fencing && order.fence < state.fence {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -4,6 +4,7 @@
 //! its own, so that a test can kill it as a host's failure would.
 
 mod answer;
+mod cache_log;
 mod collector;
 mod engine;
 mod hosts;
--- a/crates/route/benches/decisions.rs
+++ b/crates/route/benches/decisions.rs
@@ -20,6 +20,15 @@
 
 const SIZES: [usize; 2] = [30, 1_300];
 
+fn want() -> route::Want<'static> {
+    route::Want {
+        upstream: "summary",
+        pieces: 1,
+        token: time::Duration::from_millis(31),
+        strictest: time::Duration::from_millis(16),
+    }
+}
+
 fn fleet(agents: usize) -> Fleet {
     let mut fleet = Fleet::new(Policy::Goodput);
     for i in 0..agents {
@@ -36,6 +45,7 @@
             waiting: (i % 5) as u32,
             backlog: (i % 11) as u64 * 500,
             pace: 8_000.0,
+            crowded: 50.0 + (i % 3) as f64 * 15.0,
         };
         fleet.report(&host, report);
     }
@@ -48,7 +58,7 @@
     for size in SIZES {
         let mut fleet = fleet(size);
         c.bench_with_input(BenchmarkId::new("choose_decode", size), &size, |b, _| {
-            b.iter(|| hint::black_box(fleet.choose_decode("summary", 1, false, now)));
+            b.iter(|| hint::black_box(fleet.choose_decode(&want(), false, now)));
         });
         c.bench_with_input(BenchmarkId::new("choose_prefill", size), &size, |b, _| {
             b.iter(|| {
--- a/crates/route/src/fleet.rs
+++ b/crates/route/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::links::Links;
 use crate::prefix::Blocks;
+use crate::prefix::CacheNews;
 use crate::prefix::Prefixes;
 use conf::Policy;
 use std::cmp;
@@ -32,6 +33,9 @@
     pub backlog: u64,
     /// Measured speed, in tokens per second.
     pub pace: f64,
+    /// Streams' speed with all seats taken, in tokens per second; 0 where it
+    /// isn't known yet.
+    pub crowded: f64,
 }
 
 /// What an entry believes of one agent.
@@ -148,13 +152,12 @@
     /// other suspect runs, so that the guilty one is found.
     pub fn choose_decode(
         &mut self,
-        upstream: &str,
-        pieces: u32,
+        want: &Want<'_>,
         suspect: bool,
         now: time::Instant,
     ) -> Vec<Name> {
         let mut hosts: Vec<Name> = self
-            .candidates(upstream, Role::Decode)
+            .candidates(want.upstream, Role::Decode)
             .filter(|(_, v)| !suspect || v.suspects == 0)
             .map(|(name, _)| name.clone())
             .collect();
@@ -166,9 +169,13 @@
         };
         match self.policy {
             Policy::RoundRobin => {}
-            Policy::LeastLoaded | Policy::Prefix | Policy::Goodput => {
-                hosts.sort_by_key(|name| decode_load(&self.views[name], pieces));
+            Policy::LeastLoaded | Policy::Prefix => {
+                hosts.sort_by_key(|name| decode_load(&self.views[name], want.pieces));
             }
+            Policy::Goodput => hosts.sort_by_key(|name| {
+                let view = &self.views[name];
+                (want.mismatch(view), decode_load(view, want.pieces))
+            }),
         }
         hosts.truncate(most);
         for name in &hosts {
@@ -270,6 +277,13 @@
         prefill.unwrap_or_default() + FIRST_STEP
     }
 
+    /// Takes what an agent tells of its engine's cache.
+    pub fn cache_told(&mut self, host: &Name, news: &CacheNews) {
+        if self.views.contains_key(host) {
+            self.prefixes.told(host, news);
+        }
+    }
+
     /// Learns from a finished prefill how much was cached.
     pub fn prefilled(&mut self, host: &Name, blocks: &Blocks, expected: u64, cached: u64) {
         if cached < expected {
@@ -351,6 +365,36 @@
     }
 }
 
+/// What a request wants of a decode host.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The pool.
+    pub upstream: &'a str,
+    /// Pieces of memory.
+    pub pieces: u32,
+    /// Its target between tokens.
+    pub token: time::Duration,
+    /// The strictest target of any class.
+    pub strictest: time::Duration,
+}
+
+impl Want<'_> {
+    /// Ranks a host by how it suits: 0 best. A host too slow for the strictest
+    /// class when full can keep all its seats only for others, so they go there
+    /// first and the strict ones last.
+    fn mismatch(&self, view: &View) -> u8 {
+        let keeps = |target: time::Duration| {
+            let crowded = view.report.crowded;
+            crowded <= 0.0 || 1.0 / crowded <= target.as_secs_f64()
+        };
+        match (keeps(self.token), keeps(self.strictest)) {
+            (true, false) => 0,
+            (true, true) => 1,
+            (false, _) => 2,
+        }
+    }
+}
+
 /// Tells whether one more stream would be slower than its target there.
 fn misses(view: &View, token: time::Duration) -> bool {
     view.report.pace > 0.0 && 1.0 / view.report.pace > token.as_secs_f64()
--- a/crates/route/src/journey.rs
+++ b/crates/route/src/journey.rs
@@ -8,6 +8,7 @@
 use crate::budget::RetryBudget;
 use crate::fleet::Fleet;
 use crate::fleet::Pick;
+use crate::fleet::Want;
 use crate::prefix::Blocks;
 use crate::quarantine::CrashId;
 use crate::quarantine::Digest;
@@ -41,6 +42,19 @@
     pub pieces: u32,
     /// Its target between tokens.
     pub token: time::Duration,
+    /// The strictest target between tokens of any class.
+    pub strictest: time::Duration,
+}
+
+impl Work {
+    fn want(&self) -> Want<'_> {
+        Want {
+            upstream: &self.upstream,
+            pieces: self.pieces,
+            token: self.token,
+            strictest: self.strictest,
+        }
+    }
 }
 
 /// Why an attempt ended early.
@@ -244,9 +258,7 @@
             return self.fail(Failure::Exhausted, cx);
         }
         let suspect = cx.quarantine.suspects(self.work.digest);
-        let hosts = cx
-            .fleet
-            .choose_decode(&self.work.upstream, self.work.pieces, suspect, cx.now);
+        let hosts = cx.fleet.choose_decode(&self.work.want(), suspect, cx.now);
         if hosts.is_empty() {
             self.stage = Stage::Waiting(hosts);
             return vec![Action::Wake(RETRY_WAIT)];
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -31,12 +31,27 @@
             .collect();
         Self { hashes }
     }
+
+    /// One hash for each whole block, of all that stands before its end.
+    pub fn hashes(&self) -> &[u64] {
+        &self.hashes
+    }
+}
+
+/// Changes of what an engine has cached, as its agent tells them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CacheNews {
+    /// Blocks that are cached now.
+    pub added: Vec<u64>,
+    /// Blocks that are cached no more.
+    pub removed: Vec<u64>,
 }
 
 /// What each host's engine has probably cached, from the prompts sent there.
 ///
 /// Engines publish cache events late and with gaps, so the entry goes by what
-/// it sent and by how much of it the engine then found cached.
+/// it sent and by how much of it the engine then found cached; of what others
+/// sent, the host's agent tells.
 #[derive(Clone, Debug, Default)]
 pub struct Prefixes {
     hosts: collections::BTreeMap<Name, Cached>,
@@ -48,14 +63,26 @@
     order: collections::VecDeque<u64>,
 }
 
+impl Cached {
+    fn insert(&mut self, hash: u64) {
+        if self.known.insert(hash) {
+            self.order.push_back(hash);
+        }
+    }
+
+    fn remove(&mut self, hash: u64) {
+        if self.known.remove(&hash) {
+            self.order.retain(|h| *h != hash);
+        }
+    }
+}
+
 impl Prefixes {
     /// Notes that a prompt was worked through at a host.
     pub fn learn(&mut self, host: &Name, blocks: &Blocks) {
         let cached = self.hosts.entry(host.clone()).or_default();
         for hash in &blocks.hashes {
-            if cached.known.insert(*hash) {
-                cached.order.push_back(*hash);
-            }
+            cached.insert(*hash);
         }
         while cached.order.len() > HOST_BLOCKS {
             if let Some(old) = cached.order.pop_front() {
@@ -71,9 +98,18 @@
             return;
         };
         for hash in blocks.hashes.iter().skip(kept) {
-            if cached.known.remove(hash) {
-                cached.order.retain(|h| h != hash);
-            }
+            cached.remove(*hash);
+        }
+    }
+
+    /// Takes what a host's agent tells of its engine's cache.
+    pub fn told(&mut self, host: &Name, news: &CacheNews) {
+        let cached = self.hosts.entry(host.clone()).or_default();
+        for hash in &news.removed {
+            cached.remove(*hash);
+        }
+        for hash in &news.added {
+            cached.insert(*hash);
         }
     }
 
--- a/crates/route/src/seats.rs
+++ b/crates/route/src/seats.rs
@@ -36,6 +36,12 @@
     next: Option<time::Duration>,
     /// The least target among those that hold seats and can be met now.
     strictest: time::Duration,
+    /// The gap between tokens with all seats taken.
+    full: time::Duration,
+    /// Requests here that can live with all seats taken.
+    tolerant: usize,
+    /// The gaps between tokens with 1, 2, … seats taken.
+    gaps: Vec<time::Duration>,
 }
 
 impl Pace {
@@ -50,11 +56,18 @@
             return Fit::Now;
         };
         let misses = next > waiter.urgency.token && !waiter.urgency.is_late(now);
-        if misses || next > self.strictest {
+        if misses || next > self.strictest || self.displaces(waiter.urgency.token) {
             return Fit::Better;
         }
         Fit::Now
     }
+
+    /// Tells whether a strict request would leave the engine fewer seats than
+    /// its tolerant ones could fill.
+    fn displaces(&self, token: time::Duration) -> bool {
+        let seats = self.gaps.iter().take_while(|gap| **gap <= token).count();
+        token < self.full && self.tolerant > seats
+    }
 }
 
 impl Seats {
@@ -91,10 +104,7 @@
         let mut granted = Vec::new();
         while self.free_seats() > 0 {
             let free = self.free_pieces();
-            let pace = Pace {
-                next: self.speed.expect(self.held.len() + 1),
-                strictest: self.strictest(),
-            };
+            let pace = self.pace_with_one_more();
             let Some(waiter) = self.line.take(now, |w| pace.fit(w, free, now)) else {
                 break;
             };
@@ -138,6 +148,28 @@
             .map_or(0.0, |g| 1.0 / g.as_secs_f64())
     }
 
+    /// Streams' pace with all seats taken, in tokens per second; 0 where it
+    /// isn't known yet.
+    pub fn crowded(&self) -> f64 {
+        let gap = self.speed.expect(self.seats as usize);
+        gap.filter(|g| !g.is_zero())
+            .map_or(0.0, |g| 1.0 / g.as_secs_f64())
+    }
+
+    fn pace_with_one_more(&self) -> Pace {
+        let full = self.speed.expect(self.seats as usize).unwrap_or_default();
+        let waiting = self.line.iter().map(|w| w.urgency.token);
+        let all = self.held.values().map(|h| h.token).chain(waiting);
+        let gap = |n| self.speed.expect(n).unwrap_or_default();
+        Pace {
+            next: self.speed.expect(self.held.len() + 1),
+            strictest: self.strictest(),
+            full,
+            tolerant: all.filter(|token| *token >= full).count(),
+            gaps: (1..=self.seats as usize).map(gap).collect(),
+        }
+    }
+
     /// The least target between tokens that those who hold seats still meet.
     fn strictest(&self) -> time::Duration {
         let now = self.speed.expect(self.held.len()).unwrap_or_default();
--- a/crates/route/tests/journey_tests.rs
+++ b/crates/route/tests/journey_tests.rs
@@ -84,6 +84,7 @@
         waiting: 0,
         backlog: 0,
         pace: 8_000.0,
+        crowded: 0.0,
     }
 }
 
@@ -109,6 +110,7 @@
         max: TOTAL,
         pieces: 1,
         token: time::Duration::from_millis(31),
+        strictest: time::Duration::from_millis(31),
     }
 }
 
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -37,6 +37,10 @@
     #[subscription(name = "prefill", unsubscribe = "unprefill", item = border::PrefillEvent)]
     async fn prefill(&self, prefill: border::Prefill) -> rpc::SubscriptionResult;
 
+    /// Tells, in sequence, which blocks of prompts the engine has cached.
+    #[subscription(name = "cache", unsubscribe = "uncache", item = border::Cache)]
+    async fn cache(&self) -> rpc::SubscriptionResult;
+
     #[method(name = "call")]
     async fn call(&self, call: border::PlainCall) -> rpc::RpcResult<border::PlainReply>;
 }
--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -94,6 +94,57 @@
         value.clone()
     }
 }
+///Sequenced changes of what an engine has cached, for prompts to come. Blocks are named by hash, in hexadecimal digits. A full one replaces all before it.
+///
+/// <details><summary>JSON schema</summary>
+///
+/// ```json
+///{
+///  "description": "Sequenced changes of what an engine has cached, for prompts to come. Blocks are named by hash, in hexadecimal digits. A full one replaces all before it.",
+///  "type": "object",
+///  "required": [
+///    "added",
+///    "full",
+///    "removed",
+///    "seq"
+///  ],
+///  "properties": {
+///    "added": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "full": {
+///      "type": "boolean"
+///    },
+///    "removed": {
+///      "type": "array",
+///      "items": {
+///        "type": "string"
+///      }
+///    },
+///    "seq": {
+///      "type": "integer",
+///      "format": "uint64",
+///      "minimum": 0.0
+///    }
+///  }
+///}
+/// ```
+/// </details>
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug)]
+pub struct Cache {
+    pub added: ::std::vec::Vec<::std::string::String>,
+    pub full: bool,
+    pub removed: ::std::vec::Vec<::std::string::String>,
+    pub seq: u64,
+}
+impl ::std::convert::From<&Cache> for Cache {
+    fn from(value: &Cache) -> Self {
+        value.clone()
+    }
+}
 ///Tells a peer that a request's content has crashed an engine.
 ///
 /// <details><summary>JSON schema</summary>
@@ -609,6 +660,11 @@
 ///      "format": "uint64",
 ///      "minimum": 0.0
 ///    },
+///    "crowded": {
+///      "description": "Streams' speed with all seats taken, in tokens per second; 0 where it isn't known yet.",
+///      "type": "number",
+///      "format": "double"
+///    },
 ///    "draining": {
 ///      "type": "boolean"
 ///    },
@@ -663,6 +719,8 @@
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub backlog: ::std::option::Option<u64>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub crowded: ::std::option::Option<f64>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub draining: ::std::option::Option<bool>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub epoch: ::std::option::Option<u64>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,11 +8,13 @@
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod border;
+mod cache;
 mod link;
 mod load;
 mod proof;
 mod server;
 
+pub use cache::{CacheDelta, CacheListener, CacheReporter};
 pub use link::{Link, LinkError, open};
 pub use load::{Listener, LoadState, Reporter};
 pub use proof::{Proof, Secrets};
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -19,6 +19,8 @@
     pub backlog: u64,
     /// Measured speed, in tokens per second.
     pub pace: f64,
+    /// Streams' speed with all seats taken; 0 where it isn't known yet.
+    pub crowded: f64,
     /// The configuration in force.
     pub revision: u64,
     /// The division of allowances in force.
@@ -47,6 +49,7 @@
             waiting: changed(last.map(|l| l.waiting), now.waiting),
             backlog: changed(last.map(|l| l.backlog), now.backlog),
             pace: changed(last.map(|l| l.pace), now.pace),
+            crowded: changed(last.map(|l| l.crowded), now.crowded),
             revision: changed(last.map(|l| l.revision), now.revision),
             epoch: changed(last.map(|l| l.epoch), now.epoch),
             draining: changed(last.map(|l| l.draining), now.draining),
@@ -83,6 +86,7 @@
             waiting: load.waiting.unwrap_or(old.waiting),
             backlog: load.backlog.unwrap_or(old.backlog),
             pace: load.pace.unwrap_or(old.pace),
+            crowded: load.crowded.unwrap_or(old.crowded),
             revision: load.revision.unwrap_or(old.revision),
             epoch: load.epoch.unwrap_or(old.epoch),
             draining: load.draining.unwrap_or(old.draining),
