Read again: no pace is worked out where nobody waits

An agent asks for grants after every token. With a free seat it worked out the paces of all its seats, a list among them, before it saw that its line is empty; it looks at the line first now. The conversion of a gap to a pace stood twice in Seats and is one. Two of the desk's methods are private again.

Behaviour stays as it is. The cost was not measured again.

--- a/crates/daemon/src/agent/desk/desk.rs
+++ b/crates/daemon/src/agent/desk/desk.rs
@@ -22,6 +22,7 @@
 /// Prompts given to the engine at a time; more would only queue inside it,
 /// where their order can no longer be changed.
 const PREFILL_WIDTH: usize = 1;
+
 /// All jobs at one engine.
 pub(crate) struct Desk {
     pub(super) host: Name,
@@ -116,7 +117,7 @@
     }
 
     /// Grants free seats and starts the next prompts.
-    pub(super) fn proceed(&mut self) {
+    fn proceed(&mut self) {
         if self.down {
             return;
         }
@@ -199,7 +200,7 @@
         }
     }
 
-    pub(super) fn publish(&self) {
+    fn publish(&self) {
         let seats = self.seats.free_seats();
         let waiting = u32::try_from(self.seats.waiting()).unwrap_or(u32::MAX);
         metrics::gauge!("hornbeampitch_seats_free").set(seats);
--- a/crates/route/src/seats.rs
+++ b/crates/route/src/seats.rs
@@ -102,7 +102,8 @@
     /// Grants seats for as long as one is free; the grants hold from now on.
     pub fn grant(&mut self, now: time::Instant) -> Vec<Ticket> {
         let mut granted = Vec::new();
-        while self.free_seats() > 0 {
+        // An agent asks after every token; mostly nobody waits.
+        while self.free_seats() > 0 && self.line.len() > 0 {
             let free = self.free_pieces();
             let pace = self.pace_with_one_more();
             let Some(waiter) = self
@@ -146,15 +147,17 @@
     /// Streams' pace with one more request, in tokens per second; 0 where it
     /// isn't known yet.
     pub fn pace(&self) -> f64 {
-        let gap = self.speed.expect(self.held.len() + 1);
-        gap.filter(|g| !g.is_zero())
-            .map_or(0.0, |g| 1.0 / g.as_secs_f64())
+        self.pace_at(self.held.len() + 1)
     }
 
     /// Streams' pace with all seats taken, in tokens per second; 0 where it
     /// isn't known yet.
     pub fn crowded(&self) -> f64 {
-        let gap = self.speed.expect(self.seats as usize);
+        self.pace_at(self.seats as usize)
+    }
+
+    fn pace_at(&self, occupancy: usize) -> f64 {
+        let gap = self.speed.expect(occupancy);
         gap.filter(|g| !g.is_zero())
             .map_or(0.0, |g| 1.0 / g.as_secs_f64())
     }
