--- a/crates/daemon/src/app/errors.rs
+++ b/crates/daemon/src/app/errors.rs
@@ -20,6 +20,9 @@
     /// The settings are wrong.
     #[display("{_0}")]
     Settings(conf::Findings),
+    /// The platform's settings are missing or wrong.
+    #[display("{_0}")]
+    Platform(platform::BootError),
     /// An address can't be listened on.
     #[display("cannot listen on {address}: {source}")]
     Listen {
@@ -37,7 +40,10 @@
     /// The exit code: 2 where the user can mend it, else 1.
     pub(crate) fn code(&self) -> u8 {
         match self {
-            StartError::Usage(_) | StartError::Read { .. } | StartError::Settings(_) => 2,
+            StartError::Usage(_)
+            | StartError::Read { .. }
+            | StartError::Settings(_)
+            | StartError::Platform(_) => 2,
             StartError::Listen { .. } | StartError::System(_) => 1,
         }
     }
--- a/crates/daemon/src/app/launch.rs
+++ b/crates/daemon/src/app/launch.rs
@@ -2,7 +2,9 @@
 
 use crate::app::errors::StartError;
 
-const BRIEF: &str = "usage: hornbeampitchd [options] SETTINGS.yaml";
+const BRIEF: &str = "usage: hornbeampitchd [options] SETTINGS.yaml | platform";
+/// The word that asks for the settings which the platform names.
+const PLATFORM_WORD: &str = "platform";
 
 /// What the command line asks for.
 #[derive(Debug, PartialEq, Eq)]
@@ -11,6 +13,8 @@
     Serve(String),
     /// Only check the settings in this file.
     Check(String),
+    /// Serve as an entry on the platform, by the settings that it names.
+    Platform,
     /// Print this text.
     Print(String),
 }
@@ -36,6 +40,9 @@
             let text = format!("expected one settings file\n{BRIEF}");
             return Err(StartError::Usage(text));
         };
+        if path == PLATFORM_WORD {
+            return Ok(Launch::Platform);
+        }
         match matches.opt_present("check") {
             true => Ok(Launch::Check(path.clone())),
             false => Ok(Launch::Serve(path.clone())),
--- a/crates/daemon/src/app/mod.rs
+++ b/crates/daemon/src/app/mod.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod heart;
 mod launch;
+mod platform;
 mod program;
 mod stop;
 
--- /dev/null
+++ b/crates/daemon/src/app/platform.rs
@@ -0,0 +1,40 @@
+//! An entry on the Tracks Unit's platform.
+
+use crate::app::StartError;
+use std::fs;
+use std::rc;
+use tokio::runtime;
+use tokio::task;
+
+/// Serves by the settings that the platform names.
+///
+/// All I/O is on one thread: the platform charges each wake-up and lets one
+/// thread run at a time (docs/PLATFORM.md, "Processor").
+pub(crate) fn serve() -> Result<(), StartError> {
+    let path = ::platform::boot_path().map_err(StartError::Platform)?;
+    let text = fs::read_to_string(&path).map_err(|source| StartError::Read {
+        path: path.display().to_string(),
+        source,
+    })?;
+    let place = ::platform::read_boot(&text).map_err(StartError::Platform)?;
+    let _log = trace::start_bounded_logging(log::LevelFilter::Info).map_err(StartError::System)?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::System)?;
+    trace::Line::new("started")
+        .with("host", &place.host)
+        .with("zone", &place.zone)
+        .with("listen", place.listen)
+        .with("links", place.links)
+        .info();
+    let local = task::LocalSet::new();
+    let served = local.block_on(&runtime, async {
+        let client = web::Client::new();
+        let store = ::platform::store(client.clone(), place.store);
+        let engines = ::platform::engines(client.clone());
+        let core = direct::Core::<::platform::Tracks>::new(place, store, engines, client);
+        direct::run(core).await
+    });
+    served.map_err(StartError::System)
+}
--- a/crates/daemon/src/app/program.rs
+++ b/crates/daemon/src/app/program.rs
@@ -5,6 +5,7 @@
 use crate::app::StartError;
 use crate::app::Stop;
 use crate::app::launch::Launch;
+use crate::app::platform;
 use crate::entry;
 use std::fs;
 use std::process;
@@ -37,6 +38,7 @@
             println!("{path}: valid");
             Ok(())
         }
+        Launch::Platform => platform::serve(),
         Launch::Serve(path) => serve(read_settings(&path)?),
     }
 }
--- /dev/null
+++ b/crates/direct/src/admit.rs
@@ -0,0 +1,255 @@
+//! From a caller's request to the way it is served.
+
+use crate::body::Body;
+use crate::core::Core;
+use crate::core::Force;
+use crate::guards::InHand;
+use crate::measure;
+use crate::plain;
+use crate::stream;
+use http::StatusCode;
+use hyper::body::Incoming;
+use rand::Rng;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// When to come back to an entry that knows no configuration yet.
+const UNREADY_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Answers of the entry's own are given this much before a route's timeout.
+const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(10);
+/// Units of a request where its organisation counts requests.
+const ONE_REQUEST: f64 = 1.0;
+
+/// A request that is admitted.
+pub(crate) struct Job {
+    pub(crate) call: seam::Call,
+    pub(crate) force: rc::Rc<Force>,
+    pub(crate) route: seam::Route,
+    pub(crate) service: Name,
+    pub(crate) tenant: Option<Name>,
+    pub(crate) rank: u8,
+    pub(crate) arrived: time::Instant,
+    pub(crate) deadline: time::Instant,
+    pub(crate) digest: route::Digest,
+}
+
+impl Job {
+    /// The time that is left.
+    pub(crate) fn left(&self) -> time::Duration {
+        self.deadline
+            .saturating_duration_since(time::Instant::now())
+    }
+
+    /// Begins a log line about this request.
+    pub(crate) fn line(&self, event: &str) -> trace::Line {
+        trace::Line::new(event)
+            .with("request", &self.call.id)
+            .with("route", &self.route.name)
+            .with("age_ms", measure::millis(self.arrived.elapsed()))
+    }
+
+    /// Makes an answer of the entry's own.
+    pub(crate) fn reply(
+        &self,
+        status: StatusCode,
+        again: Option<time::Duration>,
+        reason: &'static str,
+    ) -> seam::Reply {
+        seam::Reply {
+            status,
+            id: Some(self.call.id.clone()),
+            again,
+            reason,
+        }
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn answer<P: seam::Platform>(
+    core: rc::Rc<Core<P>>,
+    request: hyper::Request<Incoming>,
+) -> hyper::Response<Body> {
+    let arrived = time::Instant::now();
+    let in_hand = InHand::new(&core);
+    let (head, incoming) = request.into_parts();
+    if P::asks_ready(&head) {
+        return ready_answer(&core);
+    }
+    let call = match P::read_call(&head) {
+        Ok(call) => call,
+        Err(fault) => {
+            trace::Line::new("head_refused").with("fault", fault).info();
+            let reply = seam::Reply {
+                status: StatusCode::BAD_REQUEST,
+                id: None,
+                again: None,
+                reason: "head",
+            };
+            return own::<P>(&reply);
+        }
+    };
+    let id = call.id.clone();
+    let most = core
+        .force()
+        .map_or(seam::Limits::default(), |f| f.agreement.limits)
+        .body_bytes;
+    let body = match read_body(incoming, most).await {
+        Ok(body) => body,
+        Err(status) => {
+            trace::Line::new("body_refused")
+                .with("request", &id)
+                .with("status", status.as_u16())
+                .info();
+            let reply = seam::Reply {
+                status,
+                id: Some(id),
+                again: None,
+                reason: "body",
+            };
+            return own::<P>(&reply);
+        }
+    };
+    let call = seam::Call { body, ..call };
+    let job = match admit(&core, call, arrived) {
+        Ok(job) => job,
+        Err(reply) => {
+            trace::Line::new("refused")
+                .with("request", &id)
+                .with("status", reply.status.as_u16())
+                .with("reason", reply.reason)
+                .with(
+                    "version",
+                    core.force().map_or(0, |f| f.agreement.version),
+                )
+                .info();
+            metrics::counter!("refused", "reason" => reply.reason).increment(1);
+            return own::<P>(&reply);
+        }
+    };
+    match job.route.repeat.streams() {
+        true => stream::serve(core, rc::Rc::new(job), in_hand).await,
+        false => plain::serve(core, job, in_hand).await,
+    }
+}
+
+/// Makes an answer of the entry's own.
+pub(crate) fn own<P: seam::Platform>(reply: &seam::Reply) -> hyper::Response<Body> {
+    let mut response = hyper::Response::new(Body::Whole(None));
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = P::own_headers(reply);
+    response
+}
+
+fn ready_answer<P: seam::Platform>(core: &Core<P>) -> hyper::Response<Body> {
+    let mut response = hyper::Response::new(Body::Whole(None));
+    if !core.ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+async fn read_body(incoming: Incoming, most: usize) -> Result<bytes::Bytes, StatusCode> {
+    use http_body_util::BodyExt;
+    let limited = http_body_util::Limited::new(incoming, most);
+    match limited.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// Decides whether a request may run, and for whom.
+fn admit<P: seam::Platform>(
+    core: &Core<P>,
+    call: seam::Call,
+    arrived: time::Instant,
+) -> Result<Job, seam::Reply> {
+    let refuse = |status, again, reason| seam::Reply {
+        status,
+        id: Some(call.id.clone()),
+        again,
+        reason,
+    };
+    let Some(force) = core.force() else {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(refuse(status, Some(UNREADY_PAUSE), "unconfigured"));
+    };
+    let agreement = &force.agreement;
+    let Some(route) = agreement.route(&call.host, call.path()) else {
+        return Err(refuse(StatusCode::NOT_FOUND, None, "no_route"));
+    };
+    let tenant = match (&agreement.tenants, route.open) {
+        (None, _) | (_, true) => None,
+        (Some(_), false) => {
+            let holder = call.key.as_ref().and_then(|k| agreement.holder(k));
+            let unknown = || refuse(StatusCode::UNAUTHORIZED, None, "no_key");
+            Some(holder.ok_or_else(unknown)?)
+        }
+    };
+    let now = time::Instant::now();
+    let digest = digest(&call, tenant);
+    if core.crashes.borrow().holds(digest) {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(refuse(status, None, "quarantined"));
+    }
+    if let Some(tenant) = tenant {
+        let units = units(&call, tenant);
+        let charged = core.allowance.borrow_mut().charge(tenant, units, now);
+        if let Err(wait) = charged {
+            let status = StatusCode::TOO_MANY_REQUESTS;
+            return Err(refuse(status, Some(wait), "over_allowance"));
+        }
+    }
+    let rank = tenant.and_then(|t| t.rank).unwrap_or(route.rank);
+    let service = draw(route);
+    let timeout = route.timeout.saturating_sub(TIMEOUT_MARGIN);
+    let patience = call.patience.unwrap_or(timeout).min(timeout);
+    let job = Job {
+        route: route.clone(),
+        service,
+        tenant: tenant.map(|t| t.name.clone()),
+        rank,
+        arrived,
+        deadline: arrived + patience,
+        digest,
+        force: force.clone(),
+        call,
+    };
+    core.retries.borrow_mut().request(&job.service, now);
+    Ok(job)
+}
+
+/// What a request counts against its organisation's allowance.
+fn units(call: &seam::Call, tenant: &seam::Tenant) -> f64 {
+    match (tenant.plain, call.tokens) {
+        (None, _) => ONE_REQUEST,
+        (Some(_), Some((prompt, answer))) => (prompt + answer) as f64,
+        (Some(plain), None) => plain as f64,
+    }
+}
+
+/// Draws a service by the route's weights.
+fn draw(route: &seam::Route) -> Name {
+    let whole: u32 = route.split.iter().map(|(_, w)| w).sum();
+    let mut left = match whole {
+        0 => 0,
+        whole => rand::rng().random_range(0..whole),
+    };
+    for (service, weight) in &route.split {
+        if left < *weight {
+            return service.clone();
+        }
+        left -= weight;
+    }
+    route.split.first().map_or(Name::from(""), |s| s.0.clone())
+}
+
+/// Names a request by what would crash an engine again.
+fn digest(call: &seam::Call, tenant: Option<&seam::Tenant>) -> route::Digest {
+    let who = tenant.map_or("", |t| &t.name);
+    let what = format!("{who} {}", call.target);
+    route::Digest::of_bytes(what.as_bytes(), &call.body)
+}
--- /dev/null
+++ b/crates/direct/src/core.rs
@@ -0,0 +1,244 @@
+//! All that one entry knows and shares between its tasks.
+
+use crate::measure;
+use crate::news::News;
+use crate::plain::Plains;
+use crate::queue::Pools;
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// Requests and prompts over which demand is measured.
+const DEMAND_SPAN: time::Duration = time::Duration::from_secs(8);
+
+/// The state of an entry; all of its tasks run on one thread.
+pub struct Core<P: seam::Platform> {
+    /// What the process was told of itself.
+    pub place: seam::Place,
+    pub(crate) store: P::Store,
+    pub(crate) upstreams: P::Upstreams,
+    pub(crate) links: rc::Rc<web::Client>,
+    pub(crate) agreement: cell::RefCell<Option<rc::Rc<Force>>>,
+    pub(crate) roster: cell::RefCell<pool::Roster>,
+    pub(crate) listed: cell::RefCell<Option<rc::Rc<Listing>>>,
+    pub(crate) pools: Pools,
+    pub(crate) plains: Plains,
+    pub(crate) allowance: cell::RefCell<pool::Allowance>,
+    pub(crate) retries: cell::RefCell<pool::Retries>,
+    pub(crate) crashes: cell::RefCell<route::Quarantine>,
+    pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Window>>,
+    pub(crate) peers: cell::RefCell<collections::BTreeMap<Name, Peer>>,
+    pub(crate) stopping: cell::Cell<bool>,
+    pub(crate) active: cell::Cell<usize>,
+}
+
+/// The configuration in force, also as it was read.
+#[derive(Debug)]
+pub(crate) struct Force {
+    pub(crate) agreement: seam::Agreement,
+    pub(crate) raw: bytes::Bytes,
+}
+
+/// The newest list of upstream hosts, as it was read.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub(crate) struct Listing {
+    pub(crate) revision: u64,
+    pub(crate) members: Vec<(String, String)>,
+}
+
+/// Another entry.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) news: Option<(time::Instant, News)>,
+    pub(crate) quiet: Option<time::Instant>,
+}
+
+impl<P: seam::Platform> Core<P> {
+    /// Begins with nothing known.
+    pub fn new(
+        place: seam::Place,
+        store: P::Store,
+        upstreams: P::Upstreams,
+        links: rc::Rc<web::Client>,
+    ) -> rc::Rc<Self> {
+        let duties = place.duties;
+        rc::Rc::new(Self {
+            store,
+            upstreams,
+            links,
+            agreement: cell::RefCell::default(),
+            roster: cell::RefCell::default(),
+            listed: cell::RefCell::default(),
+            pools: Pools::new(),
+            plains: Plains::default(),
+            allowance: cell::RefCell::new(pool::Allowance::new(duties.quota_window)),
+            retries: cell::RefCell::new(pool::Retries::new(
+                duties.retry_ratio,
+                duties.retry_slack,
+                duties.retry_window,
+            )),
+            crashes: cell::RefCell::default(),
+            demand: cell::RefCell::default(),
+            peers: cell::RefCell::default(),
+            stopping: cell::Cell::new(false),
+            active: cell::Cell::new(0),
+            place,
+        })
+    }
+
+    /// Tells whether callers' requests can be served.
+    pub(crate) fn ready(&self) -> bool {
+        let known = self.agreement.borrow().is_some() && self.listed.borrow().is_some();
+        known && !self.stopping.get()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn force(&self) -> Option<rc::Rc<Force>> {
+        self.agreement.borrow().clone()
+    }
+
+    /// Entries that share allowances and budgets, this one among them.
+    pub(crate) fn entries(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+
+    /// Takes a configuration from the store or a peer, unless it is older than
+    /// the one in force.
+    pub(crate) fn adopt(&self, raw: bytes::Bytes, from: &str) {
+        if self.force().is_some_and(|f| f.raw == raw) {
+            return;
+        }
+        let agreement = match P::read_agreement(&raw) {
+            Ok(agreement) => agreement,
+            Err(fault) => {
+                trace::Line::new("configuration_unreadable")
+                    .with("from", from)
+                    .with("fault", fault)
+                    .warn();
+                return;
+            }
+        };
+        let known = self.force().map_or(0, |f| f.agreement.version);
+        if agreement.version <= known {
+            trace::Line::new("configuration_older")
+                .with("from", from)
+                .with("version", agreement.version)
+                .with("known", known)
+                .info();
+            return;
+        }
+        trace::Line::new("configuration")
+            .with("from", from)
+            .with("version", agreement.version)
+            .with("routes", agreement.routes.len())
+            .info();
+        metrics::gauge!("configuration_version").set(agreement.version as f64);
+        *self.agreement.borrow_mut() = Some(rc::Rc::new(Force { agreement, raw }));
+        self.refresh();
+    }
+
+    /// Takes a list of upstream hosts from the store or a peer.
+    pub(crate) fn list(&self, listing: Listing, from: &str) {
+        let now = time::Instant::now();
+        let mut members = Vec::with_capacity(listing.members.len());
+        for (key, raw) in &listing.members {
+            match P::read_member(key, raw.as_bytes()) {
+                Ok(member) => members.push(member),
+                Err(fault) => trace::Line::new("member_unreadable")
+                    .with("from", from)
+                    .with("fault", fault)
+                    .info(),
+            }
+        }
+        let known = self.roster.borrow().revision();
+        if listing.revision < known {
+            return;
+        }
+        let before = self.conditions();
+        let gone = self
+            .roster
+            .borrow_mut()
+            .read(members, listing.revision, now);
+        for member in gone {
+            seam::Upstreams::part_with(&self.upstreams, member.address);
+        }
+        self.note_changes(&before, from, listing.revision);
+        *self.listed.borrow_mut() = Some(rc::Rc::new(listing));
+        self.refresh();
+    }
+
+    /// Brings the views of pools up to the configuration and the list.
+    pub(crate) fn refresh(&self) {
+        let Some(force) = self.force() else {
+            return;
+        };
+        let roster = self.roster.borrow();
+        for service in &force.agreement.services {
+            match &service.engine {
+                Some(facts) => self.pools.update(&service.name, facts, &roster),
+                None => self.plains.update(&service.name, &roster),
+            }
+        }
+    }
+
+    /// Notes a prompt that callers ask for, by service.
+    pub(crate) fn ask(&self, service: &Name, prompt: u64, now: time::Instant) {
+        let mut demand = self.demand.borrow_mut();
+        let window = demand
+            .entry(service.clone())
+            .or_insert_with(|| pool::Window::new(DEMAND_SPAN));
+        window.add(prompt as f64, now);
+    }
+
+    /// Prompt tokens a second that callers ask for here, by service.
+    pub(crate) fn asked(&self, now: time::Instant) -> collections::BTreeMap<Name, f64> {
+        let mut demand = self.demand.borrow_mut();
+        demand
+            .iter_mut()
+            .map(|(name, window)| {
+                let span = window.span().as_secs_f64();
+                (name.clone(), window.sum(now) / span)
+            })
+            .collect()
+    }
+
+    fn conditions(&self) -> collections::BTreeMap<Name, (seam::Condition, Option<seam::Part>)> {
+        let roster = self.roster.borrow();
+        roster
+            .all()
+            .map(|m| (m.id.clone(), (m.condition, m.part)))
+            .collect()
+    }
+
+    fn note_changes(
+        &self,
+        before: &collections::BTreeMap<Name, (seam::Condition, Option<seam::Part>)>,
+        from: &str,
+        revision: u64,
+    ) {
+        let after = self.conditions();
+        for (id, state) in &after {
+            if before.get(id) != Some(state) {
+                trace::Line::new("upstream")
+                    .with("id", id)
+                    .with("state", format!("{:?}", state.0))
+                    .with("part", measure::part_word(state.1))
+                    .with("from", from)
+                    .with("revision", revision)
+                    .info();
+            }
+        }
+        for id in before.keys().filter(|id| !after.contains_key(*id)) {
+            trace::Line::new("upstream")
+                .with("id", id)
+                .with("state", "Gone")
+                .with("from", from)
+                .with("revision", revision)
+                .info();
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/feed.rs
@@ -0,0 +1,125 @@
+//! What the platform's store tells: the configuration and the upstream hosts.
+
+use crate::core::Core;
+use crate::core::Listing;
+use rand::Rng;
+use seam::Store;
+use std::rc;
+use std::time;
+
+/// How long one watch waits: a connection that has gone silent is noticed by it.
+const WATCH_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Time between two readings of the list of upstream hosts; well below the time
+/// after which a leaving one may get nothing.
+const LIST_GAP: time::Duration = time::Duration::from_millis(650);
+/// The pause after the store has failed.
+const FAULT_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// The longest such pause.
+const FAULT_MOST: time::Duration = time::Duration::from_millis(700);
+
+/// Follows the configuration.
+pub(crate) async fn follow_agreement<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    let mut pause = Pause::new("configuration");
+    loop {
+        let read = core.store.get(P::AGREEMENT_KEY).await;
+        let after = match read {
+            Ok(Some(item)) => {
+                if let Some(raw) = item.value {
+                    core.adopt(raw, "store");
+                }
+                item.revision
+            }
+            Ok(None) => 0,
+            Err(fault) => {
+                pause.fail(fault).await;
+                continue;
+            }
+        };
+        pause.succeed();
+        if after == 0 {
+            tokio::time::sleep(FAULT_PAUSE).await;
+            continue;
+        }
+        if let Err(fault) = watch_agreement(&core, after).await {
+            pause.fail(fault).await;
+        }
+    }
+}
+
+/// Watches until the history is lost or the store fails.
+async fn watch_agreement<P: seam::Platform>(
+    core: &Core<P>,
+    after: u64,
+) -> Result<(), seam::StoreFault> {
+    let mut after = after;
+    loop {
+        match core.store.watch(P::AGREEMENT_KEY, after, WATCH_TIME).await? {
+            seam::Watched::Compacted => return Ok(()),
+            seam::Watched::Changes(items, revision) => {
+                for raw in items.into_iter().filter_map(|i| i.value) {
+                    core.adopt(raw, "watch");
+                }
+                after = after.max(revision);
+            }
+        }
+    }
+}
+
+/// Follows the list of upstream hosts.
+pub(crate) async fn follow_members<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    let mut pause = Pause::new("members");
+    loop {
+        match core.store.list(P::MEMBER_PREFIX, false).await {
+            Ok(page) => {
+                pause.succeed();
+                let members = page
+                    .items
+                    .into_iter()
+                    .filter_map(|i| Some((i.key, i.value?)))
+                    .map(|(key, raw)| (key, String::from_utf8_lossy(&raw).into_owned()))
+                    .collect();
+                let revision = page.revision;
+                core.list(Listing { revision, members }, "store");
+                tokio::time::sleep(LIST_GAP).await;
+            }
+            Err(fault) => pause.fail(fault).await,
+        }
+    }
+}
+
+/// Pauses between failures, drawn at random, and logs their first and last.
+struct Pause {
+    what: &'static str,
+    failures: u32,
+}
+
+impl Pause {
+    fn new(what: &'static str) -> Self {
+        Self { what, failures: 0 }
+    }
+
+    async fn fail(&mut self, fault: seam::StoreFault) {
+        if self.failures == 0 {
+            trace::Line::new("store_lost")
+                .with("reading", self.what)
+                .with("fault", fault)
+                .warn();
+        }
+        self.failures += 1;
+        let most = FAULT_PAUSE
+            .saturating_mul(1 << self.failures.min(4))
+            .min(FAULT_MOST);
+        let part = rand::rng().random_range(0.4..1.0);
+        tokio::time::sleep(most.mul_f64(part)).await;
+    }
+
+    fn succeed(&mut self) {
+        if self.failures > 0 {
+            trace::Line::new("store_regained")
+                .with("reading", self.what)
+                .with("failures", self.failures)
+                .info();
+        }
+        self.failures = 0;
+    }
+}
--- /dev/null
+++ b/crates/direct/src/guards.rs
@@ -0,0 +1,102 @@
+//! What is given back when a request ends early.
+
+use crate::core::Core;
+use std::rc;
+use world::Name;
+
+/// A reservation at an engine, released unless it was used.
+pub(crate) struct Hold<P: seam::Platform> {
+    core: rc::Rc<Core<P>>,
+    target: seam::Target,
+    name: Option<Name>,
+}
+
+impl<P: seam::Platform> Hold<P> {
+    /// Guards a reservation.
+    pub(crate) fn new(core: &rc::Rc<Core<P>>, target: &seam::Target, name: Name) -> Self {
+        Self {
+            core: core.clone(),
+            target: target.clone(),
+            name: Some(name),
+        }
+    }
+
+    /// Its name, for the request that uses it up.
+    pub(crate) fn name(&self) -> Option<Name> {
+        self.name.clone()
+    }
+
+    /// Notes that the engine has used it up.
+    pub(crate) fn used(&mut self) {
+        self.name = None;
+    }
+}
+
+impl<P: seam::Platform> Drop for Hold<P> {
+    fn drop(&mut self) {
+        let Some(name) = self.name.take() else {
+            return;
+        };
+        let (core, target) = (self.core.clone(), self.target.clone());
+        tokio::task::spawn_local(async move {
+            seam::Upstreams::release(&core.upstreams, &target, &name).await;
+        });
+    }
+}
+
+/// A prefilled KV cache, freed unless it was taken.
+pub(crate) struct Cache<P: seam::Platform> {
+    core: rc::Rc<Core<P>>,
+    source: Option<seam::Source>,
+}
+
+impl<P: seam::Platform> Cache<P> {
+    /// Guards a KV cache.
+    pub(crate) fn new(core: &rc::Rc<Core<P>>, source: seam::Source) -> Self {
+        Self {
+            core: core.clone(),
+            source: Some(source),
+        }
+    }
+
+    /// Where it lies, for the engine that takes it.
+    pub(crate) fn source(&self) -> Option<seam::Source> {
+        self.source.clone()
+    }
+
+    /// Notes that an engine has taken it.
+    pub(crate) fn taken(&mut self) {
+        self.source = None;
+    }
+}
+
+impl<P: seam::Platform> Drop for Cache<P> {
+    fn drop(&mut self) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let core = self.core.clone();
+        tokio::task::spawn_local(async move {
+            seam::Upstreams::forget(&core.upstreams, &source).await;
+        });
+    }
+}
+
+/// Counts a request in hand.
+pub(crate) struct InHand<P: seam::Platform> {
+    core: rc::Rc<Core<P>>,
+}
+
+impl<P: seam::Platform> InHand<P> {
+    /// Begins to count it.
+    pub(crate) fn new(core: &rc::Rc<Core<P>>) -> Self {
+        core.active.set(core.active.get() + 1);
+        Self { core: core.clone() }
+    }
+}
+
+impl<P: seam::Platform> Drop for InHand<P> {
+    fn drop(&mut self) {
+        self.core.active.set(self.core.active.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,23 @@
+//! An entry that calls engines and plain services directly, without agents.
+//!
+//! One thread carries all I/O of the process; the decisions are those of
+//! [`pool`]. What the platform is like is known only behind [`seam`]. The way of
+//! a request is drawn in docs/PLATFORM.md.
+
+mod admit;
+mod body;
+mod core;
+mod feed;
+mod guards;
+mod measure;
+mod news;
+mod orders;
+mod peers;
+mod plain;
+mod queue;
+mod serve;
+mod stop;
+mod stream;
+
+pub use crate::core::Core;
+pub use serve::run;
--- /dev/null
+++ b/crates/direct/src/news.rs
@@ -0,0 +1,115 @@
+//! What entries tell each other.
+
+use crate::core::Core;
+use crate::core::Listing;
+use std::collections;
+use std::time;
+use world::Name;
+
+/// What one entry tells a peer, a few times a second.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub(crate) struct News {
+    /// Who tells.
+    pub(crate) entry: Name,
+    /// The version of its configuration.
+    pub(crate) version: u64,
+    /// The store's revision of its list of upstream hosts.
+    pub(crate) listed: u64,
+    /// The age of that list in milliseconds.
+    pub(crate) age_ms: u64,
+    /// Its streams, by engine.
+    pub(crate) seats: collections::BTreeMap<Name, pool::Load>,
+    /// Its prompts, by engine, in tokens.
+    pub(crate) lanes: collections::BTreeMap<Name, u64>,
+    /// Its calls, by host of plain services.
+    pub(crate) calls: collections::BTreeMap<Name, u32>,
+    /// What it has let through, by organisation.
+    pub(crate) used: collections::BTreeMap<Name, f64>,
+    /// Prompt tokens a second that callers ask it for, by service.
+    pub(crate) asked: collections::BTreeMap<Name, f64>,
+    /// Tokens that wait for a seat, by service.
+    pub(crate) waiting: collections::BTreeMap<Name, u64>,
+}
+
+/// What a peer answers: what it knows better.
+#[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
+pub(crate) struct Better {
+    /// A newer configuration, as the store keeps it.
+    pub(crate) agreement: Option<String>,
+    /// A newer list of upstream hosts.
+    pub(crate) listing: Option<Listing>,
+}
+
+/// A list this old is worth replacing by a peer's.
+const LIST_OLD: time::Duration = time::Duration::from_millis(1_300);
+
+impl<P: seam::Platform> Core<P> {
+    /// What this entry tells its peers now.
+    pub(crate) fn news(&self, now: time::Instant) -> News {
+        let mut news = News {
+            entry: self.place.host.clone(),
+            version: self.force().map_or(0, |f| f.agreement.version),
+            listed: self.roster.borrow().revision(),
+            age_ms: self.list_age(now),
+            used: self.allowance.borrow_mut().used(now),
+            asked: self.asked(now),
+            ..News::default()
+        };
+        for (service, pool) in self.pools.all() {
+            news.seats.extend(pool.seats.borrow().own());
+            news.lanes.extend(pool.lanes.borrow().own());
+            let need = pool.line.borrow().need();
+            news.waiting.insert(service, need);
+        }
+        for (_, plain) in self.plains.all() {
+            news.calls.extend(plain.hosts.borrow().own());
+        }
+        news
+    }
+
+    /// Hears a peer's news; tells what this entry knows better.
+    pub(crate) fn hear(&self, news: News, now: time::Instant) -> Better {
+        let peer = news.entry.clone();
+        for (_, pool) in self.pools.all() {
+            let mut seats = pool.seats.borrow_mut();
+            seats.hear(&peer, news.seats.clone(), now);
+            drop(seats);
+            let mut lanes = pool.lanes.borrow_mut();
+            lanes.hear(&peer, news.lanes.clone(), now);
+        }
+        for (_, plain) in self.plains.all() {
+            let mut hosts = plain.hosts.borrow_mut();
+            hosts.hear(&peer, news.calls.clone(), now);
+        }
+        let mut allowance = self.allowance.borrow_mut();
+        allowance.hear(&peer, news.used.clone(), now);
+        drop(allowance);
+        let better = self.better(&news);
+        if let Some(known) = self.peers.borrow_mut().get_mut(&peer) {
+            known.news = Some((now, news));
+        }
+        better
+    }
+
+    fn better(&self, news: &News) -> Better {
+        let mut better = Better::default();
+        if let Some(force) = self.force()
+            && force.agreement.version > news.version
+        {
+            let text = std::str::from_utf8(&force.raw);
+            better.agreement = text.ok().map(str::to_owned);
+        }
+        let old = u128::from(news.age_ms) > LIST_OLD.as_millis();
+        let listing = self.listed.borrow().clone();
+        better.listing = listing
+            .filter(|l| old && l.revision > news.listed)
+            .map(|l| Listing::clone(&l));
+        better
+    }
+
+    fn list_age(&self, now: time::Instant) -> u64 {
+        let read = self.roster.borrow().read_at();
+        let age = read.map(|r| now.saturating_duration_since(r).as_millis());
+        age.and_then(|a| u64::try_from(a).ok()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/orders.rs
@@ -0,0 +1,229 @@
+//! Orders to engines: which reads prompts and which generates.
+
+use crate::core::Core;
+use crate::measure;
+use crate::queue::Pool;
+use pool::Step;
+use seam::Store;
+use seam::Upstreams;
+use std::collections;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// The key whose holder gives orders.
+const ORDERS_KEY: &str = "hornbeampitch/orders";
+/// How often the holder looks at the division of engines.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(400);
+/// How long an order may take to its engine.
+const ORDER_TRAVEL: time::Duration = time::Duration::from_millis(300);
+/// What an order takes longer than the engines' own time for it: running work.
+const ORDER_MARGIN: time::Duration = time::Duration::from_secs(6);
+/// News older than this says nothing about a peer's load.
+const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
+
+/// Orders that were taken and are not seen in the list yet.
+type Pending = collections::BTreeMap<Name, (seam::Part, time::Instant)>;
+
+/// Holds the key where it can, and gives orders while it does.
+pub(crate) async fn give<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    let mut orders = pool::Orders::new(core.place.duties.lease);
+    let mut balances: collections::BTreeMap<Name, pool::Balance> = collections::BTreeMap::new();
+    let mut pending = Pending::new();
+    loop {
+        tokio::time::sleep(LOOK_GAP).await;
+        if core.stopping.get() {
+            if let Some(lease) = orders.lease() {
+                // It lapses by itself where the store doesn't answer.
+                let _ = core.store.end(lease).await;
+            }
+            return;
+        }
+        keep(&core, &mut orders).await;
+        for (service, pool) in core.pools.all() {
+            let now = time::Instant::now();
+            let Some(fence) = orders.fence(ORDER_TRAVEL, now) else {
+                break;
+            };
+            pending.retain(|_, (_, until)| *until > now);
+            let engines = engines(&core, &service, &pool, &pending, now);
+            let (prefill, decode) = demand(&core, &service, &pool, &engines, now);
+            let balance = balances.entry(service.clone()).or_default();
+            let shift = balance.decide(&engines, prefill, decode, now);
+            let Some(shift) = shift else {
+                continue;
+            };
+            trace::Line::new("shift_wanted")
+                .with("service", &service)
+                .with("engine", &shift.id)
+                .with("part", measure::part_word(Some(shift.part)))
+                .with("prefill", format!("{prefill:.2}"))
+                .with("decode", format!("{decode:.2}"))
+                .with("fence", fence)
+                .info();
+            let switch = pool.facts.borrow().switch_time;
+            let ordered = order(&core, &mut orders, &shift, fence).await;
+            balance.ordered(time::Instant::now());
+            if ordered {
+                let until = time::Instant::now() + switch + ORDER_MARGIN;
+                pending.insert(shift.id, (shift.part, until));
+            }
+        }
+    }
+}
+
+/// Takes and renews the key.
+async fn keep<P: seam::Platform>(core: &Core<P>, orders: &mut pool::Orders) {
+    let now = time::Instant::now();
+    if orders.lapsed(now) {
+        orders.lose(now);
+    }
+    match orders.step(now) {
+        Step::Rest => {}
+        Step::Look => {
+            // A failure counts as a key that is held.
+            let free = matches!(core.store.get(ORDERS_KEY).await, Ok(None));
+            orders.look(free, time::Instant::now());
+        }
+        Step::Take => take(core, orders).await,
+        Step::Renew => {
+            let Some(lease) = orders.lease() else {
+                return;
+            };
+            match core.store.renew(lease).await {
+                Ok(true) => orders.renew(now),
+                Ok(false) => orders.lose(time::Instant::now()),
+                // It is tried again until the lease has run out by our clock.
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+async fn take<P: seam::Platform>(core: &Core<P>, orders: &mut pool::Orders) {
+    let sent = time::Instant::now();
+    let lease = core.store.grant(core.place.duties.lease).await;
+    let Ok(lease) = lease else {
+        orders.lose(time::Instant::now());
+        return;
+    };
+    let host = core.place.host.as_bytes();
+    let swapped = core.store.swap(ORDERS_KEY, 0, host, Some(lease)).await;
+    let now = time::Instant::now();
+    match swapped {
+        Ok(seam::Swapped::Done(fence)) => {
+            trace::Line::new("orders_taken").with("fence", fence).info();
+            orders.take(lease, fence, sent, now);
+        }
+        // After a lost answer the key may be ours; it then lapses unused.
+        Ok(_) | Err(_) => orders.lose(now),
+    }
+}
+
+/// Gives one order, on a lease that has just been renewed.
+async fn order<P: seam::Platform>(
+    core: &Core<P>,
+    orders: &mut pool::Orders,
+    shift: &pool::Shift,
+    fence: u64,
+) -> bool {
+    let Some(target) = core.target(&shift.id) else {
+        return false;
+    };
+    let Some(report) = core.upstreams.report(&target).await else {
+        return false;
+    };
+    if report.busy || report.part == Some(shift.part) {
+        return report.part == Some(shift.part);
+    }
+    let sent = time::Instant::now();
+    let Some(lease) = orders.lease() else {
+        return false;
+    };
+    match core.store.renew(lease).await {
+        Ok(true) => orders.renew(sent),
+        Ok(false) => {
+            orders.lose(time::Instant::now());
+            return false;
+        }
+        Err(_) => return false,
+    }
+    if orders.fence(ORDER_TRAVEL, time::Instant::now()) != Some(fence) {
+        return false;
+    }
+    let order = seam::Order {
+        part: shift.part,
+        holder: core.place.host.clone(),
+        fence,
+        expected: report.orders,
+    };
+    let answer = core.upstreams.order(&target, &order).await;
+    trace::Line::new("order")
+        .with("engine", &shift.id)
+        .with("part", measure::part_word(Some(shift.part)))
+        .with("fence", fence)
+        .with("answer", format!("{answer:?}"))
+        .info();
+    // One without an answer may have been taken.
+    matches!(answer, seam::Ordered::Taken | seam::Ordered::Failed)
+}
+
+/// The engines of a service as they are or will be.
+fn engines<P: seam::Platform>(
+    core: &Core<P>,
+    service: &str,
+    pool: &Pool,
+    pending: &Pending,
+    now: time::Instant,
+) -> Vec<pool::Engine> {
+    let roster = core.roster.borrow();
+    let (seats, lanes) = (pool.seats.borrow(), pool.lanes.borrow());
+    let ready = roster.ready(service);
+    ready
+        .filter_map(|m| {
+            let listed = m.part?;
+            let part = pending.get(&m.id).map_or(listed, |(part, _)| *part);
+            Some(pool::Engine {
+                id: m.id.clone(),
+                part,
+                load: seats.load(&m.id, now).tokens + lanes.backlog(&m.id, now),
+                speed: lanes.speed(&m.id),
+            })
+        })
+        .collect()
+}
+
+/// Engine time a second that prompts and streams take, in engines.
+fn demand<P: seam::Platform>(
+    core: &Core<P>,
+    service: &Name,
+    pool: &Pool,
+    engines: &[pool::Engine],
+    now: time::Instant,
+) -> (f64, f64) {
+    let own = core.asked(now).get(service).copied().unwrap_or(0.0);
+    let mut waiting = pool.line.borrow().need();
+    let mut asked = own;
+    for peer in core.peers.borrow().values() {
+        let Some((heard, news)) = &peer.news else {
+            continue;
+        };
+        if now.saturating_duration_since(*heard) < NEWS_MEMORY {
+            asked += news.asked.get(service).copied().unwrap_or(0.0);
+            waiting += news.waiting.get(service).copied().unwrap_or(0);
+        }
+    }
+    let readers = engines
+        .iter()
+        .filter(|e| e.part == seam::Part::Prefill)
+        .map(|e| e.speed);
+    let (speeds, count) = readers.fold((0.0, 0), |(sum, n), s| (sum + s, n + 1));
+    let seats = pool.seats.borrow();
+    let speed = match count {
+        0 => pool.lanes.borrow().speed(""),
+        count => speeds / f64::from(count),
+    };
+    let capacity = pool.facts.borrow().capacity.max(1) as f64;
+    let held = seats.fill(now) * seats.open() as f64;
+    (asked / speed, held + waiting as f64 / capacity)
+}
--- /dev/null
+++ b/crates/direct/src/peers.rs
@@ -0,0 +1,226 @@
+//! The other entries: found through the store, spoken to directly.
+
+use crate::body::Body;
+use crate::core::Core;
+use crate::core::Peer;
+use crate::news::Better;
+use crate::news::News;
+use crate::serve;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use seam::Store;
+use std::collections;
+use std::convert;
+use std::io;
+use std::net;
+use std::rc;
+use std::time;
+use tokio::net as aio;
+use world::Name;
+
+/// What the keys of entries begin with.
+const ENTRY_PREFIX: &str = "hornbeampitch/entry/";
+/// The life of an entry's key; one that has gone is forgotten after it.
+const ENTRY_LIFE: time::Duration = time::Duration::from_secs(10);
+/// Renewals for each life.
+const RENEW_GAP: time::Duration = time::Duration::from_secs(3);
+/// Time between two looks for new entries.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(1_500);
+/// Time between two messages to a peer.
+const NEWS_GAP: time::Duration = time::Duration::from_millis(250);
+/// How long a peer may take to answer.
+const NEWS_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// The pause after a peer didn't answer.
+const QUIET_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+/// Bytes of one message.
+const NEWS_BYTES: usize = 8 * 1024 * 1024;
+/// The pause after a failure of the store.
+const FAULT_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Starts to listen to peers, to make this entry known, and to speak.
+pub(crate) fn start<P: seam::Platform>(core: rc::Rc<Core<P>>) -> io::Result<()> {
+    let listener = serve::listen(core.place.links)?;
+    tokio::task::spawn_local(accept(core.clone(), listener));
+    tokio::task::spawn_local(announce(core.clone()));
+    tokio::task::spawn_local(look(core.clone()));
+    tokio::task::spawn_local(speak(core));
+    Ok(())
+}
+
+async fn accept<P: seam::Platform>(core: rc::Rc<Core<P>>, listener: aio::TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(FAULT_PAUSE).await;
+            continue;
+        };
+        // Without it, small messages would wait.
+        let _ = stream.set_nodelay(true);
+        let core = core.clone();
+        let service = service::service_fn(move |request: hyper::Request<Incoming>| {
+            let core = core.clone();
+            async move { Ok::<_, convert::Infallible>(receive(&core, request).await) }
+        });
+        tokio::task::spawn_local(async move {
+            let served = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service);
+            // A peer that has gone connects anew.
+            let _ = served.await;
+        });
+    }
+}
+
+async fn receive<P: seam::Platform>(
+    core: &Core<P>,
+    request: hyper::Request<Incoming>,
+) -> hyper::Response<Body> {
+    let limited = http_body_util::Limited::new(request.into_body(), NEWS_BYTES);
+    let body = limited.collect().await.map(|b| b.to_bytes());
+    let news = body
+        .ok()
+        .and_then(|b| serde_json::from_slice::<News>(&b).ok());
+    let Some(news) = news else {
+        trace::Line::new("news_unreadable").info();
+        let mut response = hyper::Response::new(Body::Whole(None));
+        *response.status_mut() = http::StatusCode::BAD_REQUEST;
+        return response;
+    };
+    let better = core.hear(news, time::Instant::now());
+    let text = serde_json::to_vec(&better).unwrap_or_default();
+    hyper::Response::new(Body::from(bytes::Bytes::from(text)))
+}
+
+/// Keeps this entry's key in the store.
+async fn announce<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    let mut lease = None;
+    loop {
+        let kept = match lease {
+            Some(held) => core.store.renew(held).await,
+            None => Ok(false),
+        };
+        match kept {
+            Ok(true) => tokio::time::sleep(RENEW_GAP).await,
+            Ok(false) => {
+                lease = register(&core).await;
+                if lease.is_none() {
+                    tokio::time::sleep(FAULT_PAUSE).await;
+                }
+            }
+            Err(_) => tokio::time::sleep(FAULT_PAUSE).await,
+        }
+        if core.stopping.get() {
+            return;
+        }
+    }
+}
+
+async fn register<P: seam::Platform>(core: &Core<P>) -> Option<seam::Lease> {
+    let key = format!("{ENTRY_PREFIX}{}", core.place.host);
+    let known = core.store.get(&key).await.ok()?;
+    let lease = core.store.grant(ENTRY_LIFE).await.ok()?;
+    let value = core.place.links.to_string();
+    let revision = known.map_or(0, |i| i.revision);
+    let swapped = core
+        .store
+        .swap(&key, revision, value.as_bytes(), Some(lease))
+        .await;
+    matches!(swapped, Ok(seam::Swapped::Done(_))).then_some(lease)
+}
+
+/// Looks for entries in the store.
+async fn look<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    loop {
+        // While the store is away, the peers known so far are spoken to.
+        if let Ok(page) = core.store.list(ENTRY_PREFIX, true).await {
+            let found = page.items.iter().filter_map(entry);
+            let mut found: collections::BTreeMap<Name, net::SocketAddr> = found.collect();
+            found.remove(&core.place.host);
+            let mut peers = core.peers.borrow_mut();
+            peers.retain(|name, _| found.contains_key(name));
+            for (name, address) in found {
+                let peer = peers.entry(name).or_insert_with(|| Peer {
+                    address,
+                    news: None,
+                    quiet: None,
+                });
+                peer.address = address;
+            }
+        }
+        tokio::time::sleep(LOOK_GAP).await;
+    }
+}
+
+fn entry(item: &seam::Item) -> Option<(Name, net::SocketAddr)> {
+    let name = item.key.strip_prefix(ENTRY_PREFIX)?;
+    let value = item.value.as_ref()?;
+    let address = std::str::from_utf8(value).ok()?.parse().ok()?;
+    Some((Name::from(name), address))
+}
+
+/// Tells every peer what there is.
+async fn speak<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    loop {
+        tokio::time::sleep(NEWS_GAP).await;
+        let now = time::Instant::now();
+        let due: Vec<(Name, net::SocketAddr)> = core
+            .peers
+            .borrow()
+            .iter()
+            .filter(|(_, p)| p.quiet.is_none_or(|q| q <= now))
+            .map(|(n, p)| (n.clone(), p.address))
+            .collect();
+        if due.is_empty() {
+            continue;
+        }
+        let text = serde_json::to_vec(&core.news(now)).unwrap_or_default();
+        let text = bytes::Bytes::from(text);
+        for (name, address) in due {
+            tokio::task::spawn_local(tell(core.clone(), name, address, text.clone()));
+        }
+    }
+}
+
+async fn tell<P: seam::Platform>(
+    core: rc::Rc<Core<P>>,
+    name: Name,
+    address: net::SocketAddr,
+    text: bytes::Bytes,
+) {
+    let better = exchange(&core, address, text).await;
+    let now = time::Instant::now();
+    if let Some(peer) = core.peers.borrow_mut().get_mut(&name) {
+        let lost = better.is_none();
+        if lost != peer.quiet.is_some() {
+            let event = if lost { "peer_lost" } else { "peer_regained" };
+            trace::Line::new(event).with("peer", &name).info();
+        }
+        peer.quiet = lost.then(|| now + QUIET_PAUSE);
+    }
+    let Some(better) = better else {
+        return;
+    };
+    if let Some(raw) = better.agreement {
+        core.adopt(bytes::Bytes::from(raw), &name);
+    }
+    if let Some(listing) = better.listing {
+        core.list(listing, &name);
+    }
+}
+
+async fn exchange<P: seam::Platform>(
+    core: &Core<P>,
+    address: net::SocketAddr,
+    text: bytes::Bytes,
+) -> Option<Better> {
+    let by = time::Instant::now() + NEWS_TIMEOUT;
+    let request = hyper::Request::builder()
+        .method(http::Method::POST)
+        .uri("/news")
+        .header(http::header::HOST, address.to_string())
+        .body(web::Whole::from(text))
+        .ok()?;
+    let answer = core.links.call(address, request, by).await.ok()?;
+    let body = answer.whole(NEWS_BYTES, by).await?;
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/direct/src/plain.rs
@@ -0,0 +1,325 @@
+//! Calls to plain services.
+
+use crate::admit;
+use crate::admit::Job;
+use crate::body::Body;
+use crate::body::Piece;
+use crate::core::Core;
+use crate::guards::InHand;
+use crate::measure;
+use http::StatusCode;
+use seam::Stream;
+use seam::Upstreams;
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// Bodies up to this size are read whole before the answer's head is sent, so
+/// that one that breaks off can still become another answer.
+const WHOLE_BYTES: usize = 64 * 1024;
+/// When to come back where no host of a service could take a call.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
+/// How many targets an idempotent call waits for its first host's answer.
+const TRY_TARGETS: u32 = 2;
+
+/// The hosts of all plain services.
+#[derive(Debug, Default)]
+pub(crate) struct Plains {
+    services: cell::RefCell<collections::BTreeMap<Name, rc::Rc<Plain>>>,
+}
+
+/// The hosts of one plain service.
+#[derive(Debug, Default)]
+pub(crate) struct Plain {
+    pub(crate) hosts: cell::RefCell<pool::Hosts>,
+}
+
+/// A call counted at a host.
+struct Counted {
+    plain: rc::Rc<Plain>,
+    host: Name,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.plain.hosts.borrow_mut().leave(&self.host);
+    }
+}
+
+impl Plains {
+    /// Takes the hosts of a service as they are now.
+    pub(crate) fn update(&self, service: &Name, roster: &pool::Roster) {
+        let mut services = self.services.borrow_mut();
+        let plain = services.entry(service.clone()).or_default();
+        plain.hosts.borrow_mut().update(roster.ready(service));
+    }
+
+    /// Finds a service.
+    pub(crate) fn get(&self, service: &str) -> Option<rc::Rc<Plain>> {
+        self.services.borrow().get(service).cloned()
+    }
+
+    /// All services, by name.
+    pub(crate) fn all(&self) -> Vec<(Name, rc::Rc<Plain>)> {
+        let services = self.services.borrow();
+        services
+            .iter()
+            .map(|(n, p)| (n.clone(), p.clone()))
+            .collect()
+    }
+}
+
+/// How one try ended.
+enum Tried<S> {
+    /// The host's answer, with its bytes where they were read whole.
+    Answered(seam::Answer<S>, Option<bytes::Bytes>),
+    /// The host says that it has not run the call, or was not reached.
+    Unrun(&'static str),
+    /// The call may have run.
+    Unknown(&'static str),
+}
+
+/// Serves a call to a plain service.
+pub(crate) async fn serve<P: seam::Platform>(
+    core: rc::Rc<Core<P>>,
+    job: Job,
+    in_hand: InHand<P>,
+) -> hyper::Response<Body> {
+    let Some(plain) = core.plains.get(&job.service) else {
+        let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
+        return refuse(&core, &job, &reply);
+    };
+    let repeatable = job.route.repeat.repeatable();
+    let mut tried: Vec<Name> = Vec::new();
+    let mut may_have_run = false;
+    let mut sent = 0;
+    loop {
+        if job.left().is_zero() {
+            return late(&core, &job, may_have_run);
+        }
+        let now = time::Instant::now();
+        let picked = plain.hosts.borrow().pick(&core.place.zone, &tried, now);
+        let target = picked.and_then(|id| core.target(&id));
+        let Some(target) = target else {
+            return nowhere(&core, &job, may_have_run);
+        };
+        if sent > 0 {
+            let entries = core.entries();
+            let granted = core
+                .retries
+                .borrow_mut()
+                .take(&job.service, entries, now);
+            if !granted {
+                return nowhere(&core, &job, may_have_run);
+            }
+        }
+        tried.push(target.id.clone());
+        let last = !repeatable || sent + 1 >= job.route.attempts;
+        let outcome = attempt(&core, &plain, &job, &target, last).await;
+        let word = match &outcome {
+            Tried::Answered(answer, _) => answer.status.as_u16().to_string(),
+            Tried::Unrun(why) | Tried::Unknown(why) => (*why).to_owned(),
+        };
+        job.line("call")
+            .with("upstream", &target.id)
+            .with("outcome", &word)
+            .with("try", tried.len())
+            .info();
+        match outcome {
+            Tried::Answered(answer, body) => {
+                let failed = answer.status.is_server_error();
+                if failed && !last && tried.len() < 3 {
+                    sent += 1;
+                    may_have_run = true;
+                    if retry_possible(&core, &plain, &job, &tried) {
+                        continue;
+                    }
+                }
+                metrics::histogram!("answer_seconds", "kind" => "plain")
+                    .record(job.arrived.elapsed().as_secs_f64());
+                return pass_on(answer, body, in_hand, job);
+            }
+            Tried::Unrun("unconnected") => {}
+            Tried::Unrun(_) => sent += 1,
+            Tried::Unknown(_) => {
+                sent += 1;
+                may_have_run = true;
+                if last {
+                    return late(&core, &job, true);
+                }
+            }
+        }
+    }
+}
+
+fn retry_possible<P: seam::Platform>(
+    core: &Core<P>,
+    plain: &Plain,
+    job: &Job,
+    tried: &[Name],
+) -> bool {
+    let now = time::Instant::now();
+    let other = plain.hosts.borrow().pick(&core.place.zone, tried, now);
+    other.is_some() && job.left() > job.route.target / 4
+}
+
+async fn attempt<P: seam::Platform>(
+    core: &rc::Rc<Core<P>>,
+    plain: &rc::Rc<Plain>,
+    job: &Job,
+    target: &seam::Target,
+    last: bool,
+) -> Tried<<P::Upstreams as Upstreams>::Stream> {
+    plain.hosts.borrow_mut().take(&target.id);
+    let _counted = Counted {
+        plain: plain.clone(),
+        host: target.id.clone(),
+    };
+    let by = match last {
+        true => job.deadline,
+        false => {
+            let patience = job.route.target * TRY_TARGETS;
+            job.deadline.min(time::Instant::now() + patience)
+        }
+    };
+    let begin = seam::Begin {
+        tenant: job.tenant.clone(),
+        left: Some(job.left()),
+        ..seam::Begin::default()
+    };
+    let answered = core.upstreams.begin(target, &job.call, &begin, by).await;
+    let now = time::Instant::now();
+    let mut answer = match answered {
+        Ok(answer) => answer,
+        Err(fault) => {
+            plain.hosts.borrow_mut().fail(&target.id, now);
+            return match (fault.may_have_run, fault.cause) {
+                (false, _) => Tried::Unrun("unconnected"),
+                (true, seam::Cause::Late) => Tried::Unknown("late"),
+                (true, seam::Cause::Crossed) => Tried::Unknown("crossed"),
+                (true, _) => Tried::Unknown("broken"),
+            };
+        }
+    };
+    if answer.unrun {
+        plain.hosts.borrow_mut().refuse(&target.id, now);
+        return Tried::Unrun("refused");
+    }
+    let failed = answer.status.is_server_error();
+    plain.hosts.borrow_mut().answer(&target.id, failed);
+    if promises(answer.status) {
+        // Without the host's word that it hasn't run, such a status would
+        // promise more than is known.
+        return Tried::Unknown("unsure");
+    }
+    let small = answer
+        .stream
+        .length()
+        .is_none_or(|l| l <= WHOLE_BYTES as u64);
+    if !small {
+        return Tried::Answered(answer, None);
+    }
+    match read_whole(&mut answer.stream, by).await {
+        Some(bytes) => Tried::Answered(answer, Some(bytes)),
+        None => {
+            plain.hosts.borrow_mut().fail(&target.id, now);
+            Tried::Unknown("torn")
+        }
+    }
+}
+
+/// Tells whether a status says that a request has not run.
+pub(crate) fn promises(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+async fn read_whole(stream: &mut impl Stream, by: time::Instant) -> Option<bytes::Bytes> {
+    let mut all = bytes::BytesMut::new();
+    loop {
+        let piece = tokio::time::timeout_at(by.into(), stream.next()).await.ok()?;
+        match piece {
+            None => return Some(all.freeze()),
+            Some(Ok(bytes)) => all.extend_from_slice(&bytes),
+            Some(Err(_)) => return None,
+        }
+    }
+}
+
+fn pass_on<P: seam::Platform, S: Stream + 'static>(
+    answer: seam::Answer<S>,
+    body: Option<bytes::Bytes>,
+    in_hand: InHand<P>,
+    job: Job,
+) -> hyper::Response<Body> {
+    let body = match body {
+        Some(bytes) => Body::from(bytes),
+        None => {
+            let (feed, body) = Body::fed(answer.stream.length());
+            let mut stream = answer.stream;
+            tokio::task::spawn_local(async move {
+                let _in_hand = in_hand;
+                loop {
+                    let next = tokio::time::timeout_at(job.deadline.into(), stream.next());
+                    let piece = match next.await {
+                        Ok(Some(Ok(bytes))) => Piece::Data(bytes),
+                        Ok(None) => Piece::End,
+                        // The feed ends early, which breaks the answer off.
+                        Ok(Some(Err(_))) | Err(_) => return,
+                    };
+                    let ended = matches!(piece, Piece::End);
+                    if feed.send(piece).await.is_err() || ended {
+                        return;
+                    }
+                }
+            });
+            body
+        }
+    };
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+fn nowhere<P: seam::Platform>(
+    core: &Core<P>,
+    job: &Job,
+    may_have_run: bool,
+) -> hyper::Response<Body> {
+    let reply = match may_have_run {
+        true => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
+        false => job.reply(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Some(FULL_PAUSE),
+            "no_host",
+        ),
+    };
+    refuse(core, job, &reply)
+}
+
+fn late<P: seam::Platform>(core: &Core<P>, job: &Job, may_have_run: bool) -> hyper::Response<Body> {
+    let status = match may_have_run {
+        true => StatusCode::GATEWAY_TIMEOUT,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let reply = job.reply(status, None, "timeout");
+    refuse(core, job, &reply)
+}
+
+/// Logs and makes an answer of the entry's own.
+pub(crate) fn refuse<P: seam::Platform>(
+    core: &Core<P>,
+    job: &Job,
+    reply: &seam::Reply,
+) -> hyper::Response<Body> {
+    job.line("refused")
+        .with("status", reply.status.as_u16())
+        .with("reason", reply.reason)
+        .with("again_ms", reply.again.map_or(0, measure::millis))
+        .with("list", core.roster.borrow().revision())
+        .info();
+    metrics::counter!("refused", "reason" => reply.reason).increment(1);
+    admit::own::<P>(reply)
+}
--- /dev/null
+++ b/crates/direct/src/stop.rs
@@ -0,0 +1,53 @@
+//! Stops that cut off no request.
+
+use crate::core::Core;
+use std::io;
+use std::rc;
+use std::time;
+use tokio::signal::unix;
+use tokio::sync::watch;
+
+/// How long connections are still taken after the word to stop: the platform
+/// needs two misses, a second apart, before it sends callers elsewhere.
+const TURN_AWAY: time::Duration = time::Duration::from_millis(2_700);
+/// How often it is looked whether requests are still in hand.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
+/// What is left of the grace for the process to end in.
+const END_MARGIN: time::Duration = time::Duration::from_millis(250);
+
+/// Waits for the word to stop, then until all requests are answered.
+pub(crate) async fn wait<P: seam::Platform>(
+    core: &rc::Rc<Core<P>>,
+    closing: &watch::Sender<bool>,
+) -> io::Result<()> {
+    let mut term = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            // The settings name addresses and bounds only; they are read anew
+            // at each start. A connection must not be lost over them.
+            _ = hangup.recv() => trace::Line::new("reload").info(),
+        }
+    }
+    let told = time::Instant::now();
+    core.stopping.set(true);
+    trace::Line::new("stopping")
+        .with("requests", core.active.get())
+        .info();
+    tokio::time::sleep(TURN_AWAY).await;
+    // The receivers are the connections; there may be none.
+    let _ = closing.send(true);
+    let end = told + core.place.duties.grace.saturating_sub(END_MARGIN);
+    while core.active.get() > 0 && time::Instant::now() < end {
+        tokio::time::sleep(LOOK_GAP).await;
+    }
+    // The last bytes of answers are still on their way out.
+    tokio::time::sleep(LOOK_GAP * 2).await;
+    trace::Line::new("stopped")
+        .with("requests", core.active.get())
+        .info();
+    Ok(())
+}
--- /dev/null
+++ b/crates/direct/src/stream.rs
@@ -0,0 +1,490 @@
+//! Streams: a seat first, then the prompt, then the answer, event by event.
+
+use crate::admit::Job;
+use crate::body::Body;
+use crate::body::Piece;
+use crate::core::Core;
+use crate::guards::Cache;
+use crate::guards::Hold;
+use crate::guards::InHand;
+use crate::measure;
+use crate::plain;
+use crate::queue::Pool;
+use crate::queue::Seat;
+use http::StatusCode;
+use seam::Stream;
+use seam::Upstreams;
+use std::rc;
+use std::time;
+use tokio::sync::mpsc;
+use world::Name;
+
+/// When to come back where every seat is taken.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(900);
+/// Time for a reservation's call.
+const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// What a reservation lasts longer than its prompt is expected to take.
+const HOLD_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How much longer a prompt may take than expected.
+const PROMPT_FACTOR: u32 = 3;
+/// Least time that a prompt is given.
+const PROMPT_LEAST: time::Duration = time::Duration::from_millis(600);
+/// A stream without bytes for so long has stalled: its caller would leave after
+/// two seconds at the least.
+const STALL_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// How long the first event may take after the engine has the prompt.
+const FIRST_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// Tries of one request in all.
+const TRIES_MOST: u32 = 6;
+
+/// A stream that an engine has begun.
+struct Begun<S> {
+    answer: seam::Answer<S>,
+    engine: Name,
+    seat: Seat,
+}
+
+/// Why no engine has begun a stream.
+enum Miss {
+    /// It has not run; another try may help.
+    Unrun(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+    /// It can't be served any more.
+    Lost,
+}
+
+/// Serves a request whose answer is a stream.
+pub(crate) async fn serve<P: seam::Platform>(
+    core: rc::Rc<Core<P>>,
+    job: rc::Rc<Job>,
+    in_hand: InHand<P>,
+) -> hyper::Response<Body> {
+    let Some(pool) = core.pools.get(&job.service) else {
+        let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
+        return plain::refuse(&core, &job, &reply);
+    };
+    core.ask(&job.service, job.call.prompt(), job.arrived);
+    let mut runner = Runner::new(core.clone(), pool, job.clone());
+    let begun = match runner.begin(job.call.after).await {
+        Ok(begun) => begun,
+        Err(miss) => return missed(&core, &job, &miss),
+    };
+    let (feed, body) = Body::fed(None);
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = begun.answer.status;
+    *response.headers_mut() = begun.answer.headers.clone();
+    tokio::task::spawn_local(async move {
+        let _in_hand = in_hand;
+        runner.pump(begun, feed).await;
+    });
+    response
+}
+
+fn missed<P: seam::Platform>(core: &Core<P>, job: &Job, miss: &Miss) -> hyper::Response<Body> {
+    let reply = match miss {
+        Miss::Lost | Miss::Unrun(_) => {
+            let again = (job.left() > FULL_PAUSE * 3).then_some(FULL_PAUSE);
+            job.reply(StatusCode::SERVICE_UNAVAILABLE, again, "no_seat")
+        }
+        Miss::Unknown(_) if job.left().is_zero() => {
+            job.reply(StatusCode::GATEWAY_TIMEOUT, None, "timeout")
+        }
+        Miss::Unknown(_) => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
+    };
+    plain::refuse(core, job, &reply)
+}
+
+struct Runner<P: seam::Platform> {
+    core: rc::Rc<Core<P>>,
+    pool: rc::Rc<Pool>,
+    job: rc::Rc<Job>,
+    ticket: pool::Ticket,
+    tries: u32,
+    prompts: u32,
+    sends: u32,
+    may_have_run: bool,
+}
+
+impl<P: seam::Platform> Runner<P> {
+    fn new(core: rc::Rc<Core<P>>, pool: rc::Rc<Pool>, job: rc::Rc<Job>) -> Self {
+        let ticket = core.pools.ticket();
+        Self {
+            core,
+            pool,
+            job,
+            ticket,
+            tries: 0,
+            prompts: 0,
+            sends: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Tries engines until one has begun the stream.
+    async fn begin(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<Begun<<P::Upstreams as Upstreams>::Stream>, Miss> {
+        loop {
+            let missed = match self.attempt(after).await {
+                Ok(begun) => return Ok(begun),
+                Err(missed) => missed,
+            };
+            self.tries += 1;
+            let why = match missed {
+                Miss::Unrun(why) => why,
+                Miss::Unknown(why) => {
+                    self.may_have_run = true;
+                    if !self.job.route.repeat.repeatable() {
+                        return Err(missed);
+                    }
+                    why
+                }
+                Miss::Lost if self.may_have_run => return Err(Miss::Unknown("lost")),
+                Miss::Lost => return Err(missed),
+            };
+            self.job
+                .line("stream_missed")
+                .with("why", why)
+                .with("tries", self.tries)
+                .info();
+            if self.tries >= TRIES_MOST || self.job.left().is_zero() {
+                return Err(match self.may_have_run {
+                    true => Miss::Unknown(why),
+                    false => missed,
+                });
+            }
+        }
+    }
+
+    /// Waits for a seat, has the prompt read, and begins the stream.
+    async fn attempt(
+        &mut self,
+        after: Option<u64>,
+    ) -> Result<Begun<<P::Upstreams as Upstreams>::Stream>, Miss> {
+        let job = self.job.clone();
+        let need = job.call.memory();
+        let wait = pool::Wait {
+            need,
+            target: job.arrived + job.route.target,
+            deadline: job.deadline,
+            rank: if after.is_some() { 0 } else { job.rank },
+        };
+        let zone = self.core.place.zone.clone();
+        let seat = self.pool.wait(self.ticket, wait, &zone).await;
+        let seat = seat.ok_or(Miss::Lost)?;
+        let engine = seat.engine.clone();
+        let target = self.core.target(&engine).ok_or(Miss::Unrun("gone"))?;
+        let zone = self.pool.seats.borrow().zone(&engine).cloned();
+        let lane = self.pool.read(job.call.prompt(), zone.as_deref());
+        let expected = lane.as_ref().map_or(time::Duration::ZERO, |(_, t)| *t);
+        let mut hold = self.reserve(&target, need, expected).await?;
+        let mut cache = match lane {
+            Some((reading, expected)) => self.read_prompt(reading, expected).await?,
+            None => None,
+        };
+        if self.sends > 0 && !self.may_repeat() {
+            return Err(Miss::Lost);
+        }
+        self.sends += 1;
+        let begin = seam::Begin {
+            tenant: job.tenant.clone(),
+            left: Some(job.left()),
+            hold: hold.name(),
+            source: cache.as_ref().and_then(Cache::source),
+            after,
+            rank: None,
+        };
+        let by = job.deadline.min(time::Instant::now() + FIRST_TIME * 2);
+        let answered = self
+            .core
+            .upstreams
+            .begin(&target, &job.call, &begin, by)
+            .await;
+        let now = time::Instant::now();
+        let answer = match answered {
+            Ok(answer) => answer,
+            Err(fault) => {
+                self.pool.seats.borrow_mut().fail(&engine, now);
+                let why = match fault.cause {
+                    seam::Cause::Unconnected => "unconnected",
+                    seam::Cause::Late => "late",
+                    seam::Cause::Broken => "broken",
+                    seam::Cause::Crossed => "crossed",
+                };
+                return Err(match fault.may_have_run {
+                    true => Miss::Unknown(why),
+                    false => Miss::Unrun(why),
+                });
+            }
+        };
+        if answer.unrun {
+            self.pool.seats.borrow_mut().refuse(&engine, now);
+            return Err(Miss::Unrun("refused"));
+        }
+        hold.used();
+        if let Some(cache) = &mut cache {
+            cache.taken();
+        }
+        if plain::promises(answer.status) {
+            return Err(Miss::Unknown("unsure"));
+        }
+        self.pool.seats.borrow_mut().succeed(&engine);
+        job.line("stream")
+            .with("upstream", &engine)
+            .with("status", answer.status.as_u16())
+            .with("tries", self.tries + 1)
+            .with("prefilled", cache.is_some())
+            .with("after", after.unwrap_or(0))
+            .info();
+        Ok(Begun {
+            answer,
+            engine,
+            seat,
+        })
+    }
+
+    async fn reserve(
+        &mut self,
+        target: &seam::Target,
+        need: u64,
+        expected: time::Duration,
+    ) -> Result<Hold<P>, Miss> {
+        let most = self.pool.facts.borrow().hold_life;
+        let life = (expected * 2 + HOLD_MARGIN).min(most);
+        let by = time::Instant::now() + RESERVE_TIMEOUT;
+        let reserved = self.core.upstreams.reserve(target, need, life, by).await;
+        let now = time::Instant::now();
+        let mut seats = self.pool.seats.borrow_mut();
+        match reserved {
+            seam::Reserved::Held(name) => Ok(Hold::new(&self.core, target, name)),
+            seam::Reserved::Full => {
+                seats.refuse(&target.id, now);
+                // Room is the engine's to tell; asking is no try of the request.
+                self.tries = self.tries.saturating_sub(1);
+                Err(Miss::Unrun("full"))
+            }
+            seam::Reserved::Failed(_) => {
+                seats.fail(&target.id, now);
+                Err(Miss::Unrun("unreserved"))
+            }
+        }
+    }
+
+    /// Has the prompt read; none where the decode engine is to read it itself.
+    async fn read_prompt(
+        &mut self,
+        reading: crate::queue::Reading,
+        expected: time::Duration,
+    ) -> Result<Option<Cache<P>>, Miss> {
+        if self.prompts > 0 && !self.may_repeat() {
+            return Ok(None);
+        }
+        self.prompts += 1;
+        let engine = reading.engine.clone();
+        let target = self.core.target(&engine).ok_or(Miss::Unrun("gone"))?;
+        let began = time::Instant::now();
+        let patience = (expected * PROMPT_FACTOR).max(PROMPT_LEAST);
+        let by = self.job.deadline.min(began + patience);
+        let begin = seam::Begin {
+            tenant: self.job.tenant.clone(),
+            left: Some(self.job.left()),
+            ..seam::Begin::default()
+        };
+        let prefilled = self
+            .core
+            .upstreams
+            .prefill(&target, &self.job.call, &begin, by)
+            .await;
+        let now = time::Instant::now();
+        let took = now.saturating_duration_since(began);
+        let mut lanes = self.pool.lanes.borrow_mut();
+        match prefilled {
+            seam::Prefilled::Ready(source) => {
+                lanes.learn(&engine, reading.backlog, took);
+                Ok(Some(Cache::new(&self.core, source)))
+            }
+            seam::Prefilled::Refused => {
+                lanes.fail(&engine, now);
+                Err(Miss::Unrun("prefill_refused"))
+            }
+            seam::Prefilled::Failed(cause) => {
+                lanes.fail(&engine, now);
+                self.job
+                    .line("prefill_failed")
+                    .with("upstream", &engine)
+                    .with("cause", cause)
+                    .with("took_ms", measure::millis(took))
+                    .info();
+                Err(Miss::Unrun("prefill_failed"))
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        let now = time::Instant::now();
+        let entries = self.core.entries();
+        let mut retries = self.core.retries.borrow_mut();
+        retries.take(&self.job.service, entries, now)
+    }
+
+    /// Passes events on, and goes on elsewhere where the route allows it.
+    async fn pump(
+        &mut self,
+        begun: Begun<<P::Upstreams as Upstreams>::Stream>,
+        feed: mpsc::Sender<Piece>,
+    ) {
+        let mut events = Events::new(self.job.call.after);
+        let mut begun = begun;
+        loop {
+            let end = self.pass(&mut begun, &mut events, &feed).await;
+            let now = time::Instant::now();
+            self.job
+                .line("stream_end")
+                .with("upstream", &begun.engine)
+                .with("end", end.word())
+                .with("events", events.passed)
+                .info();
+            match end {
+                End::Whole => {
+                    metrics::histogram!("answer_seconds", "kind" => "stream")
+                        .record(self.job.arrived.elapsed().as_secs_f64());
+                    // The caller may have gone; then nobody misses the end.
+                    let _ = feed.send(Piece::End).await;
+                    return;
+                }
+                End::Left | End::Overdue => return,
+                End::Broken | End::Stalled => {
+                    self.pool.seats.borrow_mut().fail(&begun.engine, now);
+                }
+            }
+            let ok = begun.answer.status == StatusCode::OK;
+            if !ok || self.job.route.repeat != seam::Repeat::Resumable {
+                return;
+            }
+            events.restart();
+            let (engine, after) = (begun.engine.clone(), events.last);
+            drop(begun);
+            self.may_have_run = true;
+            let resumed = tokio::select! {
+                resumed = self.begin(after) => resumed,
+                () = feed.closed() => return,
+            };
+            begun = match resumed {
+                Ok(next) if next.answer.status == StatusCode::OK => next,
+                Ok(_) | Err(_) => {
+                    self.job.line("stream_lost").with("upstream", engine).info();
+                    return;
+                }
+            };
+        }
+    }
+
+    async fn pass(
+        &self,
+        begun: &mut Begun<<P::Upstreams as Upstreams>::Stream>,
+        events: &mut Events,
+        feed: &mpsc::Sender<Piece>,
+    ) -> End {
+        let mut patience = FIRST_TIME;
+        loop {
+            let by = time::Instant::now() + patience;
+            let next = tokio::time::timeout_at(
+                by.min(self.job.deadline).into(),
+                begun.answer.stream.next(),
+            );
+            let next = tokio::select! {
+                next = next => next,
+                () = feed.closed() => return End::Left,
+            };
+            let bytes = match next {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(Some(Err(_))) => return End::Broken,
+                Ok(None) if events.inside() => return End::Broken,
+                Ok(None) => return End::Whole,
+                Err(_) if self.job.left().is_zero() => return End::Overdue,
+                Err(_) => return End::Stalled,
+            };
+            patience = STALL_TIME;
+            if events.passed == 0 {
+                metrics::histogram!("first_event_seconds")
+                    .record(self.job.arrived.elapsed().as_secs_f64());
+            }
+            if let Some(whole) = events.add(bytes)
+                && feed.send(Piece::Data(whole)).await.is_err()
+            {
+                return End::Left;
+            }
+        }
+    }
+}
+
+/// How an engine's part of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Whole,
+    Broken,
+    Stalled,
+    Left,
+    Overdue,
+}
+
+impl End {
+    fn word(self) -> &'static str {
+        match self {
+            End::Whole => "whole",
+            End::Broken => "broken",
+            End::Stalled => "stalled",
+            End::Left => "caller_left",
+            End::Overdue => "overdue",
+        }
+    }
+}
+
+/// Cuts a stream into whole events and knows the last one's id.
+struct Events {
+    rest: bytes::BytesMut,
+    last: Option<u64>,
+    passed: u64,
+}
+
+impl Events {
+    fn new(after: Option<u64>) -> Self {
+        Self {
+            rest: bytes::BytesMut::new(),
+            last: after,
+            passed: 0,
+        }
+    }
+
+    /// Adds bytes; gives all whole events.
+    fn add(&mut self, bytes: bytes::Bytes) -> Option<bytes::Bytes> {
+        let whole = match self.rest.is_empty() && bytes.ends_with(b"\n\n") {
+            true => bytes,
+            false => {
+                self.rest.extend_from_slice(&bytes);
+                let end = self.rest.windows(2).rposition(|w| w == b"\n\n")?;
+                self.rest.split_to(end + 2).freeze()
+            }
+        };
+        for line in whole.split(|b| *b == b'\n') {
+            if let Some(id) = line.strip_prefix(b"id:") {
+                let id = std::str::from_utf8(id).ok().map(str::trim);
+                self.last = id.and_then(|i| i.parse().ok()).or(self.last);
+                self.passed += 1;
+            }
+        }
+        Some(whole)
+    }
+
+    /// Tells whether an event has begun and not ended.
+    fn inside(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Forgets the event that broke off.
+    fn restart(&mut self) {
+        self.rest.clear();
+    }
+}
--- /dev/null
+++ b/crates/pool/src/balance.rs
@@ -0,0 +1,143 @@
+//! How many engines read prompts and how many generate.
+//!
+//! Answers traffic that shifts between long prompts and long answers, bursts,
+//! and engines that crash: the pool is divided in proportion to the engine time
+//! that each stage takes. A change takes seconds, so the wish must hold for a
+//! while first, and an emptied stage is refilled at once.
+
+use std::time;
+use world::Name;
+
+/// How long another division must be wanted before an order is given.
+const WISH_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// Least time between two orders while both stages have engines.
+const ORDER_GAP: time::Duration = time::Duration::from_millis(2_500);
+/// Part of the pool that reads prompts before any load was seen: with prompts
+/// of 3,000 tokens and answers of 900 steps, a prefill engine feeds four others.
+const FIRST_PART: f64 = 0.22;
+/// How far the wish must be from the present division, in engines.
+const HYSTERESIS: f64 = 0.6;
+/// Least part of a prefill engine's time that must be left for bursts.
+const HEADROOM: f64 = 1.25;
+
+/// An engine that takes orders.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// Names the life of its process.
+    pub id: Name,
+    /// What it does now, or was ordered to do last.
+    pub part: seam::Part,
+    /// Tokens that wait or lie there.
+    pub load: u64,
+    /// How fast it is, against the others.
+    pub speed: f64,
+}
+
+/// One change of an engine's part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Shift {
+    /// The engine.
+    pub id: Name,
+    /// The part it is to take.
+    pub part: seam::Part,
+}
+
+/// The division of one service's engines.
+#[derive(Clone, Debug)]
+pub struct Balance {
+    wish: Option<(seam::Part, time::Instant)>,
+    ordered: Option<time::Instant>,
+}
+
+impl Balance {
+    /// Begins without a wish.
+    pub fn new() -> Self {
+        Self {
+            wish: None,
+            ordered: None,
+        }
+    }
+
+    /// Decides on the next order, if any. `prefill` and `decode` are engines'
+    /// time a second that each stage takes at full batches, in engines.
+    pub fn decide(
+        &mut self,
+        engines: &[Engine],
+        prefill: f64,
+        decode: f64,
+        now: time::Instant,
+    ) -> Option<Shift> {
+        let count = engines.len();
+        if count < 2 {
+            return None;
+        }
+        let readers = of(engines, seam::Part::Prefill).count();
+        let wanted = wanted(count, prefill, decode);
+        let part = match readers as f64 - wanted {
+            over if over > HYSTERESIS && readers > 1 => seam::Part::Decode,
+            over if over < -HYSTERESIS && readers + 1 < count => seam::Part::Prefill,
+            _ => {
+                self.wish = None;
+                return None;
+            }
+        };
+        let urgent = readers == 0;
+        let since = match self.wish {
+            Some((wish, since)) if wish == part => since,
+            _ => now,
+        };
+        self.wish = Some((part, since));
+        let held = now.saturating_duration_since(since) >= WISH_TIME;
+        let rested = self
+            .ordered
+            .is_none_or(|o| now.saturating_duration_since(o) >= ORDER_GAP);
+        if !urgent && !(held && rested) {
+            return None;
+        }
+        let id = choose(engines, part)?;
+        Some(Shift { id, part })
+    }
+
+    /// Notes that an order was given.
+    pub fn ordered(&mut self, now: time::Instant) {
+        self.ordered = Some(now);
+        self.wish = None;
+    }
+}
+
+impl Default for Balance {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Engines that should read prompts, as a number with a fraction.
+fn wanted(count: usize, prefill: f64, decode: f64) -> f64 {
+    let busy = prefill + decode;
+    let part = match busy > 0.0 {
+        true => prefill * HEADROOM / (prefill * HEADROOM + decode),
+        false => FIRST_PART,
+    };
+    (part * count as f64).clamp(1.0, count as f64 - 1.0)
+}
+
+fn of(engines: &[Engine], part: seam::Part) -> impl Iterator<Item = &Engine> {
+    engines.iter().filter(move |e| e.part == part)
+}
+
+/// Picks whom to order: the one with the least to do.
+fn choose(engines: &[Engine], part: seam::Part) -> Option<Name> {
+    let from = match part {
+        seam::Part::Prefill => seam::Part::Decode,
+        seam::Part::Decode => seam::Part::Prefill,
+    };
+    let least = of(engines, from).min_by(|a, b| {
+        let speeds = a.speed.total_cmp(&b.speed);
+        match part {
+            // Slow engines leave the prompts first, where their time counts.
+            seam::Part::Decode => speeds.then(a.load.cmp(&b.load)),
+            seam::Part::Prefill => speeds.reverse().then(a.load.cmp(&b.load)),
+        }
+    });
+    least.map(|e| e.id.clone())
+}
--- /dev/null
+++ b/crates/pool/src/lanes.rs
@@ -0,0 +1,151 @@
+//! Where a prompt is read: the backlog of prefill engines.
+//!
+//! Answers the load of long prompts and bursts: each prompt goes where it will
+//! be read soonest, by the backlog that is known and the speed that was seen.
+
+use std::collections;
+use std::time;
+use world::Name;
+
+/// Tokens a second that an engine reads before any was seen.
+const FIRST_SPEED: f64 = 25_000.0;
+/// Weight of the past against each new reading of a speed.
+const SPEED_MEMORY: f64 = 0.7;
+/// Time for the call itself and the engine's first step.
+const CALL_TIME: f64 = 0.015;
+/// How long an engine that has refused or failed gets no prompts.
+const FAULT_TIME: time::Duration = time::Duration::from_millis(700);
+/// What a transfer between zones costs more, as time in seconds.
+const ZONE_COST: f64 = 0.02;
+/// After this silence a peer's prompts count no more.
+const PEER_MEMORY: time::Duration = time::Duration::from_millis(700);
+
+/// A view of the prefill engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Lanes {
+    engines: collections::BTreeMap<Name, Lane>,
+    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u64>)>,
+}
+
+#[derive(Clone, Debug)]
+struct Lane {
+    zone: Name,
+    own: u64,
+    speed: f64,
+    fault: Option<time::Instant>,
+    open: bool,
+}
+
+impl Lanes {
+    /// Takes the prefill engines that are ready.
+    pub fn update<'a>(&mut self, members: impl Iterator<Item = &'a seam::Member>) {
+        for lane in self.engines.values_mut() {
+            lane.open = false;
+        }
+        for member in members.filter(|m| m.part == Some(seam::Part::Prefill)) {
+            let lane = self.engines.entry(member.id.clone());
+            let lane = lane.or_insert_with(|| Lane {
+                zone: member.zone.clone(),
+                own: 0,
+                speed: FIRST_SPEED,
+                fault: None,
+                open: true,
+            });
+            lane.open = true;
+        }
+        self.engines.retain(|_, l| l.open || l.own > 0);
+    }
+
+    /// Picks the engine that will have read a prompt soonest, with the time.
+    pub fn pick(
+        &self,
+        prompt: u64,
+        zone: Option<&str>,
+        now: time::Instant,
+    ) -> Option<(Name, time::Duration)> {
+        let usable = self
+            .engines
+            .iter()
+            .filter(|(_, l)| l.open && l.fault.is_none_or(|f| f <= now))
+            .map(|(id, l)| {
+                let backlog = self.backlog(id, now) + prompt;
+                let time = backlog as f64 / l.speed + CALL_TIME;
+                let far = zone.is_some_and(|z| z != &*l.zone);
+                (time, time + if far { ZONE_COST } else { 0.0 }, id)
+            });
+        let (time, _, id) = usable.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some((id.clone(), time::Duration::from_secs_f64(time)))
+    }
+
+    /// Notes a prompt that is sent to an engine.
+    pub fn take(&mut self, id: &str, prompt: u64) {
+        if let Some(lane) = self.engines.get_mut(id) {
+            lane.own += prompt;
+        }
+    }
+
+    /// Notes that a prompt is no longer there.
+    pub fn leave(&mut self, id: &str, prompt: u64) {
+        if let Some(lane) = self.engines.get_mut(id) {
+            lane.own = lane.own.saturating_sub(prompt);
+        }
+    }
+
+    /// Learns from a prompt that was read in `took`, with `backlog` tokens at
+    /// the engine when it was sent, its own among them.
+    pub fn learn(&mut self, id: &str, backlog: u64, took: time::Duration) {
+        let Some(lane) = self.engines.get_mut(id) else {
+            return;
+        };
+        let seconds = (took.as_secs_f64() - CALL_TIME).max(0.005);
+        let speed = backlog as f64 / seconds;
+        lane.speed = SPEED_MEMORY * lane.speed + (1.0 - SPEED_MEMORY) * speed;
+        lane.fault = None;
+    }
+
+    /// Notes that an engine has refused or failed.
+    pub fn fail(&mut self, id: &str, now: time::Instant) {
+        if let Some(lane) = self.engines.get_mut(id) {
+            lane.fault = Some(now + FAULT_TIME);
+        }
+    }
+
+    /// Prompt tokens known at an engine.
+    pub fn backlog(&self, id: &str, now: time::Instant) -> u64 {
+        let own = self.engines.get(id).map_or(0, |l| l.own);
+        let peers = self.peers.values();
+        own + peers
+            .filter(|(heard, _)| now.saturating_duration_since(*heard) < PEER_MEMORY)
+            .map(|(_, backlogs)| backlogs.get(id).copied().unwrap_or(0))
+            .sum::<u64>()
+    }
+
+    /// The speed of an engine in tokens a second, as far as it was seen.
+    pub fn speed(&self, id: &str) -> f64 {
+        self.engines.get(id).map_or(FIRST_SPEED, |l| l.speed)
+    }
+
+    /// This entry's own prompts, for its peers.
+    pub fn own(&self) -> collections::BTreeMap<Name, u64> {
+        self.engines
+            .iter()
+            .filter(|(_, l)| l.own > 0)
+            .map(|(id, l)| (id.clone(), l.own))
+            .collect()
+    }
+
+    /// Hears of a peer's prompts.
+    pub fn hear(
+        &mut self,
+        peer: &Name,
+        backlogs: collections::BTreeMap<Name, u64>,
+        now: time::Instant,
+    ) {
+        self.peers.insert(peer.clone(), (now, backlogs));
+    }
+
+    /// Engines that take prompts.
+    pub fn open(&self) -> usize {
+        self.engines.values().filter(|l| l.open).count()
+    }
+}
--- /dev/null
+++ b/crates/pool/src/line.rs
@@ -0,0 +1,87 @@
+//! The order in which streams wait for a seat.
+//!
+//! Answers a burst beyond the decode pool's memory: work that can still be on
+//! time goes before work that can't, the oldest first; late work follows as
+//! there is room, and what can't be served any more is refused at once.
+
+use std::collections;
+use std::time;
+
+/// Time from a seat to the first event: reservation, prompt, transfer, first step.
+const START_TIME: time::Duration = time::Duration::from_millis(260);
+/// Least time that must be left for a stream to be worth a seat.
+const STREAM_TIME: time::Duration = time::Duration::from_millis(2_500);
+
+/// Names a waiting stream at this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What a waiting stream needs, and by when.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    /// Tokens of engine memory.
+    pub need: u64,
+    /// When its first event is due.
+    pub target: time::Instant,
+    /// When it must have ended.
+    pub deadline: time::Instant,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+}
+
+/// Streams that wait at one entry for one service.
+#[derive(Clone, Debug, Default)]
+pub struct Line {
+    waits: collections::BTreeMap<Ticket, Wait>,
+}
+
+impl Line {
+    /// Adds a stream, also one that lost its seat; tickets are in order of arrival.
+    pub fn join(&mut self, ticket: Ticket, wait: Wait) {
+        self.waits.insert(ticket, wait);
+    }
+
+    /// Takes a stream out, because it has gone or was served.
+    pub fn leave(&mut self, ticket: Ticket) {
+        self.waits.remove(&ticket);
+    }
+
+    /// Streams in the order in which seats are offered.
+    pub fn order(&self, now: time::Instant) -> Vec<(Ticket, Wait)> {
+        let mut all: Vec<_> = self.waits.iter().map(|(t, w)| (*t, *w)).collect();
+        all.sort_by_key(|(ticket, wait)| (wait.is_late(now), wait.rank, *ticket));
+        all
+    }
+
+    /// Streams that can't be served any more.
+    pub fn lost(&self, now: time::Instant) -> Vec<Ticket> {
+        let lost = self.waits.iter().filter(|(_, w)| w.is_lost(now));
+        lost.map(|(t, _)| *t).collect()
+    }
+
+    /// Streams that wait.
+    pub fn len(&self) -> usize {
+        self.waits.len()
+    }
+
+    /// Tells whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waits.is_empty()
+    }
+
+    /// Tokens of memory that are waited for.
+    pub fn need(&self) -> u64 {
+        self.waits.values().map(|w| w.need).sum()
+    }
+}
+
+impl Wait {
+    /// Tells whether its first event would be late if it began now.
+    pub fn is_late(&self, now: time::Instant) -> bool {
+        now + START_TIME > self.target
+    }
+
+    fn is_lost(&self, now: time::Instant) -> bool {
+        now + STREAM_TIME > self.deadline
+    }
+}
--- /dev/null
+++ b/crates/pool/src/orders.rs
@@ -0,0 +1,118 @@
+//! Who may give orders to engines.
+//!
+//! Answers races of entries, pauses and lost answers: one entry holds a leased
+//! key, whose revision is the fence of its orders. It gives none before the
+//! lease of its predecessor has run out, and none on a lease that it has not
+//! just renewed.
+
+use std::time;
+
+/// Renewals for each life of the lease.
+const RENEWALS: u32 = 3;
+
+/// What the holder's task does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Look whether the key is free.
+    Look,
+    /// Take a lease, then the key.
+    Take,
+    /// Renew the lease.
+    Renew,
+    /// Nothing yet.
+    Rest,
+}
+
+/// One entry's claim to give orders.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    life: time::Duration,
+    held: Option<Held>,
+    looked: Option<time::Instant>,
+    free: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    lease: seam::Lease,
+    fence: u64,
+    since: time::Instant,
+    renewed: time::Instant,
+}
+
+impl Orders {
+    /// Begins without the key; `life` is the lease's.
+    pub fn new(life: time::Duration) -> Self {
+        Self {
+            life,
+            held: None,
+            looked: None,
+            free: false,
+        }
+    }
+
+    /// What to do at `now`.
+    pub fn step(&self, now: time::Instant) -> Step {
+        let pause = self.life / RENEWALS;
+        match self.held {
+            Some(held) if now.saturating_duration_since(held.renewed) >= pause => Step::Renew,
+            Some(_) => Step::Rest,
+            None if self.free => Step::Take,
+            None => match self.looked {
+                Some(looked) if now.saturating_duration_since(looked) < pause => Step::Rest,
+                _ => Step::Look,
+            },
+        }
+    }
+
+    /// Notes whether the key was free when it was read.
+    pub fn look(&mut self, free: bool, now: time::Instant) {
+        self.looked = Some(now);
+        self.free = free;
+    }
+
+    /// Notes that the key was taken at a revision, by a call sent at `sent`.
+    pub fn take(&mut self, lease: seam::Lease, fence: u64, sent: time::Instant, now: time::Instant) {
+        self.free = false;
+        self.held = Some(Held {
+            lease,
+            fence,
+            since: now,
+            renewed: sent,
+        });
+    }
+
+    /// Notes that the lease was renewed by a call sent at `sent`.
+    pub fn renew(&mut self, sent: time::Instant) {
+        if let Some(held) = &mut self.held {
+            held.renewed = held.renewed.max(sent);
+        }
+    }
+
+    /// Notes that the key is lost, or may be.
+    pub fn lose(&mut self, now: time::Instant) {
+        self.held = None;
+        self.free = false;
+        self.looked = Some(now);
+    }
+
+    /// The lease that is held.
+    pub fn lease(&self) -> Option<seam::Lease> {
+        self.held.map(|h| h.lease)
+    }
+
+    /// Tells whether the lease may have run out, by this entry's clock.
+    pub fn lapsed(&self, now: time::Instant) -> bool {
+        self.held
+            .is_some_and(|h| now.saturating_duration_since(h.renewed) >= self.life)
+    }
+
+    /// The fence of orders, where one may be given by a call that reaches its
+    /// engine within `travel`.
+    pub fn fence(&self, travel: time::Duration, now: time::Instant) -> Option<u64> {
+        let held = self.held?;
+        let settled = now.saturating_duration_since(held.since) >= self.life;
+        let sure = now.saturating_duration_since(held.renewed) + travel < self.life / 2;
+        (settled && sure).then_some(held.fence)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/seats.rs
@@ -0,0 +1,190 @@
+//! Where a stream may run: memory and places of decode engines.
+//!
+//! Answers the load of many streams on nearly full engines: each goes where the
+//! most room is left, and one that was refused is left alone for a moment. The
+//! engines themselves have the last word on room.
+
+use std::collections;
+use std::time;
+use world::Name;
+
+/// How long an engine that has refused counts as full, unless a stream ends there.
+const FULL_TIME: time::Duration = time::Duration::from_millis(60);
+/// How long an engine that failed gets no new streams, at first.
+const FAULT_TIME: time::Duration = time::Duration::from_millis(800);
+/// The longest such pause; it doubles with each failure in a row.
+const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
+/// How much fuller an engine of the same zone may be than another.
+const ZONE_WORTH: f64 = 0.04;
+/// After this silence a peer's streams count no more.
+const PEER_MEMORY: time::Duration = time::Duration::from_secs(2);
+
+/// Streams and their tokens at one engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Load {
+    /// Tokens of memory.
+    pub tokens: u64,
+    /// Streams.
+    pub streams: u32,
+}
+
+impl Load {
+    fn add(&mut self, other: Load) {
+        self.tokens += other.tokens;
+        self.streams += other.streams;
+    }
+}
+
+/// A view of the decode engines of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Seats {
+    engines: collections::BTreeMap<Name, Engine>,
+    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, Load>)>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    zone: Option<Name>,
+    capacity: u64,
+    slots: u32,
+    own: Load,
+    full: Option<time::Instant>,
+    fault: Option<time::Instant>,
+    faults: u32,
+    open: bool,
+}
+
+impl Seats {
+    /// Takes the decode engines that are ready.
+    pub fn update<'a>(
+        &mut self,
+        members: impl Iterator<Item = &'a seam::Member>,
+        facts: &seam::EngineFacts,
+    ) {
+        for engine in self.engines.values_mut() {
+            engine.open = false;
+        }
+        for member in members {
+            let engine = self.engines.entry(member.id.clone()).or_default();
+            engine.zone = Some(member.zone.clone());
+            engine.capacity = facts.capacity;
+            engine.slots = facts.slots;
+            engine.open = member.part != Some(seam::Part::Prefill);
+        }
+        self.engines.retain(|_, e| e.open || e.own.streams > 0);
+    }
+
+    /// Picks the engine for a stream that needs `need` tokens.
+    pub fn pick(&self, need: u64, zone: &str, now: time::Instant) -> Option<Name> {
+        let usable = self
+            .engines
+            .iter()
+            .filter(|(_, e)| e.usable(now))
+            .filter_map(|(id, e)| {
+                let load = self.load(id, now);
+                let fits = load.tokens + need <= e.capacity && load.streams < e.slots;
+                let fill = (load.tokens + need) as f64 / e.capacity.max(1) as f64;
+                let near = e.zone.as_deref() == Some(zone);
+                let cost = if near { fill - ZONE_WORTH } else { fill };
+                fits.then_some((cost, id))
+            });
+        let best = usable.min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// The zone of an engine.
+    pub fn zone(&self, id: &str) -> Option<&Name> {
+        self.engines.get(id)?.zone.as_ref()
+    }
+
+    /// Notes a stream that is meant for an engine.
+    pub fn take(&mut self, id: &str, tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.own.add(Load { tokens, streams: 1 });
+        }
+    }
+
+    /// Notes that a stream is no longer there.
+    pub fn leave(&mut self, id: &str, tokens: u64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.own.tokens = engine.own.tokens.saturating_sub(tokens);
+            engine.own.streams = engine.own.streams.saturating_sub(1);
+            engine.full = None;
+        }
+    }
+
+    /// Notes that an engine has refused a stream.
+    pub fn refuse(&mut self, id: &str, now: time::Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.full = Some(now + FULL_TIME);
+        }
+    }
+
+    /// Notes that an engine has failed.
+    pub fn fail(&mut self, id: &str, now: time::Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            let pause = FAULT_TIME.saturating_mul(1 << engine.faults.min(4));
+            engine.faults += 1;
+            engine.fault = Some(now + pause.min(FAULT_MOST));
+        }
+    }
+
+    /// Notes that an engine has done as it was asked.
+    pub fn succeed(&mut self, id: &str) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.faults = 0;
+            engine.fault = None;
+        }
+    }
+
+    /// This entry's own streams, for its peers.
+    pub fn own(&self) -> collections::BTreeMap<Name, Load> {
+        self.engines
+            .iter()
+            .filter(|(_, e)| e.own.streams > 0)
+            .map(|(id, e)| (id.clone(), e.own))
+            .collect()
+    }
+
+    /// Hears of a peer's streams.
+    pub fn hear(
+        &mut self,
+        peer: &Name,
+        loads: collections::BTreeMap<Name, Load>,
+        now: time::Instant,
+    ) {
+        self.peers.insert(peer.clone(), (now, loads));
+    }
+
+    /// All streams known at an engine.
+    pub fn load(&self, id: &str, now: time::Instant) -> Load {
+        let mut load = self.engines.get(id).map(|e| e.own).unwrap_or_default();
+        for (heard, loads) in self.peers.values() {
+            if now.saturating_duration_since(*heard) < PEER_MEMORY {
+                load.add(loads.get(id).copied().unwrap_or_default());
+            }
+        }
+        load
+    }
+
+    /// The part of the pool's memory that streams hold, from 0 to 1.
+    pub fn fill(&self, now: time::Instant) -> f64 {
+        let open = self.engines.iter().filter(|(_, e)| e.open);
+        let (held, whole) = open.fold((0, 0), |(held, whole), (id, e)| {
+            (held + self.load(id, now).tokens, whole + e.capacity)
+        });
+        held as f64 / (whole.max(1)) as f64
+    }
+
+    /// Engines that take streams.
+    pub fn open(&self) -> usize {
+        self.engines.values().filter(|e| e.open).count()
+    }
+}
+
+impl Engine {
+    fn usable(&self, now: time::Instant) -> bool {
+        let past = |until: Option<time::Instant>| until.is_none_or(|u| u <= now);
+        self.open && past(self.full) && past(self.fault)
+    }
+}
--- a/crates/route/src/quarantine.rs
+++ b/crates/route/src/quarantine.rs
@@ -18,10 +18,15 @@
 impl Digest {
     /// Digests what an engine is given.
     pub fn of_content(model: &str, prompt: &str) -> Self {
+        Self::of_bytes(model.as_bytes(), prompt.as_bytes())
+    }
+
+    /// Digests a request by what names it and its body.
+    pub fn of_bytes(name: &[u8], body: &[u8]) -> Self {
         let mut state = xxh3::Xxh3::new();
-        state.update(model.as_bytes());
+        state.update(name);
         state.update(&[0]);
-        state.update(prompt.as_bytes());
+        state.update(body);
         Self(state.digest128())
     }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,9 +5,11 @@
 //! docs/LIBRARIES.md.
 
 mod body;
+mod client;
 mod server;
 
 pub use body::{Body, Feed, body_channel, discard_body, read_body, whole};
+pub use client::{Answer, CONNECT_TIMEOUT, CallFault, Client, Whole};
 pub use hyper::body::Incoming;
 pub use hyper::http::request::Parts;
 pub use hyper::{Method, Request, Response, StatusCode, header};
