--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -11,8 +11,9 @@
 use std::time;
 use world::Name;
 
-/// Requests and prompts over which demand is measured.
-const DEMAND_SPAN: time::Duration = time::Duration::from_secs(8);
+/// Orders that were taken and may not be seen in the list yet: the engine, its
+/// part to be, and when the order is given up.
+pub(crate) type Shifts = collections::BTreeMap<Name, (seam::Part, time::Instant)>;
 
 /// The state of an entry; all of its tasks run on one thread.
 pub struct Core<P: seam::Platform> {
@@ -29,7 +30,8 @@
     pub(crate) allowance: cell::RefCell<pool::Allowance>,
     pub(crate) retries: cell::RefCell<pool::Retries>,
     pub(crate) crashes: cell::RefCell<route::Quarantine>,
-    pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Window>>,
+    pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Demand>>,
+    pub(crate) shifts: cell::RefCell<Shifts>,
     pub(crate) peers: cell::RefCell<collections::BTreeMap<Name, Peer>>,
     pub(crate) stopping: cell::Cell<bool>,
     pub(crate) active: cell::Cell<usize>,
@@ -83,6 +85,7 @@
             )),
             crashes: cell::RefCell::default(),
             demand: cell::RefCell::default(),
+            shifts: cell::RefCell::default(),
             peers: cell::RefCell::default(),
             stopping: cell::Cell::new(false),
             active: cell::Cell::new(0),
@@ -179,33 +182,48 @@
         let roster = self.roster.borrow();
         for service in &force.agreement.services {
             match &service.engine {
-                Some(facts) => self.pools.update(&service.name, facts, &roster),
+                Some(facts) => {
+                    let ready = roster.ready(&service.name);
+                    let steady = ready.filter(|m| !self.shifting(m));
+                    self.pools.update(&service.name, facts, steady);
+                }
                 None => self.plains.update(&service.name, &roster),
             }
         }
     }
 
-    /// Notes a prompt that callers ask for, by service.
+    /// Notes a stream that callers ask for.
     pub(crate) fn ask(&self, service: &Name, prompt: u64, now: time::Instant) {
         let mut demand = self.demand.borrow_mut();
-        let window = demand
-            .entry(service.clone())
-            .or_insert_with(|| pool::Window::new(DEMAND_SPAN));
-        window.add(prompt as f64, now);
+        let demand = demand.entry(service.clone()).or_default();
+        demand.ask(prompt, now);
     }
 
-    /// Prompt tokens a second that callers ask for here, by service.
-    pub(crate) fn asked(&self, now: time::Instant) -> collections::BTreeMap<Name, f64> {
+    /// Notes a stream that held `tokens` of an engine's memory for `held`.
+    pub(crate) fn learn(&self, service: &Name, tokens: u64, held: time::Duration) {
+        if let Some(demand) = self.demand.borrow_mut().get_mut(service) {
+            demand.learn(tokens, held);
+        }
+    }
+
+    /// What callers ask for here, by service.
+    pub(crate) fn asked(&self, now: time::Instant) -> collections::BTreeMap<Name, pool::Asked> {
         let mut demand = self.demand.borrow_mut();
         demand
             .iter_mut()
-            .map(|(name, window)| {
-                let span = window.span().as_secs_f64();
-                (name.clone(), window.sum(now) / span)
-            })
+            .map(|(name, demand)| (name.clone(), demand.asked(now)))
             .collect()
     }
 
+    /// Tells whether an engine is changing its part.
+    pub(crate) fn shifting(&self, member: &seam::Member) -> bool {
+        let shifts = self.shifts.borrow();
+        let now = time::Instant::now();
+        shifts
+            .get(&member.id)
+            .is_some_and(|(part, until)| *until > now && member.part != Some(*part))
+    }
+
     fn conditions(&self) -> collections::BTreeMap<Name, (seam::Condition, Option<seam::Part>)> {
         let roster = self.roster.borrow();
         roster
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -25,10 +25,11 @@
     pub(crate) calls: collections::BTreeMap<Name, u32>,
     /// What it has let through, by organisation.
     pub(crate) used: collections::BTreeMap<Name, f64>,
-    /// Prompt tokens a second that callers ask it for, by service.
-    pub(crate) asked: collections::BTreeMap<Name, f64>,
-    /// Tokens that wait for a seat, by service.
-    pub(crate) waiting: collections::BTreeMap<Name, u64>,
+    /// What callers ask it for, by service.
+    pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
+    /// Engines that change their part, with the part to be and the
+    /// milliseconds after which that is given up.
+    pub(crate) shifts: collections::BTreeMap<Name, (seam::Part, u64)>,
 }
 
 /// What a peer answers: what it knows better.
@@ -53,13 +54,12 @@
             age_ms: self.list_age(now),
             used: self.allowance.borrow_mut().used(now),
             asked: self.asked(now),
+            shifts: self.own_shifts(now),
             ..News::default()
         };
-        for (service, pool) in self.pools.all() {
+        for (_, pool) in self.pools.all() {
             news.seats.extend(pool.seats.borrow().own());
             news.lanes.extend(pool.lanes.borrow().own());
-            let need = pool.line.borrow().need();
-            news.waiting.insert(service, need);
         }
         for (_, plain) in self.plains.all() {
             news.calls.extend(plain.hosts.borrow().own());
@@ -84,6 +84,7 @@
         let mut allowance = self.allowance.borrow_mut();
         allowance.hear(&peer, news.used.clone(), now);
         drop(allowance);
+        self.hear_shifts(&news, now);
         let better = self.better(&news);
         if let Some(known) = self.peers.borrow_mut().get_mut(&peer) {
             known.news = Some((now, news));
@@ -107,6 +108,33 @@
         better
     }
 
+    fn own_shifts(&self, now: time::Instant) -> collections::BTreeMap<Name, (seam::Part, u64)> {
+        let shifts = self.shifts.borrow();
+        let left = |until: time::Instant| until.saturating_duration_since(now).as_millis();
+        shifts
+            .iter()
+            .map(|(id, (part, until))| (id.clone(), (*part, left(*until) as u64)))
+            .filter(|(_, (_, left))| *left > 0)
+            .collect()
+    }
+
+    /// Hears of engines that change their part; the one who ordered it tells
+    /// last what becomes of it, so known ones are kept.
+    fn hear_shifts(&self, news: &News, now: time::Instant) {
+        let mut shifts = self.shifts.borrow_mut();
+        let before = shifts.len();
+        shifts.retain(|_, (_, until)| *until > now);
+        for (id, (part, left)) in &news.shifts {
+            let until = now + time::Duration::from_millis(*left);
+            shifts.entry(id.clone()).or_insert((*part, until));
+        }
+        let changed = shifts.len() != before;
+        drop(shifts);
+        if changed {
+            self.refresh();
+        }
+    }
+
     fn list_age(&self, now: time::Instant) -> u64 {
         let read = self.roster.borrow().read_at();
         let age = read.map(|r| now.saturating_duration_since(r).as_millis());
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -22,14 +22,10 @@
 /// News older than this says nothing about a peer's load.
 const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
 
-/// Orders that were taken and are not seen in the list yet.
-type Pending = collections::BTreeMap<Name, (seam::Part, time::Instant)>;
-
 /// Holds the key where it can, and gives orders while it does.
 pub(crate) async fn give<P: seam::Platform>(core: rc::Rc<Core<P>>) {
     let mut orders = pool::Orders::new(core.place.duties.lease);
     let mut balances: collections::BTreeMap<Name, pool::Balance> = collections::BTreeMap::new();
-    let mut pending = Pending::new();
     loop {
         tokio::time::sleep(LOOK_GAP).await;
         if core.stopping.get() {
@@ -45,8 +41,7 @@
             let Some(fence) = orders.fence(ORDER_TRAVEL, now) else {
                 break;
             };
-            pending.retain(|_, (_, until)| *until > now);
-            let engines = engines(&core, &service, &pool, &pending, now);
+            let engines = engines(&core, &service, &pool, now);
             let (prefill, decode) = demand(&core, &service, &pool, &engines, now);
             let balance = balances.entry(service.clone()).or_default();
             let shift = balance.decide(&engines, prefill, decode, now);
@@ -66,7 +61,10 @@
             balance.ordered(time::Instant::now());
             if ordered {
                 let until = time::Instant::now() + switch + ORDER_MARGIN;
-                pending.insert(shift.id, (shift.part, until));
+                let mut shifts = core.shifts.borrow_mut();
+                shifts.insert(shift.id, (shift.part, until));
+                drop(shifts);
+                core.refresh();
             }
         }
     }
@@ -173,16 +171,17 @@
     core: &Core<P>,
     service: &str,
     pool: &Pool,
-    pending: &Pending,
     now: time::Instant,
 ) -> Vec<pool::Engine> {
     let roster = core.roster.borrow();
+    let shifts = core.shifts.borrow();
     let (seats, lanes) = (pool.seats.borrow(), pool.lanes.borrow());
     let ready = roster.ready(service);
     ready
         .filter_map(|m| {
             let listed = m.part?;
-            let part = pending.get(&m.id).map_or(listed, |(part, _)| *part);
+            let shift = shifts.get(&m.id).filter(|(_, until)| *until > now);
+            let part = shift.map_or(listed, |(part, _)| *part);
             Some(pool::Engine {
                 id: m.id.clone(),
                 part,
@@ -193,7 +192,7 @@
         .collect()
 }
 
-/// Engine time a second that prompts and streams take, in engines.
+/// Engine time a second that callers ask for, of all entries together.
 fn demand<P: seam::Platform>(
     core: &Core<P>,
     service: &Name,
@@ -201,29 +200,23 @@
     engines: &[pool::Engine],
     now: time::Instant,
 ) -> (f64, f64) {
-    let own = core.asked(now).get(service).copied().unwrap_or(0.0);
-    let mut waiting = pool.line.borrow().need();
-    let mut asked = own;
+    let mut asked = core.asked(now).get(service).copied().unwrap_or_default();
     for peer in core.peers.borrow().values() {
         let Some((heard, news)) = &peer.news else {
             continue;
         };
         if now.saturating_duration_since(*heard) < NEWS_MEMORY {
-            asked += news.asked.get(service).copied().unwrap_or(0.0);
-            waiting += news.waiting.get(service).copied().unwrap_or(0);
+            let told = news.asked.get(service).copied().unwrap_or_default();
+            asked.prompt += told.prompt;
+            asked.stream += told.stream;
         }
     }
-    let readers = engines
-        .iter()
-        .filter(|e| e.part == seam::Part::Prefill)
-        .map(|e| e.speed);
-    let (speeds, count) = readers.fold((0.0, 0), |(sum, n), s| (sum + s, n + 1));
-    let seats = pool.seats.borrow();
-    let speed = match count {
-        0 => pool.lanes.borrow().speed(""),
-        count => speeds / f64::from(count),
+    let lanes = pool.lanes.borrow();
+    let speeds: f64 = engines.iter().map(|e| e.speed).sum();
+    let speed = match engines.len() {
+        0 => lanes.speed(""),
+        count => speeds / count as f64,
     };
     let capacity = pool.facts.borrow().capacity.max(1) as f64;
-    let held = seats.fill(now) * seats.open() as f64;
-    (asked / speed, held + waiting as f64 / capacity)
+    (asked.prompt / speed, asked.stream / capacity)
 }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -139,10 +139,16 @@
             let mut peers = core.peers.borrow_mut();
             peers.retain(|name, _| found.contains_key(name));
             for (name, address) in found {
-                let peer = peers.entry(name).or_insert_with(|| Peer {
-                    address,
-                    news: None,
-                    quiet: None,
+                let peer = peers.entry(name.clone()).or_insert_with(|| {
+                    trace::Line::new("peer")
+                        .with("peer", &name)
+                        .with("address", address)
+                        .info();
+                    Peer {
+                        address,
+                        news: None,
+                        quiet: None,
+                    }
                 });
                 peer.address = address;
             }
--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -1,6 +1,7 @@
 //! Pools of engines with the streams that wait for them.
 
 use crate::core::Core;
+use rand::Rng;
 use std::cell;
 use std::collections;
 use std::rc;
@@ -46,12 +47,16 @@
     pool: rc::Rc<Pool>,
     pub(crate) engine: Name,
     tokens: u64,
+    /// Whether the stream has run there.
+    pub(crate) ran: bool,
+    /// When it was given.
+    pub(crate) since: time::Instant,
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
         let mut seats = self.pool.seats.borrow_mut();
-        seats.leave(&self.engine, self.tokens);
+        seats.leave(&self.engine, self.tokens, self.ran);
         drop(seats);
         self.pool.look(time::Instant::now());
     }
@@ -111,7 +116,12 @@
     }
 
     /// Takes the engines of a service as they are now.
-    pub(crate) fn update(&self, service: &Name, facts: &seam::EngineFacts, roster: &pool::Roster) {
+    pub(crate) fn update<'a>(
+        &self,
+        service: &Name,
+        facts: &seam::EngineFacts,
+        engines: impl Iterator<Item = &'a seam::Member> + Clone,
+    ) {
         let pool = self
             .pools
             .borrow_mut()
@@ -120,9 +130,9 @@
             .clone();
         *pool.facts.borrow_mut() = facts.clone();
         let mut seats = pool.seats.borrow_mut();
-        seats.update(roster.ready(service), facts);
+        seats.update(engines.clone(), facts);
         drop(seats);
-        pool.lanes.borrow_mut().update(roster.ready(service));
+        pool.lanes.borrow_mut().update(engines);
         pool.look(time::Instant::now());
     }
 }
@@ -164,6 +174,8 @@
                 pool: self.clone(),
                 engine,
                 tokens: wait.need,
+                ran: false,
+                since: time::Instant::now(),
             }),
             Ok(Offer::Lost) | Err(_) => None,
         }
@@ -201,14 +213,15 @@
             if self.prompts_wait(now) {
                 return;
             }
-            let picked = self.seats.borrow().pick(wait.need, &zone, now);
+            let draw = || rand::rng().random_range(0.0..1.0);
+            let picked = self.seats.borrow().pick(wait.need, &zone, draw, now);
             // Those behind wait too: a large one is not passed for ever.
             let Some(engine) = picked else {
                 return;
             };
             self.seats.borrow_mut().take(&engine, wait.need);
             if !self.offer(ticket, Offer::Seat(engine.clone())) {
-                self.seats.borrow_mut().leave(&engine, wait.need);
+                self.seats.borrow_mut().leave(&engine, wait.need, false);
             }
         }
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -173,7 +173,7 @@
         };
         let zone = self.core.place.zone.clone();
         let seat = self.pool.wait(self.ticket, wait, &zone).await;
-        let seat = seat.ok_or(Miss::Lost)?;
+        let mut seat = seat.ok_or(Miss::Lost)?;
         let engine = seat.engine.clone();
         let target = self.core.target(&engine).ok_or(Miss::Unrun("gone"))?;
         let zone = self.pool.seats.borrow().zone(&engine).cloned();
@@ -224,6 +224,7 @@
             return Err(Miss::Unrun("refused"));
         }
         hold.used();
+        seat.ran = true;
         if let Some(cache) = &mut cache {
             cache.taken();
         }
@@ -260,7 +261,15 @@
         match reserved {
             seam::Reserved::Held(name) => Ok(Hold::new(&self.core, target, name)),
             seam::Reserved::Full => {
+                let load = seats.load(&target.id, now);
                 seats.refuse(&target.id, now);
+                self.job
+                    .line("seat_refused")
+                    .with("upstream", &target.id)
+                    .with("need", need)
+                    .with("known_tokens", load.tokens)
+                    .with("known_streams", load.streams)
+                    .info();
                 // Room is the engine's to tell; asking is no try of the request.
                 self.tries = self.tries.saturating_sub(1);
                 Err(Miss::Unrun("full"))
@@ -299,6 +308,15 @@
             .await;
         let now = time::Instant::now();
         let took = now.saturating_duration_since(began);
+        self.job
+            .line("prompt")
+            .with("upstream", &engine)
+            .with("tokens", self.job.call.prompt())
+            .with("backlog", reading.backlog)
+            .with("expected_ms", measure::millis(expected))
+            .with("took_ms", measure::millis(took))
+            .with("ready", matches!(prefilled, seam::Prefilled::Ready(_)))
+            .info();
         let mut lanes = self.pool.lanes.borrow_mut();
         match prefilled {
             seam::Prefilled::Ready(source) => {
@@ -345,9 +363,12 @@
                 .with("upstream", &begun.engine)
                 .with("end", end.word())
                 .with("events", events.passed)
+                .with("first_ms", events.first.map_or(0, measure::millis))
+                .with("gap_ms", measure::millis(events.gap))
                 .info();
             match end {
                 End::Whole => {
+                    self.learn(&begun.seat);
                     metrics::histogram!("answer_seconds", "kind" => "stream")
                         .record(self.job.arrived.elapsed().as_secs_f64());
                     // The caller may have gone; then nobody misses the end.
@@ -381,6 +402,12 @@
         }
     }
 
+    fn learn(&self, seat: &Seat) {
+        let held = seat.since.elapsed();
+        self.core
+            .learn(&self.job.service, self.job.call.memory(), held);
+    }
+
     async fn pass(
         &self,
         begun: &mut Begun<<P::Upstreams as Upstreams>::Stream>,
@@ -407,10 +434,7 @@
                 Err(_) => return End::Stalled,
             };
             patience = STALL_TIME;
-            if events.passed == 0 {
-                metrics::histogram!("first_event_seconds")
-                    .record(self.job.arrived.elapsed().as_secs_f64());
-            }
+            events.time(self.job.arrived);
             if let Some(whole) = events.add(bytes)
                 && feed.send(Piece::Data(whole)).await.is_err()
             {
@@ -447,6 +471,9 @@
     rest: bytes::BytesMut,
     last: Option<u64>,
     passed: u64,
+    first: Option<time::Duration>,
+    gap: time::Duration,
+    seen: time::Instant,
 }
 
 impl Events {
@@ -455,7 +482,24 @@
             rest: bytes::BytesMut::new(),
             last: after,
             passed: 0,
+            first: None,
+            gap: time::Duration::ZERO,
+            seen: time::Instant::now(),
+        }
+    }
+
+    /// Notes the time of bytes that came: the first ones, and the longest pause.
+    fn time(&mut self, arrived: time::Instant) {
+        let now = time::Instant::now();
+        match self.first {
+            Some(_) => self.gap = self.gap.max(now.saturating_duration_since(self.seen)),
+            None => {
+                let first = now.saturating_duration_since(arrived);
+                metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
+                self.first = Some(first);
+            }
         }
+        self.seen = now;
     }
 
     /// Adds bytes; gives all whole events.
--- a/crates/pool/src/balance.rs
+++ b/crates/pool/src/balance.rs
@@ -15,10 +15,12 @@
 /// Part of the pool that reads prompts before any load was seen: with prompts
 /// of 3,000 tokens and answers of 900 steps, a prefill engine feeds four others.
 const FIRST_PART: f64 = 0.22;
+/// Engines' time a second that the first part counts for, against what is seen.
+const FIRST_WEIGHT: f64 = 1.0;
 /// How far the wish must be from the present division, in engines.
 const HYSTERESIS: f64 = 0.6;
 /// Least part of a prefill engine's time that must be left for bursts.
-const HEADROOM: f64 = 1.25;
+const HEADROOM: f64 = 1.0;
 
 /// An engine that takes orders.
 #[derive(Clone, Debug, PartialEq)]
@@ -113,11 +115,9 @@
 
 /// Engines that should read prompts, as a number with a fraction.
 fn wanted(count: usize, prefill: f64, decode: f64) -> f64 {
-    let busy = prefill + decode;
-    let part = match busy > 0.0 {
-        true => prefill * HEADROOM / (prefill * HEADROOM + decode),
-        false => FIRST_PART,
-    };
+    let prefill = prefill * HEADROOM + FIRST_PART * FIRST_WEIGHT;
+    let decode = decode + (1.0 - FIRST_PART) * FIRST_WEIGHT;
+    let part = prefill / (prefill + decode);
     (part * count as f64).clamp(1.0, count as f64 - 1.0)
 }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod allowance;
 mod balance;
+mod demand;
 mod hosts;
 mod lanes;
 mod line;
@@ -17,6 +18,7 @@
 
 pub use allowance::Allowance;
 pub use balance::{Balance, Engine, Shift};
+pub use demand::{Asked, Demand};
 pub use hosts::Hosts;
 pub use lanes::Lanes;
 pub use line::{Line, Ticket, Wait};
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -59,7 +59,10 @@
     }
 
     /// The hosts of a service that take new work.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a seam::Member> {
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a seam::Member> + Clone {
         self.members
             .values()
             .filter(move |m| &*m.service == service && m.condition == seam::Condition::Ready)
--- a/crates/pool/src/seats.rs
+++ b/crates/pool/src/seats.rs
@@ -16,6 +16,9 @@
 const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
 /// How much fuller an engine of the same zone may be than another.
 const ZONE_WORTH: f64 = 0.04;
+/// How far apart in fill engines are taken for alike: what entries don't yet
+/// know of each other's streams.
+const SPREAD: f64 = 0.2;
 /// After this silence a peer's streams count no more.
 const PEER_MEMORY: time::Duration = time::Duration::from_secs(2);
 
@@ -74,8 +77,15 @@
         self.engines.retain(|_, e| e.open || e.own.streams > 0);
     }
 
-    /// Picks the engine for a stream that needs `need` tokens.
-    pub fn pick(&self, need: u64, zone: &str, now: time::Instant) -> Option<Name> {
+    /// Picks the engine for a stream that needs `need` tokens. `draw`, from 0 to
+    /// 1 by engine, keeps entries that see the same from all picking the same.
+    pub fn pick(
+        &self,
+        need: u64,
+        zone: &str,
+        mut draw: impl FnMut() -> f64,
+        now: time::Instant,
+    ) -> Option<Name> {
         let usable = self
             .engines
             .iter()
@@ -86,7 +96,7 @@
                 let fill = (load.tokens + need) as f64 / e.capacity.max(1) as f64;
                 let near = e.zone.as_deref() == Some(zone);
                 let cost = if near { fill - ZONE_WORTH } else { fill };
-                fits.then_some((cost, id))
+                fits.then_some((cost + SPREAD * draw(), id))
             });
         let best = usable.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, id)| id.clone())
@@ -104,12 +114,15 @@
         }
     }
 
-    /// Notes that a stream is no longer there.
-    pub fn leave(&mut self, id: &str, tokens: u64) {
+    /// Notes that a stream is no longer meant for an engine; where it has run
+    /// there, its room is free.
+    pub fn leave(&mut self, id: &str, tokens: u64, ran: bool) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.own.tokens = engine.own.tokens.saturating_sub(tokens);
             engine.own.streams = engine.own.streams.saturating_sub(1);
-            engine.full = None;
+            if ran {
+                engine.full = None;
+            }
         }
     }
 
