--- a/crates/daemon/src/app/platform.rs
+++ b/crates/daemon/src/app/platform.rs
@@ -2,7 +2,6 @@
 
 use crate::app::StartError;
 use std::fs;
-use std::rc;
 use tokio::runtime;
 use tokio::task;
 
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -2,7 +2,6 @@
 
 use crate::body::Body;
 use crate::core::Core;
-use crate::core::Force;
 use crate::guards::InHand;
 use crate::measure;
 use crate::plain;
@@ -24,7 +23,6 @@
 /// A request that is admitted.
 pub(crate) struct Job {
     pub(crate) call: seam::Call,
-    pub(crate) force: rc::Rc<Force>,
     pub(crate) route: seam::Route,
     pub(crate) service: Name,
     pub(crate) tenant: Option<Name>,
@@ -215,7 +213,6 @@
         arrived,
         deadline: arrived + patience,
         digest,
-        force: force.clone(),
         call,
     };
     core.retries.borrow_mut().request(&job.service, now);
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -23,13 +23,12 @@
     loop {
         let read = core.store.get(P::AGREEMENT_KEY).await;
         let after = match read {
-            Ok(Some(item)) => {
-                if let Some(raw) = item.value {
+            Ok(found) => {
+                if let Some(raw) = found.item.and_then(|i| i.value) {
                     core.adopt(raw, "store");
                 }
-                item.revision
+                found.revision
             }
-            Ok(None) => 0,
             Err(fault) => {
                 pause.fail(fault).await;
                 continue;
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -80,7 +80,8 @@
         Step::Rest => {}
         Step::Look => {
             // A failure counts as a key that is held.
-            let free = matches!(core.store.get(ORDERS_KEY).await, Ok(None));
+            let found = core.store.get(ORDERS_KEY).await;
+            let free = found.is_ok_and(|f| f.item.is_none());
             orders.look(free, time::Instant::now());
         }
         Step::Take => take(core, orders).await,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -120,7 +120,7 @@
     let known = core.store.get(&key).await.ok()?;
     let lease = core.store.grant(ENTRY_LIFE).await.ok()?;
     let value = core.place.links.to_string();
-    let revision = known.map_or(0, |i| i.revision);
+    let revision = known.item.map_or(0, |i| i.revision);
     let swapped = core
         .store
         .swap(&key, revision, value.as_bytes(), Some(lease))
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -20,7 +20,7 @@
 pub use call::{Call, HeadFault, Reply};
 pub use duty::{Allowed, Duties, Place};
 pub use member::{Condition, Member, Part};
-pub use store::{Item, Lease, Page, Store, StoreFault, Swapped, Watched};
+pub use store::{Found, Item, Lease, Page, Store, StoreFault, Swapped, Watched};
 pub use upstreams::{
     Answer, Begin, Cause, Order, Ordered, Prefilled, Report, Reserved, SendFault, Source, Stream,
     Target, Upstreams,
--- a/crates/seam/src/store.rs
+++ b/crates/seam/src/store.rs
@@ -13,6 +13,16 @@
     pub revision: u64,
 }
 
+/// One key as it was at a revision of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// The item; none where there is no such key.
+    pub item: Option<Item>,
+    /// The store's revision, from which a watch can go on; 0 where it is not
+    /// told, as for a key that does not exist.
+    pub revision: u64,
+}
+
 /// Items under a prefix at about one revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
@@ -63,7 +73,7 @@
 /// The calls that an entry makes. Each is counted by the platform.
 pub trait Store {
     /// Reads a key.
-    async fn get(&self, key: &str) -> Result<Option<Item>, StoreFault>;
+    async fn get(&self, key: &str) -> Result<Found, StoreFault>;
 
     /// Reads all keys with a prefix; `stale` is cheaper and may be seconds old.
     async fn list(&self, prefix: &str, stale: bool) -> Result<Page, StoreFault>;
