--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -3,6 +3,7 @@
 use crate::measure;
 use crate::news::News;
 use crate::plain::Plains;
+use crate::queue::Pool;
 use crate::queue::Pools;
 use std::cell;
 use std::collections;
@@ -185,7 +186,7 @@
                 Some(facts) => {
                     let ready = roster.ready(&service.name);
                     let steady = ready.filter(|m| !self.shifting(m));
-                    self.pools.update(&service.name, facts, steady);
+                    self.pools.update(&service.name, facts, steady, self.rank());
                 }
                 None => self.plains.update(&service.name, &roster),
             }
@@ -215,6 +216,25 @@
             .collect()
     }
 
+    /// Prompt tokens a second that engines were seen to read, here or by peers.
+    pub(crate) fn speeds(&self, pool: &Pool) -> collections::BTreeMap<Name, f64> {
+        let mut speeds = collections::BTreeMap::new();
+        for peer in self.peers.borrow().values() {
+            if let Some((_, news)) = &peer.news {
+                speeds.extend(news.speeds.clone());
+            }
+        }
+        speeds.extend(pool.lanes.borrow().speeds());
+        speeds
+    }
+
+    /// This entry's place among all entries, and how many they are.
+    pub(crate) fn rank(&self) -> (usize, usize) {
+        let peers = self.peers.borrow();
+        let before = peers.keys().filter(|n| **n < self.place.host).count();
+        (before, peers.len() + 1)
+    }
+
     /// Tells whether an engine is changing its part.
     pub(crate) fn shifting(&self, member: &seam::Member) -> bool {
         let shifts = self.shifts.borrow();
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -27,6 +27,8 @@
     pub(crate) used: collections::BTreeMap<Name, f64>,
     /// What callers ask it for, by service.
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
+    /// Prompt tokens a second that it has seen engines read.
+    pub(crate) speeds: collections::BTreeMap<Name, f64>,
     /// Engines that change their part, with the part to be and the
     /// milliseconds after which that is given up.
     pub(crate) shifts: collections::BTreeMap<Name, (seam::Part, u64)>,
@@ -59,7 +61,9 @@
         };
         for (_, pool) in self.pools.all() {
             news.seats.extend(pool.seats.borrow().own());
-            news.lanes.extend(pool.lanes.borrow().own());
+            let lanes = pool.lanes.borrow();
+            news.lanes.extend(lanes.own());
+            news.speeds.extend(lanes.speeds());
         }
         for (_, plain) in self.plains.all() {
             news.calls.extend(plain.hosts.borrow().own());
@@ -76,6 +80,7 @@
             drop(seats);
             let mut lanes = pool.lanes.borrow_mut();
             lanes.hear(&peer, news.lanes.clone(), now);
+            lanes.hear_speeds(&news.speeds);
         }
         for (_, plain) in self.plains.all() {
             let mut hosts = plain.hosts.borrow_mut();
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -19,6 +19,8 @@
 const ORDER_TRAVEL: time::Duration = time::Duration::from_millis(300);
 /// What an order takes longer than the engines' own time for it: running work.
 const ORDER_MARGIN: time::Duration = time::Duration::from_secs(6);
+/// Prompt tokens a second that an engine is taken to read before any was seen.
+const FIRST_SPEED: f64 = 30_000.0;
 /// News older than this says nothing about a peer's load.
 const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
 
@@ -177,6 +179,7 @@
     let roster = core.roster.borrow();
     let shifts = core.shifts.borrow();
     let (seats, lanes) = (pool.seats.borrow(), pool.lanes.borrow());
+    let speeds = core.speeds(pool);
     let ready = roster.ready(service);
     ready
         .filter_map(|m| {
@@ -187,7 +190,7 @@
                 id: m.id.clone(),
                 part,
                 load: seats.load(&m.id, now).tokens + lanes.backlog(&m.id, now),
-                speed: lanes.speed(&m.id),
+                speed: speeds.get(&m.id).copied(),
             })
         })
         .collect()
@@ -212,11 +215,10 @@
             asked.stream += told.stream;
         }
     }
-    let lanes = pool.lanes.borrow();
-    let speeds: f64 = engines.iter().map(|e| e.speed).sum();
-    let speed = match engines.len() {
-        0 => lanes.speed(""),
-        count => speeds / count as f64,
+    let known: Vec<f64> = engines.iter().filter_map(|e| e.speed).collect();
+    let speed = match known.len() {
+        0 => FIRST_SPEED,
+        count => known.iter().sum::<f64>() / count as f64,
     };
     let capacity = pool.facts.borrow().capacity.max(1) as f64;
     (asked.prompt / speed, asked.stream / capacity)
--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -121,6 +121,7 @@
         service: &Name,
         facts: &seam::EngineFacts,
         engines: impl Iterator<Item = &'a seam::Member> + Clone,
+        rank: (usize, usize),
     ) {
         let pool = self
             .pools
@@ -132,7 +133,10 @@
         let mut seats = pool.seats.borrow_mut();
         seats.update(engines.clone(), facts);
         drop(seats);
-        pool.lanes.borrow_mut().update(engines);
+        let mut lanes = pool.lanes.borrow_mut();
+        lanes.update(engines);
+        lanes.divide(rank.0, rank.1);
+        drop(lanes);
         pool.look(time::Instant::now());
     }
 }
@@ -215,9 +219,10 @@
             }
             let draw = || rand::rng().random_range(0.0..1.0);
             let picked = self.seats.borrow().pick(wait.need, &zone, draw, now);
-            // Those behind wait too: a large one is not passed for ever.
-            let Some(engine) = picked else {
-                return;
+            let engine = match picked {
+                Some(engine) => engine,
+                None if wait.lets_pass(now) => continue,
+                None => return,
             };
             self.seats.borrow_mut().take(&engine, wait.need);
             if !self.offer(ticket, Offer::Seat(engine.clone())) {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -170,6 +170,7 @@
             target: job.arrived + job.route.target,
             deadline: job.deadline,
             rank: if after.is_some() { 0 } else { job.rank },
+            since: time::Instant::now(),
         };
         let zone = self.core.place.zone.clone();
         let seat = self.pool.wait(self.ticket, wait, &zone).await;
--- a/crates/pool/src/balance.rs
+++ b/crates/pool/src/balance.rs
@@ -31,8 +31,8 @@
     pub part: seam::Part,
     /// Tokens that wait or lie there.
     pub load: u64,
-    /// How fast it is, against the others.
-    pub speed: f64,
+    /// How many prompt tokens it reads a second, where that was seen.
+    pub speed: Option<f64>,
 }
 
 /// One change of an engine's part.
@@ -125,19 +125,23 @@
     engines.iter().filter(move |e| e.part == part)
 }
 
-/// Picks whom to order: the one with the least to do.
+/// Picks whom to order: slow engines leave the prompts, where their time counts
+/// most, and else the one with the least to do.
 fn choose(engines: &[Engine], part: seam::Part) -> Option<Name> {
-    let from = match part {
-        seam::Part::Prefill => seam::Part::Decode,
-        seam::Part::Decode => seam::Part::Prefill,
-    };
-    let least = of(engines, from).min_by(|a, b| {
-        let speeds = a.speed.total_cmp(&b.speed);
-        match part {
-            // Slow engines leave the prompts first, where their time counts.
-            seam::Part::Decode => speeds.then(a.load.cmp(&b.load)),
-            seam::Part::Prefill => speeds.reverse().then(a.load.cmp(&b.load)),
+    let least = match part {
+        seam::Part::Prefill => of(engines, seam::Part::Decode).min_by(|a, b| {
+            let speeds = b.speed.unwrap_or(0.0).total_cmp(&a.speed.unwrap_or(0.0));
+            speeds.then(a.load.cmp(&b.load))
+        }),
+        seam::Part::Decode => {
+            // Before all are known, the fastest might be sent away.
+            let known = of(engines, seam::Part::Prefill).all(|e| e.speed.is_some());
+            let readers = of(engines, seam::Part::Prefill).filter(|_| known);
+            readers.min_by(|a, b| {
+                let speeds = a.speed.unwrap_or(0.0).total_cmp(&b.speed.unwrap_or(0.0));
+                speeds.then(a.load.cmp(&b.load))
+            })
         }
-    });
+    };
     least.map(|e| e.id.clone())
 }
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -2,6 +2,9 @@
 //!
 //! Answers the load of long prompts and bursts: each prompt goes where it will
 //! be read soonest, by the backlog that is known and the speed that was seen.
+//! Entries learn of each other's prompts later than prompts are read, so each
+//! prefers engines of its own and goes to others only where that is clearly
+//! sooner.
 
 use std::collections;
 use std::time;
@@ -13,6 +16,9 @@
 const SPEED_MEMORY: f64 = 0.7;
 /// Time for the call itself and the engine's first step.
 const CALL_TIME: f64 = 0.015;
+/// How much sooner an engine must be expected that is another entry's own:
+/// about what a prompt takes that this entry doesn't know of yet.
+const HOME_COST: f64 = 0.1;
 /// How long an engine that has refused or failed gets no prompts.
 const FAULT_TIME: time::Duration = time::Duration::from_millis(700);
 /// What a transfer between zones costs more, as time in seconds.
@@ -31,9 +37,10 @@
 struct Lane {
     zone: Name,
     own: u64,
-    speed: f64,
+    speed: Option<f64>,
     fault: Option<time::Instant>,
     open: bool,
+    home: bool,
 }
 
 impl Lanes {
@@ -47,15 +54,29 @@
             let lane = lane.or_insert_with(|| Lane {
                 zone: member.zone.clone(),
                 own: 0,
-                speed: FIRST_SPEED,
+                speed: None,
                 fault: None,
                 open: true,
+                home: true,
             });
             lane.open = true;
         }
         self.engines.retain(|_, l| l.open || l.own > 0);
     }
 
+    /// Divides the engines among entries: this one is `place` of `count`, in an
+    /// order that all entries know.
+    pub fn divide(&mut self, place: usize, count: usize) {
+        let engines = self.open();
+        let open = self.engines.values_mut().filter(|l| l.open);
+        for (index, lane) in open.enumerate() {
+            lane.home = match engines >= count {
+                true => index % count.max(1) == place,
+                false => index == place % engines,
+            };
+        }
+    }
+
     /// Picks the engine that will have read a prompt soonest, with the time.
     pub fn pick(
         &self,
@@ -69,9 +90,11 @@
             .filter(|(_, l)| l.open && l.fault.is_none_or(|f| f <= now))
             .map(|(id, l)| {
                 let backlog = self.backlog(id, now) + prompt;
-                let time = backlog as f64 / l.speed + CALL_TIME;
+                let time = backlog as f64 / l.speed.unwrap_or(FIRST_SPEED) + CALL_TIME;
                 let far = zone.is_some_and(|z| z != &*l.zone);
-                (time, time + if far { ZONE_COST } else { 0.0 }, id)
+                let far = if far { ZONE_COST } else { 0.0 };
+                let home = if l.home { 0.0 } else { HOME_COST };
+                (time, time + far + home, id)
             });
         let (time, _, id) = usable.min_by(|a, b| a.1.total_cmp(&b.1))?;
         Some((id.clone(), time::Duration::from_secs_f64(time)))
@@ -99,7 +122,10 @@
         };
         let seconds = (took.as_secs_f64() - CALL_TIME).max(0.005);
         let speed = backlog as f64 / seconds;
-        lane.speed = SPEED_MEMORY * lane.speed + (1.0 - SPEED_MEMORY) * speed;
+        lane.speed = Some(match lane.speed {
+            Some(known) => SPEED_MEMORY * known + (1.0 - SPEED_MEMORY) * speed,
+            None => speed,
+        });
         lane.fault = None;
     }
 
@@ -120,9 +146,20 @@
             .sum::<u64>()
     }
 
-    /// The speed of an engine in tokens a second, as far as it was seen.
-    pub fn speed(&self, id: &str) -> f64 {
-        self.engines.get(id).map_or(FIRST_SPEED, |l| l.speed)
+    /// The speeds of engines in tokens a second, where they were seen.
+    pub fn speeds(&self) -> collections::BTreeMap<Name, f64> {
+        let seen = self.engines.iter();
+        seen.filter_map(|(id, l)| Some((id.clone(), l.speed?)))
+            .collect()
+    }
+
+    /// Hears of speeds that a peer has seen, where none was seen here.
+    pub fn hear_speeds(&mut self, speeds: &collections::BTreeMap<Name, f64>) {
+        for (id, speed) in speeds {
+            if let Some(lane) = self.engines.get_mut(id) {
+                lane.speed.get_or_insert(*speed);
+            }
+        }
     }
 
     /// This entry's own prompts, for its peers.
--- a/crates/pool/src/line.rs
+++ b/crates/pool/src/line.rs
@@ -9,6 +9,9 @@
 
 /// Time from a seat to the first event: reservation, prompt, transfer, first step.
 const START_TIME: time::Duration = time::Duration::from_millis(260);
+/// After this wait a stream is no longer passed by smaller ones, so that large
+/// ones are not passed for ever; well within a target of most of a second.
+const PASS_TIME: time::Duration = time::Duration::from_millis(300);
 /// Least time that must be left for a stream to be worth a seat.
 const STREAM_TIME: time::Duration = time::Duration::from_millis(2_500);
 
@@ -27,6 +30,8 @@
     pub deadline: time::Instant,
     /// Its rank; 0 goes first.
     pub rank: u8,
+    /// Since when it has waited.
+    pub since: time::Instant,
 }
 
 /// Streams that wait at one entry for one service.
@@ -81,6 +86,11 @@
         now + START_TIME > self.target
     }
 
+    /// Tells whether smaller streams may take seats that it can't use.
+    pub fn lets_pass(&self, now: time::Instant) -> bool {
+        self.is_late(now) || now.saturating_duration_since(self.since) < PASS_TIME
+    }
+
     fn is_lost(&self, now: time::Instant) -> bool {
         now + STREAM_TIME > self.deadline
     }
--- a/crates/pool/src/seats.rs
+++ b/crates/pool/src/seats.rs
@@ -8,8 +8,11 @@
 use std::time;
 use world::Name;
 
-/// How long an engine that has refused counts as full, unless a stream ends there.
+/// How long an engine that has refused counts as full, at first, unless a
+/// stream ends there.
 const FULL_TIME: time::Duration = time::Duration::from_millis(60);
+/// The longest such time; it doubles with each refusal in a row.
+const FULL_MOST: time::Duration = time::Duration::from_millis(500);
 /// How long an engine that failed gets no new streams, at first.
 const FAULT_TIME: time::Duration = time::Duration::from_millis(800);
 /// The longest such pause; it doubles with each failure in a row.
@@ -52,6 +55,7 @@
     slots: u32,
     own: Load,
     full: Option<time::Instant>,
+    refusals: u32,
     fault: Option<time::Instant>,
     faults: u32,
     open: bool,
@@ -122,6 +126,7 @@
             engine.own.streams = engine.own.streams.saturating_sub(1);
             if ran {
                 engine.full = None;
+                engine.refusals = 0;
             }
         }
     }
@@ -129,7 +134,9 @@
     /// Notes that an engine has refused a stream.
     pub fn refuse(&mut self, id: &str, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.full = Some(now + FULL_TIME);
+            let pause = FULL_TIME.saturating_mul(1 << engine.refusals.min(4));
+            engine.refusals += 1;
+            engine.full = Some(now + pause.min(FULL_MOST));
         }
     }
 
@@ -147,6 +154,7 @@
         if let Some(engine) = self.engines.get_mut(id) {
             engine.faults = 0;
             engine.fault = None;
+            engine.refusals = 0;
         }
     }
 
