--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -19,8 +19,13 @@
 use tokio::sync::mpsc;
 use world::Name;
 
-/// When to come back where every seat is taken.
-const FULL_PAUSE: time::Duration = time::Duration::from_millis(900);
+/// Callers come back within this part of the time that they have left.
+const RETURN_PART: u32 = 3;
+/// Least time that must be left for a caller to come back.
+const RETURN_LEAST: time::Duration = time::Duration::from_secs(6);
+/// Callers leave a stream without an event for so many targets of the first one,
+/// so many of its pauses, or so long, whichever is longest.
+const PATIENCE: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
 /// Time for a reservation's call.
 const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// What a reservation lasts longer than its prompt is expected to take.
@@ -84,7 +89,10 @@
 fn missed<P: seam::Platform>(core: &Core<P>, job: &Job, miss: &Miss) -> hyper::Response<Body> {
     let reply = match miss {
         Miss::Lost | Miss::Unrun(_) => {
-            let again = (job.left() > FULL_PAUSE * 3).then_some(FULL_PAUSE);
+            let mut returns = core.returns.borrow_mut();
+            let now = time::Instant::now();
+            let again = (job.left() > RETURN_LEAST)
+                .then(|| returns.refuse(job.digest, job.left() / RETURN_PART, now));
             job.reply(StatusCode::SERVICE_UNAVAILABLE, again, "no_seat")
         }
         Miss::Unknown(_) if job.left().is_zero() => {
@@ -104,11 +112,13 @@
     prompts: u32,
     sends: u32,
     may_have_run: bool,
+    back: bool,
 }
 
 impl<P: seam::Platform> Runner<P> {
     fn new(core: rc::Rc<Core<P>>, pool: rc::Rc<Pool>, job: rc::Rc<Job>) -> Self {
         let ticket = core.pools.ticket();
+        let back = core.returns.borrow_mut().back(job.digest, job.arrived);
         Self {
             core,
             pool,
@@ -118,6 +128,7 @@
             prompts: 0,
             sends: 0,
             may_have_run: false,
+            back,
         }
     }
 
@@ -168,7 +179,8 @@
         let wait = pool::Wait {
             need,
             target: job.arrived + job.route.target,
-            deadline: job.deadline,
+            patience: self.patience(after),
+            back: self.back || after.is_some(),
             rank: if after.is_some() { 0 } else { job.rank },
             since: time::Instant::now(),
         };
@@ -247,6 +259,19 @@
         })
     }
 
+    /// When the caller leaves if it gets no event.
+    fn patience(&self, after: Option<u64>) -> time::Instant {
+        let (targets, gaps, least) = PATIENCE;
+        let route = &self.job.route;
+        let patience = (route.target * targets).max(route.gap * gaps).max(least);
+        // The pause has already begun where a stream broke.
+        let from = match after {
+            Some(_) => time::Instant::now(),
+            None => self.job.arrived,
+        };
+        (from + patience).min(self.job.deadline)
+    }
+
     async fn reserve(
         &mut self,
         target: &seam::Target,
@@ -321,7 +346,7 @@
         let mut lanes = self.pool.lanes.borrow_mut();
         match prefilled {
             seam::Prefilled::Ready(source) => {
-                lanes.learn(&engine, reading.backlog, took);
+                lanes.learn(&engine, self.job.call.prompt(), took);
                 Ok(Some(Cache::new(&self.core, source)))
             }
             seam::Prefilled::Refused => {
--- a/crates/pool/src/balance.rs
+++ b/crates/pool/src/balance.rs
@@ -17,6 +17,8 @@
 const FIRST_PART: f64 = 0.22;
 /// Engines' time a second that the first part counts for, against what is seen.
 const FIRST_WEIGHT: f64 = 1.0;
+/// From so many engines on, two read prompts at least, so that one may crash.
+const SPARE_COUNT: usize = 6;
 /// How far the wish must be from the present division, in engines.
 const HYSTERESIS: f64 = 0.6;
 /// Least part of a prefill engine's time that must be left for bursts.
@@ -118,7 +120,11 @@
     let prefill = prefill * HEADROOM + FIRST_PART * FIRST_WEIGHT;
     let decode = decode + (1.0 - FIRST_PART) * FIRST_WEIGHT;
     let part = prefill / (prefill + decode);
-    (part * count as f64).clamp(1.0, count as f64 - 1.0)
+    let least = match count >= SPARE_COUNT {
+        true => 2.0,
+        false => 1.0,
+    };
+    (part * count as f64).clamp(least, count as f64 - 1.0)
 }
 
 fn of(engines: &[Engine], part: seam::Part) -> impl Iterator<Item = &Engine> {
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -12,8 +12,12 @@
 
 /// Tokens a second that an engine reads before any was seen.
 const FIRST_SPEED: f64 = 25_000.0;
-/// Weight of the past against each new reading of a speed.
-const SPEED_MEMORY: f64 = 0.7;
+/// Weight of a reading that is faster than an engine's known speed.
+const RISE_WEIGHT: f64 = 0.4;
+/// Weight of a reading that is slower.
+const FALL_WEIGHT: f64 = 0.04;
+/// The least time of a reading in seconds, so that a tiny prompt says little.
+const LEAST_TIME: f64 = 0.02;
 /// Time for the call itself and the engine's first step.
 const CALL_TIME: f64 = 0.015;
 /// How much sooner an engine must be expected that is another entry's own:
@@ -114,17 +118,20 @@
         }
     }
 
-    /// Learns from a prompt that was read in `took`, with `backlog` tokens at
-    /// the engine when it was sent, its own among them.
-    pub fn learn(&mut self, id: &str, backlog: u64, took: time::Duration) {
+    /// Learns from a prompt that was read in `took`.
+    ///
+    /// Others may have been read meanwhile, so each gives a lower bound, which
+    /// is near the truth where the engine was idle: higher ones count for more.
+    pub fn learn(&mut self, id: &str, prompt: u64, took: time::Duration) {
         let Some(lane) = self.engines.get_mut(id) else {
             return;
         };
-        let seconds = (took.as_secs_f64() - CALL_TIME).max(0.005);
-        let speed = backlog as f64 / seconds;
+        let seconds = (took.as_secs_f64() - CALL_TIME).max(LEAST_TIME);
+        let seen = prompt as f64 / seconds;
         lane.speed = Some(match lane.speed {
-            Some(known) => SPEED_MEMORY * known + (1.0 - SPEED_MEMORY) * speed,
-            None => speed,
+            Some(known) if seen > known => known + RISE_WEIGHT * (seen - known),
+            Some(known) => known + FALL_WEIGHT * (seen - known),
+            None => seen,
         });
         lane.fault = None;
     }
--- a/crates/pool/src/line.rs
+++ b/crates/pool/src/line.rs
@@ -2,7 +2,9 @@
 //!
 //! Answers a burst beyond the decode pool's memory: work that can still be on
 //! time goes before work that can't, the oldest first; late work follows as
-//! there is room, and what can't be served any more is refused at once.
+//! there is room. What is late and finds no room is refused early, so that its
+//! caller comes back after the burst; who has come back goes before other late
+//! work and is kept as long as its caller stays.
 
 use std::collections;
 use std::time;
@@ -12,8 +14,9 @@
 /// After this wait a stream is no longer passed by smaller ones, so that large
 /// ones are not passed for ever; well within a target of most of a second.
 const PASS_TIME: time::Duration = time::Duration::from_millis(300);
-/// Least time that must be left for a stream to be worth a seat.
-const STREAM_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// How long after its target work that is late is still kept waiting, where its
+/// caller has not come back before.
+const LATE_TIME: time::Duration = time::Duration::from_millis(700);
 
 /// Names a waiting stream at this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -26,8 +29,10 @@
     pub need: u64,
     /// When its first event is due.
     pub target: time::Instant,
-    /// When it must have ended.
-    pub deadline: time::Instant,
+    /// When its caller leaves if there is no event.
+    pub patience: time::Instant,
+    /// Whether its caller has come back after a refusal.
+    pub back: bool,
     /// Its rank; 0 goes first.
     pub rank: u8,
     /// Since when it has waited.
@@ -54,7 +59,7 @@
     /// Streams in the order in which seats are offered.
     pub fn order(&self, now: time::Instant) -> Vec<(Ticket, Wait)> {
         let mut all: Vec<_> = self.waits.iter().map(|(t, w)| (*t, *w)).collect();
-        all.sort_by_key(|(ticket, wait)| (wait.is_late(now), wait.rank, *ticket));
+        all.sort_by_key(|(ticket, wait)| (wait.is_late(now), wait.rank, !wait.back, *ticket));
         all
     }
 
@@ -92,6 +97,10 @@
     }
 
     fn is_lost(&self, now: time::Instant) -> bool {
-        now + STREAM_TIME > self.deadline
+        let end = match self.back {
+            true => self.patience,
+            false => self.patience.min(self.target + LATE_TIME),
+        };
+        now + START_TIME > end
     }
 }
--- a/crates/seam/src/agreement.rs
+++ b/crates/seam/src/agreement.rs
@@ -34,6 +34,8 @@
     pub timeout: time::Duration,
     /// Within this time an answer, or a stream's first event, is on time.
     pub target: time::Duration,
+    /// The longest pause between a stream's events that is on time.
+    pub gap: time::Duration,
     /// Its rank; 0 goes first.
     pub rank: u8,
     /// Services with the weights by which requests are divided.
