--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -67,7 +67,6 @@
     pool: rc::Rc<Pool>,
     pub(crate) engine: Name,
     prompt: u64,
-    pub(crate) backlog: u64,
 }
 
 impl Drop for Reading {
@@ -194,13 +193,11 @@
         let now = time::Instant::now();
         let mut lanes = self.lanes.borrow_mut();
         let (engine, time) = lanes.pick(prompt, zone, now)?;
-        lanes.take(&engine, prompt);
-        let backlog = lanes.backlog(&engine, now);
+        lanes.take(&engine, prompt, now);
         let reading = Reading {
             pool: self.clone(),
             engine,
             prompt,
-            backlog,
         };
         Some((reading, time))
     }
@@ -224,7 +221,7 @@
                 None if wait.lets_pass(now) => continue,
                 None => return,
             };
-            self.seats.borrow_mut().take(&engine, wait.need);
+            self.seats.borrow_mut().take(&engine, wait.need, now);
             if !self.offer(ticket, Offer::Seat(engine.clone())) {
                 self.seats.borrow_mut().leave(&engine, wait.need, false);
             }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::measure;
 use crate::plain;
 use crate::queue::Pool;
+use crate::queue::Reading;
 use crate::queue::Seat;
 use http::StatusCode;
 use seam::Stream;
@@ -27,13 +28,15 @@
 /// so many of its pauses, or so long, whichever is longest.
 const PATIENCE: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
 /// Time for a reservation's call.
-const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// What a reservation lasts longer than its prompt is expected to take.
 const HOLD_MARGIN: time::Duration = time::Duration::from_millis(400);
 /// How much longer a prompt may take than expected.
 const PROMPT_FACTOR: u32 = 3;
 /// Least time that a prompt is given.
-const PROMPT_LEAST: time::Duration = time::Duration::from_millis(600);
+const PROMPT_LEAST: time::Duration = time::Duration::from_millis(450);
+/// Prefill engines that are tried while a seat is kept.
+const PROMPT_TRIES: u32 = 2;
 /// A stream without bytes for so long has stalled: its caller would leave after
 /// two seconds at the least.
 const STALL_TIME: time::Duration = time::Duration::from_millis(1_500);
@@ -193,10 +196,7 @@
         let lane = self.pool.read(job.call.prompt(), zone.as_deref());
         let expected = lane.as_ref().map_or(time::Duration::ZERO, |(_, t)| *t);
         let mut hold = self.reserve(&target, need, expected).await?;
-        let mut cache = match lane {
-            Some((reading, expected)) => self.read_prompt(reading, expected).await?,
-            None => None,
-        };
+        let mut cache = self.read_anywhere(lane, zone.as_deref()).await?;
         if self.sends > 0 && !self.may_repeat() {
             return Err(Miss::Lost);
         }
@@ -279,7 +279,7 @@
         expected: time::Duration,
     ) -> Result<Hold<P>, Miss> {
         let most = self.pool.facts.borrow().hold_life;
-        let life = (expected * 2 + HOLD_MARGIN).min(most);
+        let life = (expected * PROMPT_FACTOR + HOLD_MARGIN).min(most);
         let by = time::Instant::now() + RESERVE_TIMEOUT;
         let reserved = self.core.upstreams.reserve(target, need, life, by).await;
         let now = time::Instant::now();
@@ -307,15 +307,36 @@
         }
     }
 
-    /// Has the prompt read; none where the decode engine is to read it itself.
-    async fn read_prompt(
+    /// Has the prompt read, at a second engine where the first one fails; none
+    /// where the decode engine is to read it itself.
+    async fn read_anywhere(
         &mut self,
-        reading: crate::queue::Reading,
-        expected: time::Duration,
+        lane: Option<(Reading, time::Duration)>,
+        zone: Option<&str>,
     ) -> Result<Option<Cache<P>>, Miss> {
-        if self.prompts > 0 && !self.may_repeat() {
-            return Ok(None);
+        let mut lane = lane;
+        let mut missed = Miss::Unrun("no_prefill");
+        for _ in 0..PROMPT_TRIES {
+            let Some((reading, expected)) = lane else {
+                return Ok(None);
+            };
+            if self.prompts > 0 && !self.may_repeat() {
+                return Ok(None);
+            }
+            match self.read_prompt(reading, expected).await {
+                Ok(cache) => return Ok(Some(cache)),
+                Err(miss) => missed = miss,
+            }
+            lane = self.pool.read(self.job.call.prompt(), zone);
         }
+        Err(missed)
+    }
+
+    async fn read_prompt(
+        &mut self,
+        reading: Reading,
+        expected: time::Duration,
+    ) -> Result<Cache<P>, Miss> {
         self.prompts += 1;
         let engine = reading.engine.clone();
         let target = self.core.target(&engine).ok_or(Miss::Unrun("gone"))?;
@@ -338,7 +359,6 @@
             .line("prompt")
             .with("upstream", &engine)
             .with("tokens", self.job.call.prompt())
-            .with("backlog", reading.backlog)
             .with("expected_ms", measure::millis(expected))
             .with("took_ms", measure::millis(took))
             .with("ready", matches!(prefilled, seam::Prefilled::Ready(_)))
@@ -347,7 +367,7 @@
         match prefilled {
             seam::Prefilled::Ready(source) => {
                 lanes.learn(&engine, self.job.call.prompt(), took);
-                Ok(Some(Cache::new(&self.core, source)))
+                Ok(Cache::new(&self.core, source))
             }
             seam::Prefilled::Refused => {
                 lanes.fail(&engine, now);
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -23,8 +23,10 @@
 /// How much sooner an engine must be expected that is another entry's own:
 /// about what a prompt takes that this entry doesn't know of yet.
 const HOME_COST: f64 = 0.1;
-/// How long an engine that has refused or failed gets no prompts.
-const FAULT_TIME: time::Duration = time::Duration::from_millis(700);
+/// How long an engine that has refused or failed gets no prompts, at first.
+const FAULT_TIME: time::Duration = time::Duration::from_millis(500);
+/// The longest such pause; it doubles with each failure in a row.
+const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
 /// What a transfer between zones costs more, as time in seconds.
 const ZONE_COST: f64 = 0.02;
 /// After this silence a peer's prompts count no more.
@@ -43,6 +45,7 @@
     own: u64,
     speed: Option<f64>,
     fault: Option<time::Instant>,
+    faults: u32,
     open: bool,
     home: bool,
 }
@@ -60,6 +63,7 @@
                 own: 0,
                 speed: None,
                 fault: None,
+                faults: 0,
                 open: true,
                 home: true,
             });
@@ -104,10 +108,14 @@
         Some((id.clone(), time::Duration::from_secs_f64(time)))
     }
 
-    /// Notes a prompt that is sent to an engine.
-    pub fn take(&mut self, id: &str, prompt: u64) {
+    /// Notes a prompt that is sent to an engine. One that has failed gets no
+    /// other until this one has shown whether it works again.
+    pub fn take(&mut self, id: &str, prompt: u64, now: time::Instant) {
         if let Some(lane) = self.engines.get_mut(id) {
             lane.own += prompt;
+            if lane.faults > 0 {
+                lane.fault = Some(now + FAULT_TIME);
+            }
         }
     }
 
@@ -134,12 +142,15 @@
             None => seen,
         });
         lane.fault = None;
+        lane.faults = 0;
     }
 
     /// Notes that an engine has refused or failed.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
         if let Some(lane) = self.engines.get_mut(id) {
-            lane.fault = Some(now + FAULT_TIME);
+            let pause = FAULT_TIME.saturating_mul(1 << lane.faults.min(4));
+            lane.faults += 1;
+            lane.fault = Some(now + pause.min(FAULT_MOST));
         }
     }
 
--- a/crates/pool/src/line.rs
+++ b/crates/pool/src/line.rs
@@ -16,7 +16,7 @@
 const PASS_TIME: time::Duration = time::Duration::from_millis(300);
 /// How long after its target work that is late is still kept waiting, where its
 /// caller has not come back before.
-const LATE_TIME: time::Duration = time::Duration::from_millis(700);
+const LATE_TIME: time::Duration = time::Duration::from_millis(500);
 
 /// Names a waiting stream at this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/pool/src/seats.rs
+++ b/crates/pool/src/seats.rs
@@ -111,10 +111,14 @@
         self.engines.get(id)?.zone.as_ref()
     }
 
-    /// Notes a stream that is meant for an engine.
-    pub fn take(&mut self, id: &str, tokens: u64) {
+    /// Notes a stream that is meant for an engine. One that has failed gets no
+    /// other until this one has shown whether it works again.
+    pub fn take(&mut self, id: &str, tokens: u64, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.own.add(Load { tokens, streams: 1 });
+            if engine.faults > 0 {
+                engine.fault = Some(now + FAULT_TIME);
+            }
         }
     }
 
