--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -114,6 +114,27 @@
         pools.iter().map(|(n, p)| (n.clone(), p.clone())).collect()
     }
 
+    /// Writes how full the pools are, where anybody waits, and counts it.
+    pub(crate) fn note(&self) {
+        let now = time::Instant::now();
+        for (service, pool) in self.all() {
+            let (seats, lanes) = (pool.seats.borrow(), pool.lanes.borrow());
+            let (fill, waiting) = (seats.fill(now), pool.line.borrow().len());
+            metrics::gauge!("pool_fill", "service" => service.to_string()).set(fill);
+            metrics::gauge!("pool_waiting", "service" => service.to_string()).set(waiting as f64);
+            if waiting == 0 {
+                continue;
+            }
+            trace::Line::new("pool")
+                .with("service", &service)
+                .with("fill", format!("{fill:.2}"))
+                .with("waiting", waiting)
+                .with("decode", seats.open())
+                .with("prefill", lanes.open())
+                .info();
+        }
+    }
+
     /// Takes the engines of a service as they are now.
     pub(crate) fn update<'a>(
         &self,
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -151,6 +151,7 @@
         tokio::time::sleep(SWEEP_GAP).await;
         seam::Upstreams::sweep(&core.upstreams);
         core.links.sweep();
+        core.pools.note();
     }
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -42,6 +42,8 @@
 const STALL_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// How long the first event may take after the engine has the prompt.
 const FIRST_TIME: time::Duration = time::Duration::from_millis(2_500);
+/// The part of an answer's memory that is counted from the start.
+const ANSWER_PART: f64 = 0.5;
 /// Tries of one request in all.
 const TRIES_MOST: u32 = 6;
 
@@ -178,7 +180,7 @@
         after: Option<u64>,
     ) -> Result<Begun<<P::Upstreams as Upstreams>::Stream>, Miss> {
         let job = self.job.clone();
-        let need = job.call.memory();
+        let need = self.need();
         let wait = pool::Wait {
             need,
             target: job.arrived + job.route.target,
@@ -259,6 +261,15 @@
         })
     }
 
+    /// Tokens of memory that are counted for this stream.
+    ///
+    /// Memory is used as the answer grows, and the streams of an engine are of
+    /// all ages: on average half of their answers are there.
+    fn need(&self) -> u64 {
+        let (prompt, answer) = self.job.call.tokens.unwrap_or_default();
+        prompt + (answer as f64 * ANSWER_PART) as u64
+    }
+
     /// When the caller leaves if it gets no event.
     fn patience(&self, after: Option<u64>) -> time::Instant {
         let (targets, gaps, least) = PATIENCE;
@@ -451,7 +462,7 @@
     fn learn(&self, seat: &Seat) {
         let held = seat.since.elapsed();
         self.core
-            .learn(&self.job.service, self.job.call.memory(), held);
+            .learn(&self.job.service, self.need(), held);
     }
 
     async fn pass(
