--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -43,7 +43,7 @@
 /// How long the first event may take after the engine has the prompt.
 const FIRST_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// The part of an answer's memory that is counted from the start.
-const ANSWER_PART: f64 = 0.5;
+const ANSWER_PART: f64 = 0.3;
 /// Tries of one request in all.
 const TRIES_MOST: u32 = 6;
 
