--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -11,6 +11,9 @@
 
 /// While streams wait, seats are looked for at least this often.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(25);
+/// How full a pool may be for late work to begin: the rest is kept for work
+/// that can be on time, which is worth several times as much.
+const LATE_FILL: f64 = 0.85;
 /// The longest expected reading of a prompt for which a seat is taken already.
 const PREFILL_MOST: time::Duration = time::Duration::from_millis(800);
 
@@ -235,6 +238,9 @@
             if self.prompts_wait(now) {
                 return;
             }
+            if wait.is_late(now) && !wait.back && self.seats.borrow().fill(now) > LATE_FILL {
+                continue;
+            }
             let draw = || rand::rng().random_range(0.0..1.0);
             let picked = self.seats.borrow().pick(wait.need, &zone, draw, now);
             let engine = match picked {
