--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -39,6 +39,10 @@
     pub(crate) active: cell::Cell<usize>,
 }
 
+/// How long an engine is left alone that was found to change its part; then it
+/// is tried again.
+const SHUN_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// The configuration in force, also as it was read.
 #[derive(Debug)]
 pub(crate) struct Force {
@@ -237,6 +241,15 @@
         (before, peers.len() + 1)
     }
 
+    /// Notes that an engine was found to change its part, or to have changed it
+    /// without the list telling so yet.
+    pub(crate) fn shun(&self, id: &Name, part: seam::Part, now: time::Instant) {
+        let mut shifts = self.shifts.borrow_mut();
+        shifts.insert(id.clone(), (part, now + SHUN_TIME));
+        drop(shifts);
+        self.refresh();
+    }
+
     /// Tells whether an engine is changing its part.
     pub(crate) fn shifting(&self, member: &seam::Member) -> bool {
         let shifts = self.shifts.borrow();
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -152,6 +152,7 @@
         seam::Upstreams::sweep(&core.upstreams);
         core.links.sweep();
         core.pools.note();
+        core.refresh();
     }
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -199,6 +199,10 @@
         let expected = lane.as_ref().map_or(time::Duration::ZERO, |(_, t)| *t);
         let mut hold = self.reserve(&target, need, expected).await?;
         let mut cache = self.read_anywhere(lane, zone.as_deref()).await?;
+        // The prompt took a while: what the list says now counts.
+        if !self.core.takes_work(&engine) {
+            return Err(Miss::Unrun("leaving"));
+        }
         if self.sends > 0 && !self.may_repeat() {
             return Err(Miss::Lost);
         }
@@ -236,6 +240,7 @@
         };
         if answer.unrun {
             self.pool.seats.borrow_mut().refuse(&engine, now);
+            self.ask_why(&target, cache.as_ref().and_then(Cache::source));
             return Err(Miss::Unrun("refused"));
         }
         hold.used();
@@ -283,6 +288,31 @@
         (from + patience).min(self.job.deadline)
     }
 
+    /// Finds out whose fault it is that an engine has refused a stream for which
+    /// it had kept a seat: its own, because it changes its part, or that of the
+    /// engine whose KV cache was gone.
+    fn ask_why(&self, target: &seam::Target, source: Option<seam::Source>) {
+        let (core, pool, target) = (self.core.clone(), self.pool.clone(), target.clone());
+        tokio::task::spawn_local(async move {
+            let Some(report) = core.upstreams.report(&target).await else {
+                return;
+            };
+            let now = time::Instant::now();
+            let other = report.part.filter(|p| *p != seam::Part::Decode);
+            trace::Line::new("refusal_explained")
+                .with("upstream", &target.id)
+                .with("busy", report.busy)
+                .with("part", measure::part_word(report.part))
+                .with("used", report.used)
+                .info();
+            if report.busy || other.is_some() {
+                core.shun(&target.id, other.unwrap_or(seam::Part::Prefill), now);
+            } else if let Some(source) = source {
+                pool.lanes.borrow_mut().fail(&source.holder.id, now);
+            }
+        });
+    }
+
     async fn reserve(
         &mut self,
         target: &seam::Target,
