Decode engines read prompts only where no prefill engine is there

Change tried: a prompt expected to take over 500 ms went to its decode engine unread, where the pool was filled below 0.7.

--- a/crates/direct/src/queue.rs
+++ b/crates/direct/src/queue.rs
@@ -11,11 +11,6 @@
 
 /// While streams wait, seats are looked for at least this often.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(25);
-/// A prompt that would take so long at the prefill engines is read by its decode
-/// engine, where there is room; that takes twice its time and slows others.
-const DIRECT_TIME: time::Duration = time::Duration::from_millis(500);
-/// How full a pool may be for that.
-const DIRECT_FILL: f64 = 0.7;
 /// How full a pool may be for late work to begin: the rest is kept for work
 /// that can be on time, which is worth several times as much.
 const LATE_FILL: f64 = 0.85;
@@ -222,9 +217,6 @@
         let now = time::Instant::now();
         let mut lanes = self.lanes.borrow_mut();
         let (engine, time) = lanes.pick(prompt, zone, now)?;
-        if time > DIRECT_TIME && self.has_room(now) {
-            return None;
-        }
         lanes.take(&engine, prompt, now);
         let reading = Reading {
             pool: self.clone(),
@@ -267,13 +259,7 @@
     fn prompts_wait(&self, now: time::Instant) -> bool {
         let lanes = self.lanes.borrow();
         let soonest = lanes.pick(0, None, now);
-        let long = soonest.is_some_and(|(_, time)| time > PREFILL_MOST);
-        long && !self.has_room(now)
-    }
-
-    /// Tells whether decode engines have room to read prompts themselves.
-    fn has_room(&self, now: time::Instant) -> bool {
-        self.seats.borrow().fill(now) < DIRECT_FILL
+        soonest.is_some_and(|(_, time)| time > PREFILL_MOST)
     }
 
     fn offer(&self, ticket: pool::Ticket, offer: Offer) -> bool {
