--- /dev/null
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -0,0 +1,446 @@
+//! Entries as real processes against stand-ins of the Tracks Unit's platform.
+
+use fake::tracks::Asked;
+use fake::tracks::StoreMode;
+use fake::tracks::Worker;
+use fake::tracks::Yard;
+use std::path;
+use std::thread;
+use std::time;
+
+/// Longest wait for a process to end by itself.
+const END: time::Duration = time::Duration::from_secs(30);
+
+fn program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"))
+}
+
+/// A yard with one entry that serves.
+fn yard(stages: &[&'static str], hosts: usize) -> Yard {
+    let mut yard = Yard::new(program(), stages, hosts, 1);
+    yard.start();
+    yard
+}
+
+fn ids(body: &str) -> Vec<u64> {
+    let lines = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    lines.filter_map(|i| i.parse().ok()).collect()
+}
+
+/// Runs that a worker began: neither prompts nor calls of the system's own.
+fn runs(worker: &Worker) -> usize {
+    let mut all = worker.arrivals();
+    all.retain(|a| {
+        let prompt = a.header("hornbeampitch-serving-stage") == "prefill";
+        !a.path.starts_with("/hornbeampitch/") && !prompt
+    });
+    all.len()
+}
+
+fn ran(yard: &Yard) -> usize {
+    yard.hosts.iter().map(runs).sum()
+}
+
+#[test]
+fn stream_seat_first_then_prompt() {
+    let yard = yard(&["prefill", "decode"], 0);
+    let asked = yard.stream(0, "/resumable/a?b=c", &[]);
+    assert_eq!((asked.status, asked.whole), (200, true), "{asked:?}");
+    assert_eq!(ids(&asked.body), [1, 2, 3, 4, 5]);
+    assert!(asked.headers.contains("seal-"), "{asked:?}");
+    let decode = yard.engines[1].arrivals();
+    assert_eq!(decode[0].path, "/hornbeampitch/hold-take");
+    let run = &decode[1];
+    assert_eq!(
+        (run.path.as_str(), run.body.as_str()),
+        ("/resumable/a?b=c", "a prompt")
+    );
+    let source = format!("{}/h1", yard.engines[0].address());
+    assert_eq!(run.header("hornbeampitch-kv-source"), source);
+    assert_eq!(run.header("hornbeampitch-kv-hold"), "d1");
+    assert_eq!(run.header("hornbeampitch-expect-instance"), "engine-1");
+    assert_eq!(run.header("hornbeampitch-tenant"), "tenant-a");
+    assert_eq!(run.header("api-key"), "");
+    let left: u64 = run
+        .header("hornbeampitch-deadline-ms")
+        .parse()
+        .expect("a number");
+    assert!(left <= 8_000, "{left}");
+}
+
+#[test]
+fn headers_of_the_system_are_the_entrys_to_set() {
+    let yard = yard(&["prefill", "decode"], 1);
+    let forged = [
+        ("hornbeampitch-tenant", "tenant-b"),
+        ("hornbeampitch-kv-hold", "forged"),
+        ("hornbeampitch-kv-source", "forged"),
+        ("hornbeampitch-kv-backup", "forged"),
+        ("hornbeampitch-pin-ms", "4000"),
+        ("hornbeampitch-serving-stage", "prefill"),
+        ("hornbeampitch-expect-instance", "forged"),
+        ("hornbeampitch-expect-version", "7"),
+        ("hornbeampitch-request-priority", "0"),
+        ("kv-fetch", "forged"),
+        ("x-kept", "kept"),
+    ];
+    let asked = yard.stream(0, "/once/a", &forged);
+    assert_eq!(asked.status, 200, "{asked:?}");
+    let asked = yard.ask(0, "GET", "/status/a", "", &forged);
+    assert_eq!(asked.status, 200, "{asked:?}");
+    let run = yard.engines[1].arrived("/once/").remove(0);
+    let call = yard.hosts[0].arrived("/status/").remove(0);
+    for arrival in [&run, &call] {
+        assert_eq!(arrival.header("hornbeampitch-tenant"), "tenant-a");
+        assert_eq!(arrival.header("x-kept"), "kept");
+        for name in ["kv-backup", "pin-ms", "expect-version", "request-priority"] {
+            assert_eq!(
+                arrival.header(&format!("hornbeampitch-{name}")),
+                "",
+                "{name}"
+            );
+        }
+        assert_eq!(arrival.header("kv-fetch"), "");
+        assert_ne!(arrival.header("hornbeampitch-kv-hold"), "forged");
+        assert_ne!(arrival.header("hornbeampitch-kv-source"), "forged");
+    }
+    assert_eq!(call.header("hornbeampitch-serving-stage"), "");
+}
+
+#[test]
+fn leaving_engine_gets_nothing_after_a_prompt() {
+    let yard = yard(&["prefill", "decode", "decode"], 0);
+    yard.engines[0].behave(|m| m.holds_prompts = true);
+    // So long a prompt is given some seconds.
+    let long = [("hornbeampitch-token-counts", "39000,100")];
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| yard.ask(0, "POST", "/resumable/a", "", &long));
+        let asked = |y: &Yard| y.engines[1..].iter().any(|e| e.holds() == 1);
+        yard.wait(asked);
+        let chosen = yard.engines[1..].iter().find(|e| e.holds() == 1);
+        let chosen = chosen.expect("one has kept a seat");
+        yard.list_one(chosen, "llm", "draining");
+        yard.wait(|y| y.entries[0].log().contains("state=Draining"));
+        yard.engines[0].behave(|m| m.holds_prompts = false);
+        let asked = asking.join().expect("the caller doesn't panic");
+        assert_eq!(asked.status, 200, "{asked:?}");
+        assert_eq!(runs(chosen), 0, "{}", yard.entries[0].log());
+    });
+}
+
+#[test]
+fn broken_stream_goes_on_without_gap_or_repeat() {
+    let yard = yard(&["prefill", "decode", "decode"], 0);
+    for engine in &yard.engines[1..] {
+        engine.behave(|m| m.events = 9);
+    }
+    yard.engines[1].behave(|m| m.breaks = Some(4));
+    for _ in 0..6 {
+        let asked = yard.stream(0, "/resumable/a", &[]);
+        if asked.whole && runs(&yard.engines[1]) == 0 {
+            continue;
+        }
+        assert_eq!(ids(&asked.body), (1..=9).collect::<Vec<_>>(), "{asked:?}");
+        let resumed = yard.engines[2].arrived("/resumable/");
+        let after = resumed.iter().map(|a| a.header("last-event-id").to_owned());
+        assert!(after.into_iter().any(|a| a == "4"), "{resumed:?}");
+        return;
+    }
+    panic!("the engine that breaks was never chosen");
+}
+
+#[test]
+fn broken_stream_that_runs_once_is_not_run_again() {
+    let yard = yard(&["prefill", "decode", "decode"], 0);
+    for engine in &yard.engines[1..] {
+        engine.behave(|m| m.breaks = Some(2));
+    }
+    let asked = yard.stream(0, "/once/a", &[]);
+    assert!(!asked.whole, "{asked:?}");
+    let begun: usize = yard.engines[1..].iter().map(runs).sum();
+    assert_eq!(begun, 1);
+}
+
+#[test]
+fn nothing_stays_held_for_a_caller_that_has_gone() {
+    let yard = yard(&["prefill", "decode"], 0);
+    yard.engines[0].behave(|m| m.prompt_time = time::Duration::from_millis(400));
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            use std::io::Write;
+            let mut line = std::net::TcpStream::connect(yard.entries[0].front).expect("it listens");
+            let head = "POST /once/a HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n\
+                hornbeampitch-request-id: 77\r\nhornbeampitch-token-counts: 1000,100\r\n\
+                content-length: 0\r\n\r\n";
+            line.write_all(head.as_bytes()).expect("it reads");
+            yard.wait(|y| y.engines[1].holds() == 1);
+        });
+    });
+    yard.wait(|y| y.engines[1].holds() == 0 && y.engines[0].handles() == 0);
+    assert_eq!(runs(&yard.engines[1]), 0);
+}
+
+#[test]
+fn failed_call_idempotent_is_tried_once_more() {
+    let yard = yard(&[], 2);
+    yard.hosts[0].behave(|m| m.status = 500);
+    yard.hosts[1].behave(|m| m.status = 500);
+    let asked = yard.ask(0, "GET", "/status/a", "", &[]);
+    assert_eq!(asked.status, 500);
+    assert!(asked.headers.contains("seal-"), "{asked:?}");
+    assert_eq!(ran(&yard), 2);
+}
+
+#[test]
+fn failed_call_that_runs_once_is_not_repeated() {
+    let yard = yard(&[], 2);
+    for host in &yard.hosts {
+        host.behave(|m| m.status = 500);
+    }
+    let asked = yard.ask(0, "POST", "/order/a", "an order", &[]);
+    assert_eq!(asked.status, 500);
+    assert_eq!(ran(&yard), 1);
+}
+
+#[test]
+fn lost_answer_that_runs_once_promises_nothing() {
+    let yard = yard(&[], 2);
+    for host in &yard.hosts {
+        host.behave(|m| m.mute = true);
+    }
+    let asked = yard.ask(0, "POST", "/order/a", "an order", &[]);
+    assert!(matches!(asked.status, 502 | 504), "{asked:?}");
+    assert_eq!(ran(&yard), 1);
+}
+
+#[test]
+fn refused_call_says_when_to_come_back() {
+    let yard = yard(&[], 1);
+    yard.hosts[0].behave(|m| m.sheds = true);
+    let asked = yard.ask(0, "POST", "/order/a", "an order", &[]);
+    assert_eq!(asked.status, 503);
+    assert!(asked.headers.contains("retry-after"), "{asked:?}");
+}
+
+#[test]
+fn promise_without_the_hosts_word_is_not_passed_on() {
+    let yard = yard(&[], 1);
+    yard.hosts[0].behave(|m| m.status = 503);
+    let asked = yard.ask(0, "POST", "/order/a", "an order", &[]);
+    assert_eq!(asked.status, 504, "{asked:?}");
+    assert!(!asked.headers.contains("seal-"), "{asked:?}");
+}
+
+#[test]
+fn refusals_name_what_is_wrong() {
+    let yard = yard(&[], 1);
+    let status = |asked: Asked| asked.status;
+    assert_eq!(
+        status(yard.ask(0, "GET", "/status/a", "", &[("api-key", "key-x")])),
+        401
+    );
+    assert_eq!(
+        status(yard.ask(0, "GET", "/status/a", "", &[("api-key", "")])),
+        401
+    );
+    assert_eq!(status(yard.ask(0, "GET", "/nowhere/a", "", &[])), 404);
+    assert_eq!(
+        status(yard.ask(0, "GET", "/open/a", "", &[("api-key", "")])),
+        200
+    );
+    let large = "x".repeat(100_001);
+    assert_eq!(status(yard.ask(0, "POST", "/order/a", &large, &[])), 413);
+    let bad = [("hornbeampitch-deadline-ms", "soon")];
+    assert_eq!(status(yard.ask(0, "GET", "/status/a", "", &bad)), 400);
+}
+
+#[test]
+fn allowance_excess_is_refused_with_a_time() {
+    let yard = yard(&[], 1);
+    let keyed = [("api-key", "key-b")];
+    let asked: Vec<Asked> = (0..40)
+        .map(|_| yard.ask(0, "GET", "/status/a", "", &keyed))
+        .collect();
+    let served = asked.iter().filter(|a| a.status == 200).count();
+    // 500 units a second over 8 s and a burst of 500, at 200 units each.
+    assert_eq!(served, 22);
+    let refused = asked
+        .iter()
+        .find(|a| a.status == 429)
+        .expect("some are refused");
+    assert!(refused.headers.contains("retry-after"), "{refused:?}");
+}
+
+#[test]
+fn entry_without_a_configuration_is_not_ready() {
+    let mut yard = Yard::new(program(), &[], 1, 1);
+    yard.entries[0].start();
+    yard.wait(|y| y.ask(0, "GET", "/status/a", "", &[]).status == 503);
+    assert!(!yard.is_ready(0));
+    yard.configure(|_| {});
+    yard.wait(|y| y.is_ready(0));
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn configuration_changes_and_never_goes_back() {
+    let mut yard = yard(&[], 1);
+    let old = yard.agreement.to_string();
+    yard.configure(|a| a["routes"][3]["prefix"] = "/moved/".into());
+    yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 404);
+    yard.store.put("op/config", old.as_bytes());
+    yard.wait(|y| y.entries[0].log().contains("event=configuration_older"));
+    assert_eq!(yard.ask(0, "GET", "/moved/a", "", &[]).status, 200);
+}
+
+#[test]
+fn configuration_unreadable_leaves_the_old_one() {
+    let yard = yard(&[], 1);
+    yard.store
+        .put("op/config", b"{\"version\": 99, \"routes\": 7}");
+    yard.wait(|y| {
+        y.entries[0]
+            .log()
+            .contains("event=configuration_unreadable")
+    });
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn history_lost_while_watching_is_read_anew() {
+    let mut yard = yard(&[], 1);
+    yard.store.compact();
+    yard.configure(|a| a["routes"][3]["prefix"] = "/moved/".into());
+    yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
+}
+
+#[test]
+fn entry_of_another_writer_names_no_worker() {
+    let yard = yard(&[], 1);
+    yard.store.put("servers/odd-1", b"\xff\xfe not text");
+    yard.store
+        .put("servers/odd-2", br#"{"service":"app","address":7}"#);
+    yard.wait(|y| y.entries[0].log().contains("event=member_unreadable"));
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn store_out_does_not_stop_service() {
+    let yard = yard(&["prefill", "decode"], 1);
+    for mode in [StoreMode::Out, StoreMode::Busy, StoreMode::Mute] {
+        yard.store.behave(mode);
+        thread::sleep(time::Duration::from_millis(300));
+        assert_eq!(
+            yard.ask(0, "GET", "/status/a", "", &[]).status,
+            200,
+            "{mode:?}"
+        );
+        assert_eq!(yard.stream(0, "/resumable/a", &[]).status, 200, "{mode:?}");
+    }
+    yard.store.behave(StoreMode::Well);
+    yard.wait(|y| y.entries[0].log().contains("event=store_regained"));
+}
+
+#[test]
+fn host_missing_from_the_list_gets_nothing() {
+    let yard = yard(&[], 2);
+    yard.store.remove("servers/host-0");
+    yard.wait(|y| y.entries[0].log().contains("id=host-0 state=Gone"));
+    let before = runs(&yard.hosts[0]);
+    for _ in 0..10 {
+        assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+    }
+    assert_eq!(runs(&yard.hosts[0]), before);
+}
+
+#[test]
+fn stop_lets_a_stream_finish() {
+    let mut yard = yard(&["prefill", "decode"], 0);
+    yard.engines[1].behave(|m| {
+        m.events = 40;
+        m.event_gap = time::Duration::from_millis(100);
+    });
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| yard.stream(0, "/once/a", &[]));
+        yard.wait(|y| runs(&y.engines[1]) == 1);
+        yard.entries[0].signal("TERM");
+        yard.wait(|y| !y.is_ready(0));
+        let asked = asking.join().expect("the caller doesn't panic");
+        assert!(asked.whole, "{asked:?}");
+        assert_eq!(ids(&asked.body).len(), 40);
+    });
+    assert_eq!(yard.entries[0].join(END), Some(0));
+}
+
+#[test]
+fn hangup_loses_nothing() {
+    let yard = yard(&[], 1);
+    yard.entries[0].signal("HUP");
+    yard.wait(|y| y.entries[0].log().contains("event=reload"));
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn orders_come_from_one_holder_with_its_fence() {
+    let stages = [
+        "prefill", "prefill", "prefill", "prefill", "decode", "decode",
+    ];
+    let mut yard = Yard::new(program(), &stages, 0, 2);
+    for engine in &yard.engines {
+        // Streams that hold memory for a while, as most of the load is.
+        engine.behave(|m| m.event_gap = time::Duration::from_millis(60));
+    }
+    yard.start();
+    // Engines are told apart by speed only after each has read a prompt.
+    let prompts = |y: &Yard| {
+        y.engines[..4]
+            .iter()
+            .all(|e| !e.arrived("/once/").is_empty())
+    };
+    yard.wait(|y| {
+        for entry in 0..2 {
+            y.stream(entry, "/once/a", &[]);
+        }
+        prompts(y)
+    });
+    yard.wait(|y| {
+        y.stream(0, "/once/a", &[]);
+        y.engines
+            .iter()
+            .any(|e| !e.arrived("/hornbeampitch/order").is_empty())
+    });
+    let orders = yard
+        .engines
+        .iter()
+        .flat_map(|e| e.arrived("/hornbeampitch/order"));
+    let fence = yard.store.revision("hornbeampitch/orders");
+    let holder = yard.store.value("hornbeampitch/orders").unwrap_or_default();
+    for order in orders {
+        let body: serde_json::Value = serde_json::from_str(&order.body).expect("JSON");
+        assert_eq!(body["fence"], fence);
+        assert_eq!(
+            body["holder"].as_str().map(str::as_bytes),
+            Some(&holder[..])
+        );
+        assert_eq!(
+            (&body["op"], &body["stage"]),
+            (&"stage".into(), &"decode".into())
+        );
+        assert!(!order.header("hornbeampitch-expect-instance").is_empty());
+    }
+}
+
+#[test]
+fn peers_tell_what_the_store_does_not() {
+    let mut yard = Yard::new(program(), &[], 1, 2);
+    yard.start();
+    yard.wait(|y| y.entries.iter().all(|e| e.log().contains("event=peer ")));
+    // The first is stopped, misses a version, and finds the store gone.
+    yard.entries[0].signal("STOP");
+    yard.configure(|a| a["routes"][3]["prefix"] = "/moved/".into());
+    yard.wait(|y| y.ask(1, "GET", "/moved/a", "", &[]).status == 200);
+    yard.store.behave(StoreMode::Out);
+    yard.entries[0].signal("CONT");
+    yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -116,10 +116,7 @@
                 .with("request", &id)
                 .with("status", reply.status.as_u16())
                 .with("reason", reply.reason)
-                .with(
-                    "version",
-                    core.force().map_or(0, |f| f.agreement.version),
-                )
+                .with("version", core.force().map_or(0, |f| f.agreement.version))
                 .info();
             metrics::counter!("refused", "reason" => reply.reason).increment(1);
             return own::<P>(&reply);
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -52,7 +52,11 @@
 ) -> Result<(), seam::StoreFault> {
     let mut after = after;
     loop {
-        match core.store.watch(P::AGREEMENT_KEY, after, WATCH_TIME).await? {
+        match core
+            .store
+            .watch(P::AGREEMENT_KEY, after, WATCH_TIME)
+            .await?
+        {
             seam::Watched::Compacted => return Ok(()),
             seam::Watched::Changes(items, revision) => {
                 for raw in items.into_iter().filter_map(|i| i.value) {
--- a/crates/direct/src/measure.rs
+++ b/crates/direct/src/measure.rs
@@ -5,9 +5,7 @@
 use std::time;
 
 /// Bounds of the histograms of times, in seconds.
-const TIME_BOUNDS: [f64; 11] = [
-    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 2.0, 5.0, 14.0,
-];
+const TIME_BOUNDS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 2.0, 5.0, 14.0];
 
 /// Starts to count; none where another recorder counts already.
 pub(crate) fn start() -> Option<PrometheusHandle> {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -107,10 +107,7 @@
         };
         if sent > 0 {
             let entries = core.entries();
-            let granted = core
-                .retries
-                .borrow_mut()
-                .take(&job.service, entries, now);
+            let granted = core.retries.borrow_mut().take(&job.service, entries, now);
             if !granted {
                 return nowhere(&core, &job, may_have_run);
             }
@@ -238,7 +235,9 @@
 async fn read_whole(stream: &mut impl Stream, by: time::Instant) -> Option<bytes::Bytes> {
     let mut all = bytes::BytesMut::new();
     loop {
-        let piece = tokio::time::timeout_at(by.into(), stream.next()).await.ok()?;
+        let piece = tokio::time::timeout_at(by.into(), stream.next())
+            .await
+            .ok()?;
         match piece {
             None => return Some(all.freeze()),
             Some(Ok(bytes)) => all.extend_from_slice(&bytes),
@@ -290,11 +289,7 @@
 ) -> hyper::Response<Body> {
     let reply = match may_have_run {
         true => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
-        false => job.reply(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(FULL_PAUSE),
-            "no_host",
-        ),
+        false => job.reply(StatusCode::SERVICE_UNAVAILABLE, Some(FULL_PAUSE), "no_host"),
     };
     refuse(core, job, &reply)
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -48,7 +48,9 @@
             Ok(listener) => {
                 tokio::task::spawn_local(serve_metrics(listener, meter));
             }
-            Err(fault) => trace::Line::new("metrics_unheard").with("fault", fault).warn(),
+            Err(fault) => trace::Line::new("metrics_unheard")
+                .with("fault", fault)
+                .warn(),
         }
     }
     tokio::task::spawn_local(feed::follow_agreement(core.clone()));
@@ -87,7 +89,9 @@
                 tokio::task::spawn_local(converse(core.clone(), stream, closed.clone()));
             }
             Err(fault) => {
-                trace::Line::new("accept_failed").with("fault", fault).warn();
+                trace::Line::new("accept_failed")
+                    .with("fault", fault)
+                    .warn();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -491,8 +491,7 @@
 
     fn learn(&self, seat: &Seat) {
         let held = seat.since.elapsed();
-        self.core
-            .learn(&self.job.service, self.need(), held);
+        self.core.learn(&self.job.service, self.need(), held);
     }
 
     async fn pass(
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -13,6 +13,7 @@
 mod service;
 mod site;
 mod store;
+pub mod tracks;
 
 pub use answer::{answer_text, answer_tokens, prompt_tokens};
 pub use collector::Collector;
--- /dev/null
+++ b/crates/fake/src/tracks/entry.rs
@@ -0,0 +1,131 @@
+//! A real daemon as an entry on the stand-ins.
+
+use crate::ports::free_address;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+
+/// A daemon and the files of its host.
+pub struct Entry {
+    /// Its host's name.
+    pub host: String,
+    /// Where it takes callers' connections.
+    pub front: net::SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: net::SocketAddr,
+    program: path::PathBuf,
+    settings: path::PathBuf,
+    log: path::PathBuf,
+    child: Option<process::Child>,
+}
+
+impl Entry {
+    /// Writes the settings of a host; the daemon is started apart.
+    pub fn prepare(
+        host: &str,
+        store: net::SocketAddr,
+        program: &path::Path,
+        folder: &path::Path,
+    ) -> Self {
+        let (front, ready, links) = (free_address(), free_address(), free_address());
+        let settings = folder.join(format!("{host}.toml"));
+        let port = links.port();
+        let text = format!(
+            r#"node = "{host}"
+ip = "127.0.0.1"
+zone = "ruahine"
+heartbeat_ms = 1200
+port_range = [{port}, {port}]
+unknown_to_us = true
+[listen]
+front = "{front}"
+ready = "{ready}"
+[limits]
+memory_mb = 110
+max_fds = 4100
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 56
+quota_window_s = 8
+lease_ms = 3000
+[platform]
+address = "{store}"
+"#
+        );
+        fs::write(&settings, text).expect("the folder takes files");
+        Self {
+            host: host.to_owned(),
+            front,
+            ready,
+            program: program.to_owned(),
+            log: folder.join(format!("{host}.log")),
+            settings,
+            child: None,
+        }
+    }
+
+    /// Starts the daemon, also once more.
+    pub fn start(&mut self) {
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log);
+        let child = process::Command::new(&self.program)
+            .arg("platform")
+            .env("HORNBEAMPITCH_BOOT", &self.settings)
+            .stdin(process::Stdio::null())
+            .stdout(log.expect("the folder takes files"))
+            .spawn();
+        self.child = Some(child.expect("the daemon starts"));
+    }
+
+    /// Sends a signal, by its name.
+    pub fn signal(&self, name: &str) {
+        let child = self.child.as_ref().expect("the daemon was started");
+        let sent = process::Command::new("kill")
+            .args([&format!("-{name}"), &child.id().to_string()])
+            .status();
+        assert!(sent.is_ok_and(|s| s.success()), "the signal was sent");
+    }
+
+    /// Ends the daemon at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the daemon to end by itself; gives its exit code.
+    pub fn join(&mut self, limit: time::Duration) -> Option<i32> {
+        let end = time::Instant::now() + limit;
+        let child = self.child.as_mut()?;
+        while time::Instant::now() < end {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.child = None;
+                return status.code();
+            }
+            thread::sleep(time::Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// What the daemon has logged; it writes a few times a second.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/fake/src/tracks/worker.rs
@@ -0,0 +1,307 @@
+//! An engine or plain service of the platform.
+
+use crate::site::Site;
+use crate::tracks::store::answer;
+use serde_json::Value;
+use serde_json::json;
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+use web::Handler;
+
+/// Time between two looks at whether a prompt may be read.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(5);
+
+/// How a worker behaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Manner {
+    /// How long it reads a prompt.
+    pub prompt_time: time::Duration,
+    /// Whether prompts stay unread until this is taken back.
+    pub holds_prompts: bool,
+    /// The pause between two events of a stream.
+    pub event_gap: time::Duration,
+    /// Events of each stream.
+    pub events: u64,
+    /// After so many events it breaks its streams off.
+    pub breaks: Option<u64>,
+    /// Whether it has no room for reservations.
+    pub full: bool,
+    /// The status of plain calls.
+    pub status: u16,
+    /// It runs plain calls and loses their answers.
+    pub mute: bool,
+    /// It refuses plain calls unrun.
+    pub sheds: bool,
+}
+
+impl Default for Manner {
+    fn default() -> Self {
+        Self {
+            prompt_time: time::Duration::from_millis(5),
+            holds_prompts: false,
+            event_gap: time::Duration::from_millis(2),
+            events: 5,
+            breaks: None,
+            full: false,
+            status: 200,
+            mute: false,
+            sheds: false,
+        }
+    }
+}
+
+/// A call that has reached a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// The method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// The headers, by name in lowercase.
+    pub headers: collections::BTreeMap<String, String>,
+    /// The body.
+    pub body: String,
+}
+
+impl Arrival {
+    /// Reads a header; empty where there is none.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// The worker.
+pub struct Worker {
+    /// Its id in the platform's list.
+    pub id: String,
+    site: Site,
+    shared: Shared,
+}
+
+type Shared = sync::Arc<sync::Mutex<State>>;
+
+struct State {
+    id: String,
+    stage: Option<&'static str>,
+    manner: Manner,
+    arrivals: Vec<Arrival>,
+    count: u64,
+    handles: collections::BTreeSet<String>,
+    holds: collections::BTreeSet<String>,
+    orders: u64,
+}
+
+impl Worker {
+    /// Starts a worker; one without a stage is a plain service.
+    pub fn start(address: net::SocketAddr, id: &str, stage: Option<&'static str>) -> Self {
+        let state = State {
+            id: id.to_owned(),
+            stage,
+            manner: Manner::default(),
+            arrivals: Vec::new(),
+            count: 0,
+            handles: collections::BTreeSet::new(),
+            holds: collections::BTreeSet::new(),
+            orders: 0,
+        };
+        let shared = sync::Arc::new(sync::Mutex::new(state));
+        let answers = Answers {
+            shared: shared.clone(),
+        };
+        let site = Site::start(address, answers);
+        Self {
+            id: id.to_owned(),
+            site,
+            shared,
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.site.address
+    }
+
+    /// Changes how it behaves.
+    pub fn behave(&self, change: impl FnOnce(&mut Manner)) {
+        change(&mut self.state().manner);
+    }
+
+    /// All calls that have reached it, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state().arrivals.clone()
+    }
+
+    /// The calls whose path begins so.
+    pub fn arrived(&self, path: &str) -> Vec<Arrival> {
+        let mut all = self.arrivals();
+        all.retain(|a| a.path.starts_with(path));
+        all
+    }
+
+    /// KV caches that nobody has taken or freed.
+    pub fn handles(&self) -> usize {
+        self.state().handles.len()
+    }
+
+    /// Reservations that nobody has used or released.
+    pub fn holds(&self) -> usize {
+        self.state().holds.len()
+    }
+
+    /// Dies; connections to it break.
+    pub fn kill(&self) {
+        self.site.kill();
+    }
+
+    /// Its entry in the platform's list.
+    pub fn entry(&self, service: &str, state: &str) -> String {
+        let stage = self.state().stage;
+        json!({
+            "service": service, "address": self.address(), "zone": "ruahine", "version": "v1",
+            "slots": 8, "state": state, "cold_left_ms": 0, "stage": stage, "seq": 4,
+            "born": 1_767_816_250_201_u64,
+        })
+        .to_string()
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.shared.lock().expect("no panic holds it")
+    }
+}
+
+struct Answers {
+    shared: Shared,
+}
+
+impl Handler for Answers {
+    async fn handle(
+        &self,
+        request: web::Request<web::Incoming>,
+    ) -> Option<web::Response<web::Body>> {
+        let (head, body) = request.into_parts();
+        let body = web::read_body(body, 16 << 20).await?;
+        let headers = head.headers.iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            (name.as_str().to_owned(), value)
+        });
+        let arrival = Arrival {
+            method: head.method.to_string(),
+            path: head.uri.to_string(),
+            headers: headers.collect(),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        };
+        let own = {
+            let mut state = self.state();
+            state.arrivals.push(arrival.clone());
+            state.own(&arrival)
+        };
+        match own {
+            Some((status, value)) => Some(answer(status, &value)),
+            None => self.run(&arrival).await,
+        }
+    }
+}
+
+impl Answers {
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        self.shared.lock().expect("no panic holds it")
+    }
+
+    async fn run(&self, arrival: &Arrival) -> Option<web::Response<web::Body>> {
+        let (stage, manner) = {
+            let state = self.state();
+            if arrival.header("hornbeampitch-expect-instance") != state.id {
+                return Some(answer(421, &Value::Null));
+            }
+            (state.stage, state.manner.clone())
+        };
+        let id = arrival.header("hornbeampitch-request-id").to_owned();
+        let head = web::Response::builder()
+            .header("hornbeampitch-request-id", &id)
+            .header("hornbeampitch-response-seal", format!("seal-{id}"));
+        if stage.is_none() {
+            let head = match (manner.mute, manner.sheds) {
+                (true, _) => return None,
+                (_, true) => head.status(503).header("hornbeampitch-not-executed", "1"),
+                (false, false) => head.status(manner.status),
+            };
+            let body = web::whole(format!("{} {}", arrival.method, arrival.body));
+            return head.body(body).ok();
+        }
+        if arrival.header("hornbeampitch-serving-stage") == "prefill" {
+            tokio::time::sleep(manner.prompt_time).await;
+            while self.state().manner.holds_prompts {
+                tokio::time::sleep(LOOK_GAP).await;
+            }
+            let handle = self.state().keep();
+            let value = json!({"handle": handle, "tokens": 10, "version": 1});
+            return Some(answer(200, &value));
+        }
+        self.state()
+            .holds
+            .remove(arrival.header("hornbeampitch-kv-hold"));
+        let after = arrival.header("last-event-id").parse().unwrap_or(0);
+        let (feed, body) = web::body_channel();
+        tokio::spawn(async move {
+            for event in after + 1..=manner.events {
+                if manner.breaks.is_some_and(|b| event > b) {
+                    return;
+                }
+                let text = format!("id: {event}\ndata: piece {event}\n\n");
+                if feed.send(text.into()).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(manner.event_gap).await;
+            }
+        });
+        let head = head.header("content-type", "text/event-stream");
+        // A length that the stream never reaches makes its end a break.
+        let head = match manner.breaks {
+            Some(_) => head.header("content-length", "1000000"),
+            None => head,
+        };
+        head.body(body).ok()
+    }
+}
+
+impl State {
+    fn keep(&mut self) -> String {
+        self.count += 1;
+        let handle = format!("h{}", self.count);
+        self.handles.insert(handle.clone());
+        handle
+    }
+
+    /// Answers the calls that are the system's own.
+    fn own(&mut self, arrival: &Arrival) -> Option<(u16, Value)> {
+        let path = arrival.path.as_str();
+        if let Some(handle) = path.strip_prefix("/hornbeampitch/kv-handle/") {
+            self.handles.remove(handle);
+            return Some((200, Value::Null));
+        }
+        if let Some(hold) = path.strip_prefix("/hornbeampitch/hold-drop/") {
+            self.holds.remove(hold);
+            return Some((200, Value::Null));
+        }
+        match path {
+            "/hornbeampitch/hold-take" if self.manner.full => Some((503, Value::Null)),
+            "/hornbeampitch/hold-take" => {
+                self.count += 1;
+                let hold = format!("d{}", self.count);
+                self.holds.insert(hold.clone());
+                Some((200, json!({"hold": hold})))
+            }
+            "/hornbeampitch/report" => Some((
+                200,
+                json!({"stage": self.stage, "busy": false, "seq": self.orders, "kv_used": 0}),
+            )),
+            "/hornbeampitch/order" => {
+                self.orders += 1;
+                Some((202, Value::Null))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/tracks/yard.rs
@@ -0,0 +1,246 @@
+//! Stand-ins of one site of the platform, with real daemons as entries.
+
+use crate::ports::free_address;
+use crate::tracks::Entry;
+use crate::tracks::TracksStore;
+use crate::tracks::Worker;
+use serde_json::Value;
+use serde_json::json;
+use std::env;
+use std::fs;
+use std::io;
+use std::io::Read;
+use std::path;
+use std::process;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+/// Longest wait for what must come; a machine under load takes its time.
+const READY: time::Duration = time::Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(15);
+
+/// A store, workers and entries.
+pub struct Yard {
+    /// The platform's store.
+    pub store: TracksStore,
+    /// Engines of the service `llm`.
+    pub engines: Vec<Worker>,
+    /// Hosts of the service `app`.
+    pub hosts: Vec<Worker>,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    /// The configuration, as it was written last.
+    pub agreement: Value,
+    folder: path::PathBuf,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// The status; 0 where there was no answer.
+    pub status: u16,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub whole: bool,
+    /// The headers as text.
+    pub headers: String,
+}
+
+impl Yard {
+    /// Starts a store and workers; the entries' daemons are started apart.
+    pub fn new(
+        program: &path::Path,
+        stages: &[&'static str],
+        hosts: usize,
+        entries: usize,
+    ) -> Self {
+        static COUNT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+        let folder = env::temp_dir().join(format!("yard-{}-{count}", process::id()));
+        fs::create_dir_all(&folder).expect("the temporary folder takes folders");
+        let store = TracksStore::start(free_address());
+        let engines = stages
+            .iter()
+            .enumerate()
+            .map(|(i, stage)| Worker::start(free_address(), &format!("engine-{i}"), Some(stage)));
+        let hosts = (0..hosts).map(|i| Worker::start(free_address(), &format!("host-{i}"), None));
+        let entries = (0..entries)
+            .map(|i| Entry::prepare(&format!("entry-{i}"), store.address(), program, &folder));
+        let yard = Self {
+            engines: engines.collect(),
+            hosts: hosts.collect(),
+            entries: entries.collect(),
+            agreement: agreement(),
+            folder,
+            store,
+        };
+        yard.list("ready");
+        yard
+    }
+
+    /// Writes the configuration and starts all entries; waits until they serve.
+    pub fn start(&mut self) {
+        self.configure(|_| {});
+        for entry in &mut self.entries {
+            entry.start();
+        }
+        for index in 0..self.entries.len() {
+            self.wait(|yard| yard.is_ready(index));
+        }
+    }
+
+    /// Writes the next version of the configuration.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.agreement);
+        let version = self.agreement["version"].as_u64().unwrap_or(0) + 3;
+        self.agreement["version"] = json!(version);
+        let text = self.agreement.to_string();
+        self.store.put("op/config", text.as_bytes());
+    }
+
+    /// Writes all workers' entries.
+    pub fn list(&self, state: &str) {
+        for (worker, service) in self.members() {
+            self.list_one(worker, service, state);
+        }
+    }
+
+    /// Writes one worker's entry.
+    pub fn list_one(&self, worker: &Worker, service: &str, state: &str) {
+        let key = format!("servers/{}", worker.id);
+        self.store
+            .put(&key, worker.entry(service, state).as_bytes());
+    }
+
+    /// Waits until something holds.
+    pub fn wait(&self, holds: impl Fn(&Self) -> bool) {
+        let end = time::Instant::now() + READY;
+        while !holds(self) {
+            assert!(time::Instant::now() < end, "it came to hold in time");
+            thread::sleep(LOOK_GAP);
+        }
+    }
+
+    /// Tells whether an entry says that it is ready.
+    pub fn is_ready(&self, entry: usize) -> bool {
+        let url = format!("http://{}/hornbeampitch/ready", self.entries[entry].ready);
+        ureq::get(&url).call().is_ok()
+    }
+
+    /// Asks an entry for a stream.
+    pub fn stream(&self, entry: usize, path: &str, headers: &[(&str, &str)]) -> Asked {
+        let mut all = vec![
+            ("hornbeampitch-model", "m"),
+            ("hornbeampitch-token-counts", "1000,100"),
+        ];
+        all.extend_from_slice(headers);
+        self.ask(entry, "POST", path, "a prompt", &all)
+    }
+
+    /// Sends a request to an entry, with a key and an id unless others are given.
+    pub fn ask(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Asked {
+        static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+        let id = format!("{:016x}", COUNT.fetch_add(1, atomic::Ordering::Relaxed));
+        let url = format!("http://{}{path}", self.entries[entry].front);
+        let mut request = ureq::http::Request::builder()
+            .method(method)
+            .uri(&url)
+            .header("host", "agency.example");
+        let has = |name: &str| headers.iter().any(|(n, _)| *n == name);
+        for (name, value) in [
+            ("hornbeampitch-request-id", id.as_str()),
+            ("hornbeampitch-deadline-ms", "8000"),
+            ("api-key", "key-a"),
+        ] {
+            if !has(name) {
+                request = request.header(name, value);
+            }
+        }
+        for (name, value) in headers.iter().filter(|(_, v)| !v.is_empty()) {
+            request = request.header(*name, *value);
+        }
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(READY))
+            .build();
+        let agent = ureq::Agent::new_with_config(config);
+        let request = request
+            .body(body.to_owned())
+            .expect("a request can be made");
+        let Ok(response) = agent.run(request) else {
+            return Asked::default();
+        };
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        let whole = body.as_reader().read_to_end(&mut bytes).is_ok();
+        Asked {
+            status: head.status.as_u16(),
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+            whole,
+            headers: format!("{:?}", head.headers),
+        }
+    }
+
+    fn members(&self) -> impl Iterator<Item = (&Worker, &'static str)> {
+        let engines = self.engines.iter().map(|w| (w, "llm"));
+        engines.chain(self.hosts.iter().map(|w| (w, "app")))
+    }
+}
+
+impl Drop for Yard {
+    fn drop(&mut self) {
+        for entry in &mut self.entries {
+            entry.kill();
+        }
+        if !thread::panicking() {
+            // Left behind only where a test failed and its logs are wanted.
+            let _: io::Result<()> = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Two stream routes, two plain ones, an open one, and two organisations.
+fn agreement() -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": name, "host": "agency.example", "prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 8000, "target_latency_ms": 900, "priority": 1,
+            "service": service, "attempts": attempts, "anonymous": name == "open",
+            "sticky": true, "resumable": resumable, "gap_aim_ms": 300,
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("resumable", "streaming", "llm", true, 2),
+            route("once", "streaming", "llm", false, 1),
+            route("order", "non_idempotent", "app", false, 1),
+            route("status", "idempotent", "app", false, 2),
+            route("open", "idempotent", "app", false, 2),
+        ],
+        "services": [
+            {"name": "llm", "health_path": "/health", "max_connections": 370, "engine": {
+                "slots": 64, "kv_capacity_tokens": 40000, "handle_ttl_s": 0.5,
+                "role_switch_s": 6.0, "hold_ms": 2000.0}},
+            {"name": "app", "health_path": "/health", "max_connections": 110},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [
+            {"name": "tenant-a", "api_keys": ["key-a"], "unit": "token_stream",
+                "plain_tokens": 200, "rate_per_s": 100000, "burst": 100000},
+            {"name": "tenant-b", "api_keys": ["key-b"], "unit": "token_stream",
+                "plain_tokens": 200, "rate_per_s": 500, "burst": 500},
+        ],
+    })
+}
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -10,8 +10,9 @@
 use std::time;
 use world::Name;
 
-/// Tokens a second that an engine reads before any was seen.
-const FIRST_SPEED: f64 = 25_000.0;
+/// Tokens a second that an engine is taken to read before any was seen: more
+/// than any does, so that each is tried early.
+const FIRST_SPEED: f64 = 60_000.0;
 /// Weight of a reading that is faster than an engine's known speed.
 const RISE_WEIGHT: f64 = 0.4;
 /// Weight of a reading that is slower.
--- a/crates/pool/src/orders.rs
+++ b/crates/pool/src/orders.rs
@@ -72,7 +72,13 @@
     }
 
     /// Notes that the key was taken at a revision, by a call sent at `sent`.
-    pub fn take(&mut self, lease: seam::Lease, fence: u64, sent: time::Instant, now: time::Instant) {
+    pub fn take(
+        &mut self,
+        lease: seam::Lease,
+        fence: u64,
+        sent: time::Instant,
+        now: time::Instant,
+    ) {
         self.free = false;
         self.held = Some(Held {
             lease,
--- a/crates/pool/src/returns.rs
+++ b/crates/pool/src/returns.rs
@@ -39,7 +39,12 @@
     }
 
     /// Notes a refusal; gives when to come back, at most after `most`.
-    pub fn refuse(&mut self, digest: D, most: time::Duration, now: time::Instant) -> time::Duration {
+    pub fn refuse(
+        &mut self,
+        digest: D,
+        most: time::Duration,
+        now: time::Instant,
+    ) -> time::Duration {
         self.refused
             .retain(|_, at| now.saturating_duration_since(*at) < MEMORY);
         self.refused.insert(digest, now);
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -34,7 +34,9 @@
         if revision < self.revision {
             return Vec::new();
         }
-        let away = self.read.is_some_and(|r| now.saturating_duration_since(r) > AWAY);
+        let away = self
+            .read
+            .is_some_and(|r| now.saturating_duration_since(r) > AWAY);
         if away {
             self.returned = Some(now);
         }
@@ -59,10 +61,7 @@
     }
 
     /// The hosts of a service that take new work.
-    pub fn ready<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a seam::Member> + Clone {
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a seam::Member> + Clone {
         self.members
             .values()
             .filter(move |m| &*m.service == service && m.condition == seam::Condition::Ready)
--- /dev/null
+++ b/crates/pool/tests/pool_tests.rs
@@ -0,0 +1,592 @@
+//! The decisions of an entry without agents, on an injected clock.
+
+use std::collections;
+use std::time;
+use world::Name;
+use yare::parameterized;
+
+const MS: time::Duration = time::Duration::from_millis(1);
+
+/// A clock that tests move by hand.
+fn start() -> time::Instant {
+    time::Instant::now()
+}
+
+fn facts(capacity: u64) -> seam::EngineFacts {
+    seam::EngineFacts {
+        slots: 64,
+        capacity,
+        handle_life: MS * 500,
+        hold_life: MS * 2_000,
+        switch_time: MS * 6_000,
+    }
+}
+
+fn member(id: &str, part: Option<seam::Part>) -> seam::Member {
+    let port = 9_000 + id.bytes().map(u16::from).sum::<u16>();
+    seam::Member {
+        id: Name::from(id),
+        service: Name::from("llm"),
+        address: format!("10.0.0.1:{port}").parse().expect("an address"),
+        zone: Name::from("ruahine"),
+        slots: 6,
+        condition: seam::Condition::Ready,
+        part,
+        born: 1,
+    }
+}
+
+fn decode(ids: &[&str]) -> Vec<seam::Member> {
+    let part = Some(seam::Part::Decode);
+    ids.iter().map(|id| member(id, part)).collect()
+}
+
+fn prefill(ids: &[&str]) -> Vec<seam::Member> {
+    let part = Some(seam::Part::Prefill);
+    ids.iter().map(|id| member(id, part)).collect()
+}
+
+fn seats(ids: &[&str], capacity: u64) -> pool::Seats {
+    let mut seats = pool::Seats::default();
+    seats.update(decode(ids).iter(), &facts(capacity));
+    seats
+}
+
+fn pick(seats: &pool::Seats, need: u64, now: time::Instant) -> Option<Name> {
+    seats.pick(need, "ruahine", || 0.0, now)
+}
+
+#[test]
+fn window_counts_until_its_span_is_over() {
+    let t = start();
+    let mut window = pool::Window::new(MS * 1_000);
+    window.add(3.0, t);
+    window.add(2.0, t + MS * 900);
+    assert_eq!(window.sum(t + MS * 1_000), 5.0);
+    assert_eq!(window.sum(t + MS * 1_300), 2.0);
+    assert_eq!(window.sum(t + MS * 5_000), 0.0);
+}
+
+#[test]
+fn seats_go_where_most_room_is() {
+    let t = start();
+    let mut seats = seats(&["a", "b"], 10_000);
+    assert_eq!(pick(&seats, 4_000, t).as_deref(), Some("a"));
+    seats.take("a", 4_000, t);
+    assert_eq!(pick(&seats, 4_000, t).as_deref(), Some("b"));
+    seats.take("b", 8_000, t);
+    assert_eq!(pick(&seats, 4_000, t).as_deref(), Some("a"));
+    seats.take("a", 4_000, t);
+    assert_eq!(pick(&seats, 4_000, t), None);
+    seats.leave("b", 8_000, true);
+    assert_eq!(pick(&seats, 4_000, t).as_deref(), Some("b"));
+}
+
+#[test]
+fn seats_that_were_refused_rest_longer_each_time() {
+    let t = start();
+    let mut seats = seats(&["a"], 10_000);
+    seats.refuse("a", t);
+    assert_eq!(pick(&seats, 1, t + MS * 59), None);
+    assert!(pick(&seats, 1, t + MS * 60).is_some());
+    seats.refuse("a", t);
+    assert_eq!(pick(&seats, 1, t + MS * 119), None);
+    // A stream that was only meant for it frees nothing; one that ran does.
+    seats.take("a", 100, t);
+    seats.leave("a", 100, false);
+    assert_eq!(pick(&seats, 1, t + MS * 119), None);
+    seats.take("a", 100, t);
+    seats.leave("a", 100, true);
+    assert!(pick(&seats, 1, t).is_some());
+}
+
+#[test]
+fn seats_failed_engine_shows_itself_by_one_stream() {
+    let t = start();
+    let mut seats = seats(&["a"], 10_000);
+    seats.fail("a", t);
+    let later = t + MS * 800;
+    assert!(pick(&seats, 1, later).is_some());
+    seats.take("a", 1, later);
+    assert_eq!(pick(&seats, 1, later), None);
+    seats.succeed("a");
+    assert!(pick(&seats, 1, later).is_some());
+}
+
+#[test]
+fn seats_of_peers_count_until_they_are_silent() {
+    let t = start();
+    let mut seats = seats(&["a"], 10_000);
+    let load = pool::Load {
+        tokens: 9_000,
+        streams: 2,
+    };
+    let loads = collections::BTreeMap::from([(Name::from("a"), load)]);
+    seats.hear(&Name::from("peer"), loads, t);
+    assert_eq!(pick(&seats, 2_000, t + MS * 1_900), None);
+    assert!(pick(&seats, 2_000, t + MS * 2_000).is_some());
+}
+
+#[test]
+fn seats_of_engines_that_left_are_none() {
+    let t = start();
+    let mut seats = seats(&["a", "b"], 10_000);
+    seats.take("a", 100, t);
+    seats.update(decode(&["b"]).iter(), &facts(10_000));
+    assert_eq!(pick(&seats, 1, t).as_deref(), Some("b"));
+    seats.update(prefill(&["b"]).iter(), &facts(10_000));
+    assert_eq!(pick(&seats, 1, t), None);
+}
+
+#[test]
+fn lanes_prefer_the_sooner_engine() {
+    let t = start();
+    let mut lanes = pool::Lanes::default();
+    lanes.update(prefill(&["a", "b"]).iter());
+    lanes.learn("a", 4_000, MS * 215);
+    lanes.learn("b", 4_000, MS * 115);
+    let (engine, time) = lanes.pick(4_000, None, t).expect("one is there");
+    assert_eq!((&*engine, time), ("b", MS * 115));
+    lanes.take("b", 8_000, t);
+    assert_eq!(
+        lanes.pick(4_000, None, t).map(|p| p.0).as_deref(),
+        Some("a")
+    );
+    lanes.leave("b", 8_000);
+    assert_eq!(
+        lanes.pick(4_000, None, t).map(|p| p.0).as_deref(),
+        Some("b")
+    );
+}
+
+#[test]
+fn lanes_of_an_entry_are_left_only_when_clearly_behind() {
+    let t = start();
+    let mut lanes = pool::Lanes::default();
+    lanes.update(prefill(&["a", "b", "c", "d"]).iter());
+    lanes.divide(1, 2);
+    let pick = |lanes: &pool::Lanes| lanes.pick(2_500, None, t).map(|p| p.0);
+    assert_eq!(pick(&lanes).as_deref(), Some("b"));
+    lanes.take("b", 2_000, t);
+    assert_eq!(pick(&lanes).as_deref(), Some("d"));
+    lanes.take("d", 2_000, t);
+    assert_eq!(pick(&lanes).as_deref(), Some("b"));
+    lanes.take("b", 9_000, t);
+    lanes.take("d", 9_000, t);
+    assert_eq!(pick(&lanes).as_deref(), Some("a"));
+}
+
+#[parameterized(
+    more_engines = { 4, 3 },
+    as_many = { 3, 3 },
+    fewer_engines = { 2, 5 },
+    one_engine = { 1, 4 },
+)]
+fn lanes_every_entry_has_some(engines: usize, entries: usize) {
+    let t = start();
+    let names = ["a", "b", "c", "d"];
+    let mut used = collections::BTreeSet::new();
+    for entry in 0..entries {
+        let mut lanes = pool::Lanes::default();
+        lanes.update(prefill(&names[..engines]).iter());
+        lanes.divide(entry, entries);
+        used.extend(lanes.pick(100, None, t).map(|p| p.0));
+    }
+    assert_eq!(used.len(), engines.min(entries));
+}
+
+#[test]
+fn lanes_speed_rises_fast_and_falls_slowly() {
+    let mut lanes = pool::Lanes::default();
+    lanes.update(prefill(&["a"]).iter());
+    lanes.learn("a", 2_000, MS * 115);
+    assert_eq!(lanes.speeds()["a"].round(), 20_000.0);
+    // Others were read meanwhile: that says little.
+    lanes.learn("a", 2_000, MS * 1_015);
+    assert!(lanes.speeds()["a"] > 19_000.0);
+    // A tiny prompt that came back at once proves no wonder.
+    lanes.learn("a", 10, MS);
+    assert!(lanes.speeds()["a"] < 20_000.0);
+}
+
+#[test]
+fn lanes_failed_engine_gets_one_prompt() {
+    let t = start();
+    let mut lanes = pool::Lanes::default();
+    lanes.update(prefill(&["a"]).iter());
+    lanes.fail("a", t);
+    assert!(lanes.pick(1, None, t + MS * 499).is_none());
+    let later = t + MS * 500;
+    assert!(lanes.pick(1, None, later).is_some());
+    lanes.take("a", 1, later);
+    assert!(lanes.pick(1, None, later).is_none());
+    lanes.learn("a", 1, MS * 20);
+    assert!(lanes.pick(1, None, later).is_some());
+}
+
+fn wait(t: time::Instant, since: u32, back: bool) -> pool::Wait {
+    let since = t + MS * since;
+    pool::Wait {
+        need: 1_000,
+        target: since + MS * 900,
+        patience: since + MS * 3_600,
+        back,
+        rank: 1,
+        since,
+    }
+}
+
+fn order(line: &pool::Line, now: time::Instant) -> Vec<u64> {
+    line.order(now).iter().map(|(t, _)| t.0).collect()
+}
+
+#[test]
+fn line_on_time_work_goes_before_late_work() {
+    let t = start();
+    let mut line = pool::Line::default();
+    line.join(pool::Ticket(1), wait(t, 0, false));
+    line.join(pool::Ticket(2), wait(t, 300, false));
+    line.join(pool::Ticket(3), wait(t, 400, false));
+    assert_eq!(order(&line, t + MS * 500), [1, 2, 3]);
+    assert_eq!(order(&line, t + MS * 700), [2, 3, 1]);
+}
+
+#[test]
+fn line_who_came_back_goes_before_other_late_work() {
+    let t = start();
+    let mut line = pool::Line::default();
+    line.join(pool::Ticket(1), wait(t, 0, false));
+    line.join(pool::Ticket(2), wait(t, 10, true));
+    assert_eq!(order(&line, t + MS * 800), [2, 1]);
+}
+
+#[parameterized(
+    fresh_in_time = { false, 1_100, false },
+    fresh_too_late = { false, 1_200, true },
+    back_still_kept = { true, 3_300, false },
+    back_caller_leaves = { true, 3_400, true },
+)]
+fn line_refuses(back: bool, after: u32, refused: bool) {
+    let t = start();
+    let mut line = pool::Line::default();
+    line.join(pool::Ticket(1), wait(t, 0, back));
+    assert_eq!(!line.lost(t + MS * after).is_empty(), refused);
+}
+
+#[test]
+fn line_large_work_is_passed_for_a_while_only() {
+    let t = start();
+    let waiting = wait(t, 0, false);
+    assert!(waiting.lets_pass(t + MS * 299));
+    assert!(!waiting.lets_pass(t + MS * 300));
+    // Once it is late anyway, it holds nobody up.
+    assert!(waiting.lets_pass(t + MS * 700));
+}
+
+#[test]
+fn returns_are_known_once_and_spread() {
+    let t = start();
+    let mut returns = pool::Returns::new();
+    let most = MS * 4_000;
+    let first = returns.refuse(1, most, t);
+    let second = returns.refuse(2, most, t);
+    assert!(first >= MS * 1_800 && second > first && second < most);
+    assert!(returns.back(1, t + first));
+    assert!(!returns.back(1, t + first));
+    assert!(!returns.back(2, t + MS * 15_000));
+    assert!(!returns.back(3, t));
+    assert!(returns.refuse(4, MS * 500, t) <= MS * 500);
+}
+
+fn tenant(rate: f64, burst: f64) -> seam::Tenant {
+    seam::Tenant {
+        name: Name::from("rangers"),
+        keys: collections::BTreeSet::new(),
+        rank: None,
+        rate: Some(rate),
+        burst,
+        plain: Some(200),
+    }
+}
+
+#[test]
+fn allowance_excess_waits_for_the_rate() {
+    let t = start();
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    let tenant = tenant(100.0, 200.0);
+    assert_eq!(allowance.charge(&tenant, 1_000.0, t), Ok(()));
+    assert_eq!(allowance.charge(&tenant, 100.0, t), Err(MS * 1_000));
+    assert_eq!(allowance.charge(&tenant, 100.0, t + MS * 8_300), Ok(()));
+}
+
+#[test]
+fn allowance_is_one_over_all_entries() {
+    let t = start();
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    let tenant = tenant(100.0, 200.0);
+    let used = collections::BTreeMap::from([(Name::from("rangers"), 900.0)]);
+    allowance.hear(&Name::from("peer"), used, t);
+    assert_eq!(allowance.charge(&tenant, 100.0, t), Ok(()));
+    assert!(allowance.charge(&tenant, 100.0, t).is_err());
+}
+
+#[test]
+fn allowance_silent_peer_may_use_its_part() {
+    let t = start();
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    let tenant = tenant(100.0, 200.0);
+    allowance.hear(&Name::from("peer"), collections::BTreeMap::new(), t);
+    let later = t + MS * 2_000;
+    assert!(allowance.charge(&tenant, 600.0, later).is_err());
+    assert_eq!(allowance.charge(&tenant, 500.0, later), Ok(()));
+    // One that has gone for good leaves the whole.
+    let gone = t + MS * 30_000;
+    assert_eq!(allowance.charge(&tenant, 1_000.0, gone), Ok(()));
+}
+
+#[test]
+fn allowance_lowered_binds_at_once() {
+    let t = start();
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    assert_eq!(allowance.charge(&tenant(100.0, 200.0), 500.0, t), Ok(()));
+    assert!(allowance.charge(&tenant(10.0, 20.0), 1.0, t).is_err());
+}
+
+#[test]
+fn retries_stay_below_ratio_and_slack() {
+    let t = start();
+    let service = Name::from("app");
+    let mut retries = pool::Retries::new(0.2, 56.0, MS * 10_000);
+    for _ in 0..100 {
+        retries.request(&service, t);
+    }
+    // 0.7 of 0.2 x 100 + 56 / 4.
+    let taken = (0..100).filter(|_| retries.take(&service, 4, t)).count();
+    assert_eq!(taken, 23);
+    assert!(!retries.take(&service, 4, t + MS * 9_000));
+    assert!(retries.take(&service, 4, t + MS * 10_300));
+}
+
+#[test]
+fn roster_leaving_and_missing_hosts_get_nothing() {
+    let t = start();
+    let mut roster = pool::Roster::default();
+    roster.read(decode(&["a", "b"]), 5, t);
+    let mut next = decode(&["a"]);
+    next[0].condition = seam::Condition::Draining;
+    let gone = roster.read(next, 6, t + MS * 600);
+    assert_eq!(gone.len(), 1);
+    assert_eq!(roster.ready("llm").count(), 0);
+    // An older reading, as from a peer, changes nothing.
+    roster.read(decode(&["a", "b"]), 5, t + MS * 700);
+    assert_eq!(roster.ready("llm").count(), 0);
+}
+
+#[test]
+fn roster_lapsed_hosts_may_come_back_after_an_outage() {
+    let t = start();
+    let mut roster = pool::Roster::default();
+    roster.read(decode(&["a", "b"]), 5, t);
+    let back = t + MS * 6_000;
+    roster.read(Vec::new(), 9, back);
+    assert_eq!(roster.ready("llm").count(), 2);
+    roster.read(decode(&["a"]), 10, back + MS * 700);
+    assert_eq!(roster.ready("llm").count(), 2);
+    roster.read(decode(&["a"]), 11, back + MS * 2_000);
+    assert_eq!(roster.ready("llm").count(), 1);
+}
+
+#[test]
+fn roster_restart_under_the_same_id_is_another_life() {
+    let t = start();
+    let mut roster = pool::Roster::default();
+    roster.read(decode(&["a"]), 5, t);
+    let mut next = decode(&["a"]);
+    next[0].born = 2;
+    assert_eq!(roster.read(next, 6, t + MS * 600).len(), 1);
+    assert_eq!(roster.ready("llm").count(), 1);
+}
+
+fn engines(readers: usize, count: usize) -> Vec<pool::Engine> {
+    (0..count)
+        .map(|i| pool::Engine {
+            id: Name::from(format!("e{i}")),
+            part: match i < readers {
+                true => seam::Part::Prefill,
+                false => seam::Part::Decode,
+            },
+            load: 10,
+            speed: Some(20_000.0 + i as f64),
+        })
+        .collect()
+}
+
+/// Decides again and again, as the holder does.
+fn decide_for(
+    balance: &mut pool::Balance,
+    engines: &[pool::Engine],
+    load: (f64, f64),
+    t: time::Instant,
+    span: u32,
+) -> Option<pool::Shift> {
+    let mut at = (0..span).step_by(400);
+    at.find_map(|ms| balance.decide(engines, load.0, load.1, t + MS * ms))
+}
+
+#[parameterized(
+    long_answers = { 4, (1.0, 4.0), Some(("e0", seam::Part::Decode)) },
+    long_prompts = { 2, (4.0, 2.0), Some(("e8", seam::Part::Prefill)) },
+    as_it_should_be = { 2, (1.2, 3.6), None },
+    at_rest = { 2, (0.0, 0.0), None },
+)]
+fn balance_follows(readers: usize, load: (f64, f64), wanted: Option<(&str, seam::Part)>) {
+    let mut balance = pool::Balance::new();
+    let shift = decide_for(&mut balance, &engines(readers, 9), load, start(), 4_000);
+    let shift = shift.as_ref().map(|s| (&*s.id, s.part));
+    assert_eq!(shift, wanted);
+}
+
+#[test]
+fn balance_a_moment_of_load_moves_nobody() {
+    let t = start();
+    let mut balance = pool::Balance::new();
+    let engines = engines(4, 9);
+    assert_eq!(
+        decide_for(&mut balance, &engines, (1.0, 4.0), t, 1_200),
+        None
+    );
+    assert_eq!(balance.decide(&engines, 3.0, 3.0, t + MS * 1_300), None);
+    assert_eq!(balance.decide(&engines, 1.0, 4.0, t + MS * 1_600), None);
+}
+
+#[test]
+fn balance_crashed_readers_are_replaced_at_once() {
+    let t = start();
+    let mut balance = pool::Balance::new();
+    balance.ordered(t);
+    let shift = balance.decide(&engines(0, 5), 1.0, 3.0, t + MS * 100);
+    assert_eq!(shift.map(|s| s.part), Some(seam::Part::Prefill));
+}
+
+#[test]
+fn balance_waits_between_orders() {
+    let t = start();
+    let mut balance = pool::Balance::new();
+    let first = decide_for(&mut balance, &engines(4, 9), (1.0, 4.0), t, 4_000);
+    assert!(first.is_some());
+    balance.ordered(t + MS * 1_600);
+    let soon = t + MS * 1_600;
+    assert_eq!(
+        decide_for(&mut balance, &engines(4, 9), (1.0, 4.0), soon, 2_400),
+        None
+    );
+}
+
+#[test]
+fn balance_sends_no_reader_away_before_speeds_are_known() {
+    let mut balance = pool::Balance::new();
+    let mut all = engines(4, 9);
+    all[2].speed = None;
+    assert_eq!(
+        decide_for(&mut balance, &all, (1.0, 4.0), start(), 8_000),
+        None
+    );
+}
+
+#[test]
+fn orders_wait_for_the_lease_of_another() {
+    let t = start();
+    let life = MS * 3_000;
+    let mut orders = pool::Orders::new(life);
+    assert_eq!(orders.step(t), pool::Step::Look);
+    orders.look(false, t);
+    assert_eq!(orders.step(t), pool::Step::Rest);
+    orders.look(true, t + MS * 1_000);
+    assert_eq!(orders.step(t + MS * 1_000), pool::Step::Take);
+    orders.take(seam::Lease(7), 41, t + MS * 1_000, t + MS * 1_010);
+    assert_eq!(orders.fence(MS * 300, t + MS * 1_100), None);
+    orders.renew(t + MS * 3_900);
+    assert_eq!(orders.fence(MS * 300, t + MS * 4_009), None);
+    assert_eq!(orders.fence(MS * 300, t + MS * 4_010), Some(41));
+}
+
+#[test]
+fn orders_end_with_the_lease_by_our_clock() {
+    let t = start();
+    let mut orders = pool::Orders::new(MS * 3_000);
+    orders.take(seam::Lease(7), 41, t, t);
+    orders.renew(t + MS * 3_000);
+    let now = t + MS * 3_100;
+    assert_eq!(orders.fence(MS * 300, now), Some(41));
+    assert_eq!(orders.step(now), pool::Step::Rest);
+    assert_eq!(orders.step(t + MS * 4_000), pool::Step::Renew);
+    // After a pause nothing is sent on a lease that was not just renewed.
+    assert_eq!(orders.fence(MS * 300, t + MS * 4_300), None);
+    assert!(orders.lapsed(t + MS * 6_000));
+    orders.lose(t + MS * 6_000);
+    assert_eq!(orders.lease(), None);
+    assert_eq!(orders.step(t + MS * 7_000), pool::Step::Look);
+}
+
+#[test]
+fn demand_counts_what_arrives() {
+    let t = start();
+    let mut demand = pool::Demand::new();
+    for i in 0..16 {
+        demand.ask(3_000, t + MS * 500 * i);
+    }
+    let asked = demand.asked(t + MS * 8_000);
+    assert_eq!(asked.prompt, 6_000.0);
+    let before = asked.stream;
+    for _ in 0..200 {
+        demand.learn(4_000, MS * 1_000);
+    }
+    assert!(demand.asked(t + MS * 8_000).stream < before);
+}
+
+fn hosts(ids: &[&str]) -> pool::Hosts {
+    let members: Vec<_> = ids.iter().map(|id| member(id, None)).collect();
+    let mut hosts = pool::Hosts::default();
+    hosts.update(members.iter());
+    hosts
+}
+
+#[test]
+fn hosts_with_the_least_in_hand_come_first() {
+    let t = start();
+    let mut hosts = hosts(&["a", "b"]);
+    hosts.take("a");
+    assert_eq!(hosts.pick("ruahine", &[], t).as_deref(), Some("b"));
+    let calls = collections::BTreeMap::from([(Name::from("b"), 3)]);
+    hosts.hear(&Name::from("peer"), calls, t);
+    assert_eq!(hosts.pick("ruahine", &[], t).as_deref(), Some("a"));
+    assert_eq!(
+        hosts.pick("ruahine", &[Name::from("a")], t).as_deref(),
+        Some("b")
+    );
+}
+
+#[test]
+fn hosts_that_fail_often_come_last() {
+    let t = start();
+    let mut hosts = hosts(&["a", "b"]);
+    for _ in 0..20 {
+        hosts.answer("a", true);
+        hosts.answer("b", false);
+    }
+    assert_eq!(hosts.pick("ruahine", &[], t).as_deref(), Some("b"));
+}
+
+#[test]
+fn hosts_that_rest_are_used_where_no_other_is() {
+    let t = start();
+    let mut hosts = hosts(&["a", "b"]);
+    hosts.fail("a", t);
+    assert_eq!(hosts.pick("ruahine", &[], t).as_deref(), Some("b"));
+    hosts.fail("b", t);
+    assert!(hosts.pick("ruahine", &[], t).is_some());
+    assert_eq!(
+        hosts.pick("ruahine", &[], t + MS * 500).as_deref(),
+        Some("a")
+    );
+}
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -4,10 +4,7 @@
 //! types here; nothing in it decides. Entries are generic over [`Platform`], so
 //! that the same decisions run on any adapter. See docs/PLATFORM.md.
 
-#![allow(
-    async_fn_in_trait,
-    reason = "an entry keeps its tasks on one thread"
-)]
+#![allow(async_fn_in_trait, reason = "an entry keeps its tasks on one thread")]
 
 mod agreement;
 mod call;
--- a/crates/seam/src/member.rs
+++ b/crates/seam/src/member.rs
@@ -34,7 +34,9 @@
 }
 
 /// What an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub enum Part {
     /// It reads prompts.
     Prefill,
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -132,7 +132,8 @@
                 Some(link) => link,
                 None => self.connect(peer, by).await?,
             };
-            let answered = tokio::time::timeout_at(by.into(), link.sender.try_send_request(request));
+            let answered =
+                tokio::time::timeout_at(by.into(), link.sender.try_send_request(request));
             match answered.await {
                 Err(_) => return Err(CallFault::Late),
                 Ok(Ok(response)) => return Ok(self.answer(peer, link, response)),
