--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -444,3 +444,30 @@
     yard.entries[0].signal("CONT");
     yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
 }
+
+#[test]
+fn request_that_crashes_hosts_is_not_run_on_a_third() {
+    let mut yard = Yard::new(program(), &[], 3, 2);
+    yard.start();
+    yard.wait(|y| y.entries.iter().all(|e| e.log().contains("event=peer ")));
+    for host in &yard.hosts {
+        host.behave(|m| m.crashes_on = Some("poison"));
+    }
+    let ask = |y: &Yard| y.ask(0, "POST", "/order/a", "poison", &[]).status;
+    let crashed = |y: &Yard| y.hosts.iter().filter(|h| h.crashed()).count();
+    for count in 1..=2 {
+        assert!(matches!(ask(&yard), 502 | 504));
+        assert_eq!(crashed(&yard), count);
+        let noted = |y: &Yard| y.entries[1].log().matches("event=crash ").count() == count;
+        yard.wait(noted);
+    }
+    // Its caller sends it again, also elsewhere; another request still runs.
+    assert_eq!(ask(&yard), 503);
+    assert_eq!(yard.ask(1, "POST", "/order/a", "poison", &[]).status, 503);
+    assert_eq!(crashed(&yard), 2);
+    for host in yard.hosts.iter().filter(|h| h.crashed()) {
+        yard.store.remove(&format!("servers/{}", host.id));
+    }
+    yard.wait(|y| y.entries[1].log().matches("state=Gone").count() == 2);
+    assert_eq!(yard.ask(1, "POST", "/order/a", "sound", &[]).status, 200);
+}
--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -1,5 +1,6 @@
 //! All that one entry knows and shares between its tasks.
 
+use crate::crashes::Crash;
 use crate::measure;
 use crate::news::News;
 use crate::plain::Plains;
@@ -31,6 +32,7 @@
     pub(crate) allowance: cell::RefCell<pool::Allowance>,
     pub(crate) retries: cell::RefCell<pool::Retries>,
     pub(crate) crashes: cell::RefCell<route::Quarantine>,
+    pub(crate) told: cell::RefCell<collections::VecDeque<(time::Instant, Crash)>>,
     pub(crate) returns: cell::RefCell<pool::Returns<route::Digest>>,
     pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Demand>>,
     pub(crate) shifts: cell::RefCell<Shifts>,
@@ -90,6 +92,7 @@
                 duties.retry_window,
             )),
             crashes: cell::RefCell::default(),
+            told: cell::RefCell::default(),
             returns: cell::RefCell::default(),
             demand: cell::RefCell::default(),
             shifts: cell::RefCell::default(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod body;
 mod core;
+mod crashes;
 mod feed;
 mod guards;
 mod measure;
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::core::Listing;
+use crate::crashes::Crash;
 use std::collections;
 use std::time;
 use world::Name;
@@ -29,6 +30,8 @@
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
     /// Prompt tokens a second that it has seen engines read.
     pub(crate) speeds: collections::BTreeMap<Name, f64>,
+    /// Crashes of upstream hosts over requests.
+    pub(crate) crashes: Vec<Crash>,
     /// Engines that change their part, with the part to be and the
     /// milliseconds after which that is given up.
     pub(crate) shifts: collections::BTreeMap<Name, (seam::Part, u64)>,
@@ -56,6 +59,7 @@
             age_ms: self.list_age(now),
             used: self.allowance.borrow_mut().used(now),
             asked: self.asked(now),
+            crashes: self.crash_news(now),
             shifts: self.own_shifts(now),
             ..News::default()
         };
@@ -89,6 +93,9 @@
         let mut allowance = self.allowance.borrow_mut();
         allowance.hear(&peer, news.used.clone(), now);
         drop(allowance);
+        for crash in &news.crashes {
+            self.note_crash(crash, now);
+        }
         self.hear_shifts(&news, now);
         let better = self.better(&news);
         if let Some(known) = self.peers.borrow_mut().get_mut(&peer) {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -143,7 +143,7 @@
             Tried::Unknown(_) => {
                 sent += 1;
                 may_have_run = true;
-                if last {
+                if last || core.crashes.borrow().holds(job.digest) {
                     return late(&core, &job, true);
                 }
             }
@@ -192,6 +192,9 @@
         Ok(answer) => answer,
         Err(fault) => {
             plain.hosts.borrow_mut().fail(&target.id, now);
+            if fault.cause == seam::Cause::Broken {
+                core.suspect(job.digest, target);
+            }
             return match (fault.may_have_run, fault.cause) {
                 (false, _) => Tried::Unrun("unconnected"),
                 (true, seam::Cause::Late) => Tried::Unknown("late"),
@@ -219,7 +222,10 @@
         return Tried::Answered(answer, None);
     }
     match read_whole(&mut answer.stream, by).await {
-        Some(bytes) => Tried::Answered(answer, Some(bytes)),
+        Some(bytes) => {
+            core.crashes.borrow_mut().clear(job.digest);
+            Tried::Answered(answer, Some(bytes))
+        }
         None => {
             plain.hosts.borrow_mut().fail(&target.id, now);
             Tried::Unknown("torn")
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -226,6 +226,9 @@
             Ok(answer) => answer,
             Err(fault) => {
                 self.pool.seats.borrow_mut().fail(&engine, now);
+                if fault.cause == seam::Cause::Broken {
+                    self.core.suspect(job.digest, &target);
+                }
                 let why = match fault.cause {
                     seam::Cause::Unconnected => "unconnected",
                     seam::Cause::Late => "late",
@@ -455,6 +458,7 @@
                 .info();
             match end {
                 End::Whole => {
+                    self.core.crashes.borrow_mut().clear(self.job.digest);
                     self.learn(&begun.seat);
                     metrics::histogram!("answer_seconds", "kind" => "stream")
                         .record(self.job.arrived.elapsed().as_secs_f64());
@@ -465,8 +469,14 @@
                 End::Left | End::Overdue => return,
                 End::Broken | End::Stalled => {
                     self.pool.seats.borrow_mut().fail(&begun.engine, now);
+                    if let Some(target) = self.core.target(&begun.engine) {
+                        self.core.suspect(self.job.digest, &target);
+                    }
                 }
             }
+            if self.core.crashes.borrow().holds(self.job.digest) {
+                return;
+            }
             let ok = begun.answer.status == StatusCode::OK;
             if !ok || self.job.route.repeat != seam::Repeat::Resumable {
                 return;
--- a/crates/fake/src/tracks/worker.rs
+++ b/crates/fake/src/tracks/worker.rs
@@ -34,6 +34,8 @@
     pub mute: bool,
     /// It refuses plain calls unrun.
     pub sheds: bool,
+    /// A body that ends its process when it runs.
+    pub crashes_on: Option<&'static str>,
 }
 
 impl Default for Manner {
@@ -48,6 +50,7 @@
             status: 200,
             mute: false,
             sheds: false,
+            crashes_on: None,
         }
     }
 }
@@ -91,6 +94,7 @@
     handles: collections::BTreeSet<String>,
     holds: collections::BTreeSet<String>,
     orders: u64,
+    crashed: bool,
 }
 
 impl Worker {
@@ -105,6 +109,7 @@
             handles: collections::BTreeSet::new(),
             holds: collections::BTreeSet::new(),
             orders: 0,
+            crashed: false,
         };
         let shared = sync::Arc::new(sync::Mutex::new(state));
         let answers = Answers {
@@ -155,6 +160,11 @@
         self.site.kill();
     }
 
+    /// Tells whether a request has ended its process.
+    pub fn crashed(&self) -> bool {
+        self.state().crashed
+    }
+
     /// Its entry in the platform's list.
     pub fn entry(&self, service: &str, state: &str) -> String {
         let stage = self.state().stage;
@@ -194,6 +204,12 @@
         };
         let own = {
             let mut state = self.state();
+            let deadly = state.manner.crashes_on == Some(arrival.body.as_str());
+            state.crashed |= deadly && arrival.header("hornbeampitch-expect-instance") == state.id;
+            // Until its process is back, whatever reaches it is cut off.
+            if state.crashed {
+                return None;
+            }
             state.arrivals.push(arrival.clone());
             state.own(&arrival)
         };
--- a/crates/pool/src/balance.rs
+++ b/crates/pool/src/balance.rs
@@ -95,10 +95,8 @@
         let rested = self
             .ordered
             .is_none_or(|o| now.saturating_duration_since(o) >= ORDER_GAP);
-        if !urgent && !(held && rested) {
-            return None;
-        }
-        let id = choose(engines, part)?;
+        let due = urgent || (held && rested);
+        let id = due.then(|| choose(engines, part)).flatten()?;
         Some(Shift { id, part })
     }
 
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -193,6 +193,9 @@
     /// Reads what an engine tells of itself.
     async fn report(&self, target: &Target) -> Option<Report>;
 
+    /// Tells whether a host answers at all.
+    async fn answers(&self, target: &Target) -> bool;
+
     /// Gives an order.
     async fn order(&self, target: &Target, order: &Order) -> Ordered;
 
