Answers of a stopping entry close their connections

Change: from the signal on every answer closes its connection; connections that are idle are closed 2.7 s later, as before.

--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::orders;
 use crate::peers;
 use crate::stop;
+use http::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
@@ -113,7 +114,12 @@
         let (core, seen) = (answering.clone(), seen.clone());
         async move {
             seen.requests.set(seen.requests.get() + 1);
-            let answer = admit::answer(core, request).await;
+            let mut answer = admit::answer(core.clone(), request).await;
+            if core.stopping.get() {
+                // Its caller's next request goes to another entry.
+                let headers = answer.headers_mut();
+                headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
+            }
             seen.requests.set(seen.requests.get() - 1);
             seen.since.set(time::Instant::now());
             Ok::<_, convert::Infallible>(answer)
