--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,5 +1,5 @@
 //! What operators do: check and apply documents, issue and withdraw keys,
-//! empty hosts, and see what is in force. docs/OPERATING.md shows each command.
+//! empty hosts, and see what is in force. docs/OPERATIONS.md shows each command.
 
 mod app;
 mod command;
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,7 +1,7 @@
 //! Settings of a process, documents of operators, and keys.
 //!
 //! Both kinds of file are read whole, and every finding is reported with its
-//! file, line and column; see docs/OPERATING.md.
+//! file, line and column; see docs/OPERATIONS.md.
 
 mod adoption;
 mod document;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -34,7 +34,7 @@
 /// How much longer a prompt may take than expected.
 const PROMPT_FACTOR: u32 = 3;
 /// Least time that a prompt is given.
-const PROMPT_LEAST: time::Duration = time::Duration::from_millis(450);
+const PROMPT_LEAST: time::Duration = time::Duration::from_millis(700);
 /// Prefill engines that are tried while a seat is kept.
 const PROMPT_TRIES: u32 = 2;
 /// A stream without bytes for so long has stalled: its caller would leave after
--- a/crates/wire/src/proof.rs
+++ b/crates/wire/src/proof.rs
@@ -1,6 +1,6 @@
 //! Proof that a peer belongs to the fleet, checked before a connection opens.
 //!
-//! See docs/OPERATING.md, "Fleet secrets", for how a secret is rotated.
+//! See docs/OPERATIONS.md, "Fleet secrets", for how a secret is rotated.
 
 use hmac::Mac;
 use std::time;
