--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -37,6 +37,7 @@
     pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Demand>>,
     pub(crate) shifts: cell::RefCell<Shifts>,
     pub(crate) peers: cell::RefCell<collections::BTreeMap<Name, Peer>>,
+    pub(crate) holds: cell::Cell<bool>,
     pub(crate) stopping: cell::Cell<bool>,
     pub(crate) active: cell::Cell<usize>,
 }
@@ -45,6 +46,9 @@
 /// is tried again.
 const SHUN_TIME: time::Duration = time::Duration::from_secs(3);
 
+/// How long a peer's word counts that it holds the key of orders.
+const HOLDS_MEMORY: time::Duration = time::Duration::from_millis(1_000);
+
 /// The configuration in force, also as it was read.
 #[derive(Debug)]
 pub(crate) struct Force {
@@ -97,6 +101,7 @@
             demand: cell::RefCell::default(),
             shifts: cell::RefCell::default(),
             peers: cell::RefCell::default(),
+            holds: cell::Cell::new(false),
             stopping: cell::Cell::new(false),
             active: cell::Cell::new(0),
             place,
@@ -237,6 +242,14 @@
         speeds
     }
 
+    /// Tells whether a peer has said lately that it holds the key of orders.
+    pub(crate) fn peer_holds(&self, now: time::Instant) -> bool {
+        let peers = self.peers.borrow();
+        let told = peers.values().filter_map(|p| p.news.as_ref());
+        let mut fresh = told.filter(|(at, _)| now.saturating_duration_since(*at) < HOLDS_MEMORY);
+        fresh.any(|(_, news)| news.holds)
+    }
+
     /// This entry's place among all entries, and how many they are.
     pub(crate) fn rank(&self) -> (usize, usize) {
         let peers = self.peers.borrow();
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -7,11 +7,11 @@
 use std::rc;
 use std::time;
 
-/// How long one watch waits: a connection that has gone silent is noticed by it.
-const WATCH_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// Time between two readings of the list of upstream hosts; well below the time
 /// after which a leaving one may get nothing.
 const LIST_GAP: time::Duration = time::Duration::from_millis(650);
+/// How often an entry that has its list from others looks whether it is old.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(200);
 /// The pause after the store has failed.
 const FAULT_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// The longest such pause.
@@ -52,11 +52,8 @@
 ) -> Result<(), seam::StoreFault> {
     let mut after = after;
     loop {
-        match core
-            .store
-            .watch(P::AGREEMENT_KEY, after, WATCH_TIME)
-            .await?
-        {
+        let wait = pool::watch_time(core.rank().0);
+        match core.store.watch(P::AGREEMENT_KEY, after, wait).await? {
             seam::Watched::Compacted => return Ok(()),
             seam::Watched::Changes(items, revision) => {
                 for raw in items.into_iter().filter_map(|i| i.value) {
@@ -72,6 +69,11 @@
 pub(crate) async fn follow_members<P: seam::Platform>(core: rc::Rc<Core<P>>) {
     let mut pause = Pause::new("members");
     loop {
+        let age = core.list_age(time::Instant::now());
+        if !pool::reads_list(core.rank().0, age) {
+            tokio::time::sleep(LOOK_GAP).await;
+            continue;
+        }
         match core.store.list(P::MEMBER_PREFIX, false).await {
             Ok(page) => {
                 pause.succeed();
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -30,6 +30,8 @@
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
     /// Prompt tokens a second that it has seen engines read.
     pub(crate) speeds: collections::BTreeMap<Name, f64>,
+    /// Whether it holds the key of orders.
+    pub(crate) holds: bool,
     /// Crashes of upstream hosts over requests.
     pub(crate) crashes: Vec<Crash>,
     /// Engines that change their part, with the part to be and the
@@ -46,9 +48,6 @@
     pub(crate) listing: Option<Listing>,
 }
 
-/// A list this old is worth replacing by a peer's.
-const LIST_OLD: time::Duration = time::Duration::from_millis(1_300);
-
 impl<P: seam::Platform> Core<P> {
     /// What this entry tells its peers now.
     pub(crate) fn news(&self, now: time::Instant) -> News {
@@ -56,9 +55,10 @@
             entry: self.place.host.clone(),
             version: self.force().map_or(0, |f| f.agreement.version),
             listed: self.roster.borrow().revision(),
-            age_ms: self.list_age(now),
+            age_ms: u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
             used: self.allowance.borrow_mut().used(now),
             asked: self.asked(now),
+            holds: self.holds.get(),
             crashes: self.crash_news(now),
             shifts: self.own_shifts(now),
             ..News::default()
@@ -112,10 +112,11 @@
             let text = std::str::from_utf8(&force.raw);
             better.agreement = text.ok().map(str::to_owned);
         }
-        let old = u128::from(news.age_ms) > LIST_OLD.as_millis();
+        let age = time::Duration::from_millis(news.age_ms);
+        let shared = pool::shares_list(self.rank().0, age);
         let listing = self.listed.borrow().clone();
         better.listing = listing
-            .filter(|l| old && l.revision > news.listed)
+            .filter(|l| shared && l.revision > news.listed)
             .map(|l| Listing::clone(&l));
         better
     }
@@ -147,9 +148,9 @@
         }
     }
 
-    fn list_age(&self, now: time::Instant) -> u64 {
+    /// The age of this entry's list of upstream hosts.
+    pub(crate) fn list_age(&self, now: time::Instant) -> time::Duration {
         let read = self.roster.borrow().read_at();
-        let age = read.map(|r| now.saturating_duration_since(r).as_millis());
-        age.and_then(|a| u64::try_from(a).ok()).unwrap_or(u64::MAX)
+        read.map_or(time::Duration::MAX, |r| now.saturating_duration_since(r))
     }
 }
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -38,6 +38,7 @@
             return;
         }
         keep(&core, &mut orders).await;
+        core.holds.set(orders.lease().is_some());
         for (service, pool) in core.pools.all() {
             let now = time::Instant::now();
             let Some(fence) = orders.fence(ORDER_TRAVEL, now) else {
@@ -80,6 +81,8 @@
     }
     match orders.step(now) {
         Step::Rest => {}
+        // Whoever holds it says so; the store need not be asked.
+        Step::Look if core.peer_holds(now) => orders.look(false, now),
         Step::Look => {
             // A failure counts as a key that is held.
             let found = core.store.get(ORDERS_KEY).await;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -15,6 +15,7 @@
 mod returns;
 mod roster;
 mod seats;
+mod sharing;
 mod window;
 
 pub use allowance::Allowance;
@@ -28,4 +29,5 @@
 pub use returns::Returns;
 pub use roster::Roster;
 pub use seats::{Load, Seats};
+pub use sharing::{reads_list, shares_list, watch_time};
 pub use window::Window;
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -590,3 +590,25 @@
         Some("a")
     );
 }
+
+#[parameterized(
+    first_reader = { 0, 0, true },
+    last_reader = { 5, 0, true },
+    has_it_from_others = { 6, 1_299, false },
+    has_an_old_one = { 6, 1_300, true },
+    knows_none = { 300, u32::MAX, true },
+)]
+fn list_is_read(place: usize, age: u32, read: bool) {
+    assert_eq!(pool::reads_list(place, MS * age), read);
+}
+
+#[parameterized(
+    first_reader_soon = { 0, 500, true },
+    second_reader_waits = { 1, 500, false },
+    second_reader_steps_in = { 1, 650, true },
+    others_wait = { 9, 1_299, false },
+    others_step_in = { 9, 1_300, true },
+)]
+fn list_is_shared(place: usize, age: u32, shared: bool) {
+    assert_eq!(pool::shares_list(place, MS * age), shared);
+}
