--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -378,10 +378,30 @@
 }
 
 #[test]
-fn hangup_loses_nothing() {
+fn settings_reload_by_signal() {
     let yard = yard(&[], 1);
     yard.entries[0].signal("HUP");
-    yard.wait(|y| y.entries[0].log().contains("event=reload"));
+    yard.wait(|y| y.entries[0].log().contains("event=reload changed=false"));
+    yard.entries[0].edit("grace_s = 8", "grace_s = 9");
+    yard.entries[0].signal("HUP");
+    yard.wait(|y| y.entries[0].log().contains("event=reload changed=true"));
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn settings_reload_without_a_signal() {
+    let yard = yard(&[], 1);
+    yard.entries[0].edit("budget_slack = 56", "budget_slack = 57");
+    yard.wait(|y| y.entries[0].log().contains("event=reload changed=true"));
+}
+
+#[test]
+fn settings_that_are_wrong_change_nothing() {
+    let yard = yard(&[], 1);
+    yard.entries[0].edit("grace_s = 8", "grace_s = \"long\"");
+    yard.entries[0].signal("HUP");
+    let refused = "event=settings_refused fault=\"bounds.grace_s: expected a number";
+    yard.wait(|y| y.entries[0].log().contains(refused));
     assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod plain;
 mod queue;
+mod reload;
 mod serve;
 mod stop;
 mod stream;
--- /dev/null
+++ b/crates/direct/src/reload.rs
@@ -0,0 +1,50 @@
+//! Settings that change while the process runs.
+
+use crate::core::Core;
+use std::rc;
+use std::time;
+
+/// How often the settings are looked at, since they may change without a signal.
+const LOOK_GAP: time::Duration = time::Duration::from_secs(2);
+
+/// Why settings are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// The process was told that they have changed.
+    Signal,
+    /// They may have changed.
+    Look,
+}
+
+/// Reads the settings anew and goes by what may change in a running process: the
+/// platform's demands. Addresses hold until the next start, so that no connection
+/// is lost. Settings that are wrong change nothing.
+pub(crate) fn read<P: seam::Platform>(core: &Core<P>, why: Why) {
+    let place = match P::read_place() {
+        Ok(place) => place,
+        Err(fault) => {
+            trace::Line::new("settings_refused")
+                .with("fault", fault)
+                .warn();
+            return;
+        }
+    };
+    let changed = place.duties != core.duties.get();
+    if changed {
+        let duties = place.duties;
+        core.duties.set(duties);
+        let mut retries = core.retries.borrow_mut();
+        retries.bound(duties.retry_ratio, duties.retry_slack);
+    }
+    if changed || why == Why::Signal {
+        trace::Line::new("reload").with("changed", changed).info();
+    }
+}
+
+/// Looks at the settings again and again.
+pub(crate) async fn follow<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    loop {
+        tokio::time::sleep(LOOK_GAP).await;
+        read(&core, Why::Look);
+    }
+}
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::measure;
 use crate::orders;
 use crate::peers;
+use crate::reload;
 use crate::stop;
 use http::header::CONNECTION;
 use hyper::server::conn::http1;
@@ -59,6 +60,7 @@
     tokio::task::spawn_local(orders::give(core.clone()));
     peers::start(core.clone())?;
     tokio::task::spawn_local(sweep(core.clone()));
+    tokio::task::spawn_local(reload::follow(core.clone()));
     stop::wait(&core, &closing).await
 }
 
--- a/crates/direct/src/stop.rs
+++ b/crates/direct/src/stop.rs
@@ -1,6 +1,7 @@
 //! Stops that cut off no request.
 
 use crate::core::Core;
+use crate::reload;
 use std::io;
 use std::rc;
 use std::time;
@@ -27,9 +28,7 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
-            // The settings name addresses and bounds only; they are read anew
-            // at each start. A connection must not be lost over them.
-            _ = hangup.recv() => trace::Line::new("reload").info(),
+            _ = hangup.recv() => reload::read(core, reload::Why::Signal),
         }
     }
     let told = time::Instant::now();
@@ -40,7 +39,7 @@
     tokio::time::sleep(TURN_AWAY).await;
     // The receivers are the connections; there may be none.
     let _ = closing.send(true);
-    let end = told + core.place.duties.grace.saturating_sub(END_MARGIN);
+    let end = told + core.duties.get().grace.saturating_sub(END_MARGIN);
     while core.active.get() > 0 && time::Instant::now() < end {
         tokio::time::sleep(LOOK_GAP).await;
     }
--- a/crates/fake/src/tracks/entry.rs
+++ b/crates/fake/src/tracks/entry.rs
@@ -86,6 +86,13 @@
         self.child = Some(child.expect("the daemon starts"));
     }
 
+    /// Changes the settings file of the host.
+    pub fn edit(&self, old: &str, new: &str) {
+        let text = fs::read_to_string(&self.settings).expect("it was written");
+        assert!(text.contains(old), "{old}");
+        fs::write(&self.settings, text.replace(old, new)).expect("the folder takes files");
+    }
+
     /// Sends a signal, by its name.
     pub fn signal(&self, name: &str) {
         let child = self.child.as_ref().expect("the daemon was started");
--- a/crates/pool/src/retries.rs
+++ b/crates/pool/src/retries.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Goes by another ratio and slack from now on.
+    pub fn bound(&mut self, ratio: f64, slack: f64) {
+        self.ratio = ratio;
+        self.slack = slack;
+    }
+
     /// Notes a request for a service.
     pub fn request(&mut self, service: &Name, now: time::Instant) {
         self.counts(service).requests.add(1.0, now);
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -35,6 +35,9 @@
     /// What the keys of upstream hosts begin with.
     const MEMBER_PREFIX: &'static str;
 
+    /// Reads the settings of this process anew; the text tells all that is wrong.
+    fn read_place() -> Result<Place, String>;
+
     /// Decodes a configuration; the text tells what is wrong and where.
     fn read_agreement(raw: &[u8]) -> Result<Agreement, String>;
 
