--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -524,3 +524,24 @@
         "{after:?}"
     );
 }
+
+#[test]
+fn stop_takes_nothing_late_in_its_grace() {
+    let yard = yard(&["prefill", "decode"], 1);
+    yard.engines[1].behave(|m| {
+        m.events = 60;
+        m.event_gap = time::Duration::from_millis(100);
+    });
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| yard.stream(0, "/once/a", &[]));
+        yard.wait(|y| runs(&y.engines[1]) == 1);
+        yard.entries[0].signal("TERM");
+        let refused = |y: &Yard| std::net::TcpStream::connect(y.entries[0].front).is_err();
+        yard.wait(refused);
+        let before = runs(&yard.hosts[0]);
+        assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 0);
+        assert_eq!(runs(&yard.hosts[0]), before);
+        let asked = asking.join().expect("the caller doesn't panic");
+        assert!(asked.whole, "{asked:?}");
+    });
+}
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -82,10 +82,16 @@
 async fn accept<P: seam::Platform>(
     core: rc::Rc<Core<P>>,
     listener: aio::TcpListener,
-    closed: watch::Receiver<bool>,
+    mut closed: watch::Receiver<bool>,
 ) {
     loop {
-        match listener.accept().await {
+        // Once the process closes, whoever comes is turned away unread: what it
+        // took now could not be answered within its grace.
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|c| *c) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 // Without it, small pieces of a stream would wait.
                 let _ = stream.set_nodelay(true);
--- a/crates/fake/src/tracks/entry.rs
+++ b/crates/fake/src/tracks/entry.rs
@@ -102,6 +102,28 @@
         assert!(sent.is_ok_and(|s| s.success()), "the signal was sent");
     }
 
+    /// Sends a signal if the daemon still runs.
+    pub fn try_signal(&mut self, name: &str) {
+        let running = self
+            .child
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(None)));
+        if running {
+            self.signal(name);
+        }
+    }
+
+    /// Starts the daemon again if it has ended, or once it has: one that was told
+    /// to stop ends by itself.
+    pub fn restart(&mut self) {
+        const STOP_TIME: time::Duration = time::Duration::from_secs(20);
+        if self.child.is_some() && self.join(STOP_TIME).is_none() {
+            self.kill();
+        }
+        self.child = None;
+        self.start();
+    }
+
     /// Ends the daemon at once.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/fake/src/tracks/worker.rs
+++ b/crates/fake/src/tracks/worker.rs
@@ -13,6 +13,9 @@
 /// Time between two looks at whether a prompt may be read.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(5);
 
+/// How long a KV cache is kept for its taker.
+const HANDLE_LIFE: time::Duration = time::Duration::from_millis(2_000);
+
 /// How a worker behaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Manner {
@@ -91,10 +94,12 @@
     manner: Manner,
     arrivals: Vec<Arrival>,
     count: u64,
-    handles: collections::BTreeSet<String>,
-    holds: collections::BTreeSet<String>,
+    handles: collections::BTreeMap<String, time::Instant>,
+    holds: collections::BTreeMap<String, time::Instant>,
     orders: u64,
     crashed: bool,
+    active: usize,
+    shown: Option<net::SocketAddr>,
 }
 
 impl Worker {
@@ -106,10 +111,12 @@
             manner: Manner::default(),
             arrivals: Vec::new(),
             count: 0,
-            handles: collections::BTreeSet::new(),
-            holds: collections::BTreeSet::new(),
+            handles: collections::BTreeMap::new(),
+            holds: collections::BTreeMap::new(),
             orders: 0,
             crashed: false,
+            active: 0,
+            shown: None,
         };
         let shared = sync::Arc::new(sync::Mutex::new(state));
         let answers = Answers {
@@ -147,12 +154,22 @@
 
     /// KV caches that nobody has taken or freed.
     pub fn handles(&self) -> usize {
-        self.state().handles.len()
+        unexpired(&self.state().handles)
     }
 
     /// Reservations that nobody has used or released.
     pub fn holds(&self) -> usize {
-        self.state().holds.len()
+        unexpired(&self.state().holds)
+    }
+
+    /// Streams that it is at work on.
+    pub fn active(&self) -> usize {
+        self.state().active
+    }
+
+    /// Names another address in its entries, as of a proxy before it.
+    pub fn show(&self, address: net::SocketAddr) {
+        self.state().shown = Some(address);
     }
 
     /// Dies; connections to it break.
@@ -167,9 +184,11 @@
 
     /// Its entry in the platform's list.
     pub fn entry(&self, service: &str, state: &str) -> String {
-        let stage = self.state().stage;
+        let state_now = self.state();
+        let (stage, shown) = (state_now.stage, state_now.shown);
+        drop(state_now);
         json!({
-            "service": service, "address": self.address(), "zone": "ruahine", "version": "v1",
+            "service": service, "address": shown.unwrap_or(self.address()), "zone": "ruahine", "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "stage": stage, "seq": 4,
             "born": 1_767_816_250_201_u64,
         })
@@ -181,6 +200,33 @@
     }
 }
 
+/// Counts one stream for as long as it is worked on.
+struct Active {
+    shared: Shared,
+}
+
+impl Active {
+    fn begin(shared: &Shared) -> Self {
+        shared.lock().expect("no panic holds it").active += 1;
+        Self {
+            shared: shared.clone(),
+        }
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.shared.lock() {
+            state.active -= 1;
+        }
+    }
+}
+
+fn unexpired(kept: &collections::BTreeMap<String, time::Instant>) -> usize {
+    let now = time::Instant::now();
+    kept.values().filter(|until| **until > now).count()
+}
+
 struct Answers {
     shared: Shared,
 }
@@ -255,12 +301,12 @@
             let value = json!({"handle": handle, "tokens": 10, "version": 1});
             return Some(answer(200, &value));
         }
-        self.state()
-            .holds
-            .remove(arrival.header("hornbeampitch-kv-hold"));
+        self.state().take(arrival);
         let after = arrival.header("last-event-id").parse().unwrap_or(0);
         let (feed, body) = web::body_channel();
+        let active = Active::begin(&self.shared);
         tokio::spawn(async move {
+            let _active = active;
             for event in after + 1..=manner.events {
                 if manner.breaks.is_some_and(|b| event > b) {
                     return;
@@ -286,10 +332,16 @@
     fn keep(&mut self) -> String {
         self.count += 1;
         let handle = format!("h{}", self.count);
-        self.handles.insert(handle.clone());
+        let until = time::Instant::now() + HANDLE_LIFE;
+        self.handles.insert(handle.clone(), until);
         handle
     }
 
+    /// Uses up what a request brings along.
+    fn take(&mut self, arrival: &Arrival) {
+        self.holds.remove(arrival.header("hornbeampitch-kv-hold"));
+    }
+
     /// Answers the calls that are the system's own.
     fn own(&mut self, arrival: &Arrival) -> Option<(u16, Value)> {
         let path = arrival.path.as_str();
@@ -306,7 +358,10 @@
             "/hornbeampitch/hold-take" => {
                 self.count += 1;
                 let hold = format!("d{}", self.count);
-                self.holds.insert(hold.clone());
+                let call: Value = serde_json::from_str(&arrival.body).unwrap_or(Value::Null);
+                let life = call["ttl_ms"].as_u64().unwrap_or(0);
+                let until = time::Instant::now() + time::Duration::from_millis(life);
+                self.holds.insert(hold.clone(), until);
                 Some((200, json!({"hold": hold})))
             }
             "/hornbeampitch/report" => Some((
