--- /dev/null
+++ b/crates/daemon/tests/soak_tests.rs
@@ -0,0 +1,16 @@
+//! A short fault soak; docs/SOAK.md tells how longer ones are played.
+
+use std::path;
+use std::time;
+use yare::parameterized;
+
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+)]
+fn soak_keeps_the_promises(seed: u64) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let length = time::Duration::from_secs(6);
+    let found = soak::play(program, soak::Plan { seed, length });
+    assert!(found.is_empty(), "{found:#?}");
+}
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,138 @@
+//! Callers that ask until they are told to stop, on connections that they keep.
+
+use fake::tracks::Yard;
+use rand::Rng;
+use rand::SeedableRng;
+use std::io::Read;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+/// The longest that a caller waits.
+const PATIENCE: time::Duration = time::Duration::from_secs(6);
+/// The pause between two requests of one caller.
+const PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A call that may run once.
+    Order,
+    /// A call that may be repeated.
+    Status,
+    /// A stream that may run once.
+    Once,
+    /// A stream that may be resumed.
+    Resumable,
+}
+
+impl Kind {
+    /// The path that leads there.
+    pub fn path(self) -> &'static str {
+        match self {
+            Kind::Order => "/order/",
+            Kind::Status => "/status/",
+            Kind::Once => "/once/",
+            Kind::Resumable => "/resumable/",
+        }
+    }
+
+    /// Tells whether it may run once at most.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Kind::Order | Kind::Once)
+    }
+
+    /// Tells whether its answer is a stream.
+    pub fn streams(self) -> bool {
+        matches!(self, Kind::Once | Kind::Resumable)
+    }
+}
+
+/// What a caller has seen of one request.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// What it asked for.
+    pub kind: Kind,
+    /// The request's id.
+    pub id: String,
+    /// The status; none without an answer.
+    pub status: Option<u16>,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether it came whole.
+    pub whole: bool,
+    /// The proof of the host that answered.
+    pub seal: String,
+}
+
+/// Where the entries take connections.
+pub(crate) fn fronts(yard: &sync::Mutex<Yard>) -> Vec<net::SocketAddr> {
+    let yard = yard.lock().expect("no panic holds it");
+    yard.entries.iter().map(|e| e.front).collect()
+}
+
+/// Asks until told to stop.
+pub(crate) fn ask_on(
+    fronts: &[net::SocketAddr],
+    seed: u64,
+    caller: u64,
+    stop: &atomic::AtomicBool,
+) -> Vec<Seen> {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ (caller << 32));
+    let agents: Vec<ureq::Agent> = fronts.iter().map(|_| agent()).collect();
+    let mut all = Vec::new();
+    while !stop.load(atomic::Ordering::Relaxed) {
+        let kinds = [Kind::Order, Kind::Status, Kind::Once, Kind::Resumable];
+        let kind = kinds[random.random_range(0..kinds.len())];
+        let entry = random.random_range(0..fronts.len());
+        let id = format!("{seed:04x}{caller:04x}{:08x}", all.len());
+        all.push(ask(&agents[entry], fronts[entry], kind, id));
+        std::thread::sleep(PAUSE);
+    }
+    all
+}
+
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build();
+    ureq::Agent::new_with_config(config)
+}
+
+fn ask(agent: &ureq::Agent, front: net::SocketAddr, kind: Kind, id: String) -> Seen {
+    let mut seen = Seen {
+        kind,
+        id,
+        status: None,
+        body: String::new(),
+        whole: false,
+        seal: String::new(),
+    };
+    let request = ureq::http::Request::builder()
+        .method("POST")
+        .uri(format!("http://{front}{}a", kind.path()))
+        .header("host", "agency.example")
+        .header("hornbeampitch-request-id", &seen.id)
+        .header(
+            "hornbeampitch-deadline-ms",
+            PATIENCE.as_millis().to_string(),
+        )
+        .header("hornbeampitch-model", "m")
+        .header("hornbeampitch-token-counts", "800,100")
+        .header("api-key", "key-a")
+        .body(seen.id.clone())
+        .expect("a request can be made");
+    let Ok(response) = agent.run(request) else {
+        return seen;
+    };
+    let (head, mut body) = response.into_parts();
+    seen.status = Some(head.status.as_u16());
+    let seal = head.headers.get("hornbeampitch-response-seal");
+    seen.seal = seal.map_or(String::new(), |s| format!("{s:?}").replace('"', ""));
+    let mut bytes = Vec::new();
+    seen.whole = body.as_reader().read_to_end(&mut bytes).is_ok();
+    seen.body = String::from_utf8_lossy(&bytes).into_owned();
+    seen
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,80 @@
+//! A fault soak: real entries on stand-ins of the platform, faults from outside,
+//! and the promises checked by what callers and upstream hosts see.
+//!
+//! One seed gives one order of faults. See docs/SOAK.md.
+
+mod callers;
+mod faults;
+mod proxy;
+mod verdict;
+
+pub use callers::{Kind, Seen};
+pub use proxy::{Proxy, Way};
+
+use fake::tracks::Yard;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+/// Entries of one soak.
+const ENTRIES: usize = 2;
+/// Callers that ask at the same time.
+const CALLERS: u64 = 8;
+/// Plain hosts.
+const HOSTS: usize = 3;
+/// Engines, by their stage at the start.
+const STAGES: [&str; 5] = ["prefill", "prefill", "decode", "decode", "decode"];
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Gives the order of faults and of what callers ask.
+    pub seed: u64,
+    /// How long faults go on.
+    pub length: time::Duration,
+}
+
+/// Plays one soak; gives what was found, none where all promises held.
+pub fn play(program: &path::Path, plan: Plan) -> Vec<String> {
+    let mut yard = Yard::new(program, &STAGES, HOSTS, ENTRIES);
+    let proxies = faults::put_between(&yard);
+    for engine in &yard.engines {
+        engine.behave(|m| m.event_gap = time::Duration::from_millis(20));
+    }
+    yard.start();
+    let yard = sync::Mutex::new(yard);
+    let stop = atomic::AtomicBool::new(false);
+    let fronts = callers::fronts(&yard);
+    let mut seen = Vec::new();
+    let mut found = Vec::new();
+    thread::scope(|scope| {
+        let (fronts, stop) = (&fronts, &stop);
+        let asking: Vec<_> = (0..CALLERS)
+            .map(|n| scope.spawn(move || callers::ask_on(fronts, plan.seed, n, stop)))
+            .collect();
+        let _stopped = Stopped(stop);
+        faults::strike(&yard, &proxies, plan);
+        found.extend(verdict::recovered(&yard));
+        stop.store(true, atomic::Ordering::Relaxed);
+        for caller in asking {
+            match caller.join() {
+                Ok(all) => seen.extend(all),
+                Err(_) => found.push("a caller panicked".to_owned()),
+            }
+        }
+    });
+    let yard = yard.into_inner().expect("no panic holds it");
+    found.extend(verdict::judge(&yard, &seen));
+    found
+}
+
+/// Stops the callers, also where a fault could not be made.
+struct Stopped<'a>(&'a atomic::AtomicBool);
+
+impl Drop for Stopped<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/verdict.rs
@@ -0,0 +1,116 @@
+//! The promises, by what callers and upstream hosts have seen.
+
+use crate::callers::Seen;
+use fake::tracks::Yard;
+use std::collections;
+use std::sync;
+use std::thread;
+use std::time;
+
+/// How long after the last fault all entries must serve again.
+const RECOVERY: time::Duration = time::Duration::from_secs(30);
+/// How long after the last caller nothing may be held any more.
+const TIDY: time::Duration = time::Duration::from_secs(20);
+/// Lines of an entry's log that a finding shows, newest first.
+const LAST_LINES: usize = 12;
+/// Time between two looks.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
+
+/// Finds entries that do not serve again.
+pub(crate) fn recovered(yard: &sync::Mutex<Yard>) -> Vec<String> {
+    let yard = yard.lock().expect("no panic holds it");
+    let end = time::Instant::now() + RECOVERY;
+    let mut found = Vec::new();
+    for index in 0..yard.entries.len() {
+        let serves = || {
+            let plain = yard.ask(index, "POST", "/status/a", "", &[]).status;
+            plain == 200 && yard.stream(index, "/resumable/a", &[]).status == 200
+        };
+        while !serves() {
+            if time::Instant::now() > end {
+                let entry = &yard.entries[index];
+                let log = entry.log();
+                let last: Vec<&str> = log.lines().rev().take(LAST_LINES).collect();
+                found.push(format!("{} does not serve again: {last:#?}", entry.host));
+                break;
+            }
+            thread::sleep(LOOK_GAP);
+        }
+    }
+    found
+}
+
+/// Judges what was seen.
+pub(crate) fn judge(yard: &Yard, seen: &[Seen]) -> Vec<String> {
+    let runs = runs(yard);
+    let mut found = Vec::new();
+    for one in seen {
+        let ran = runs.get(&one.id).copied().unwrap_or(0);
+        let once = one.kind.runs_once();
+        if once && ran > 1 {
+            found.push(format!("{one:?} ran {ran} times"));
+        }
+        let promised = matches!(one.status, Some(408 | 421 | 429 | 503));
+        if once && promised && ran > 0 {
+            found.push(format!("{one:?} was said not to have run"));
+        }
+        found.extend(judge_answer(one));
+    }
+    found.extend(held(yard));
+    found
+}
+
+fn judge_answer(one: &Seen) -> Option<String> {
+    if one.status != Some(200) {
+        return None;
+    }
+    if one.seal != format!("seal-{}", one.id) {
+        return Some(format!("{one:?} has another request's proof"));
+    }
+    if !one.kind.streams() {
+        let right = format!("POST {}", one.id);
+        return (one.whole && one.body != right).then(|| format!("{one:?} is not its answer"));
+    }
+    let lines = one.body.lines().filter_map(|l| l.strip_prefix("id: "));
+    let ids: Vec<u64> = lines.filter_map(|i| i.parse().ok()).collect();
+    let expected: Vec<u64> = (1..=ids.len() as u64).collect();
+    let short = one.whole && ids.len() < EVENTS;
+    (ids != expected || short).then(|| format!("{one:?} has a gap, a repeat or no end"))
+}
+
+/// Events of a whole stream of the stand-ins.
+const EVENTS: usize = 5;
+
+/// How often each request has run: each host counts what it began.
+fn runs(yard: &Yard) -> collections::BTreeMap<String, usize> {
+    let mut runs = collections::BTreeMap::new();
+    for worker in yard.engines.iter().chain(&yard.hosts) {
+        let begun = worker.arrivals().into_iter().filter(|a| {
+            let prompt = a.header("hornbeampitch-serving-stage") == "prefill";
+            let own = a.path.starts_with("/hornbeampitch/");
+            !prompt && !own && a.header("hornbeampitch-expect-instance") == worker.id
+        });
+        for arrival in begun {
+            let id = arrival.header("hornbeampitch-request-id").to_owned();
+            *runs.entry(id).or_insert(0) += 1;
+        }
+    }
+    runs
+}
+
+/// Finds what engines still hold when no caller is left.
+fn held(yard: &Yard) -> Option<String> {
+    let end = time::Instant::now() + TIDY;
+    let busy = || {
+        yard.engines
+            .iter()
+            .any(|e| e.active() > 0 || e.handles() > 0 || e.holds() > 0)
+    };
+    while busy() {
+        if time::Instant::now() > end {
+            return Some("engines still hold something".to_owned());
+        }
+        thread::sleep(LOOK_GAP);
+    }
+    None
+}
