--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -2,22 +2,19 @@
 
 use crate::admit::Job;
 use crate::body::Body;
-use crate::body::Piece;
 use crate::core::Core;
 use crate::guards::Cache;
 use crate::guards::Hold;
 use crate::guards::InHand;
 use crate::measure;
 use crate::plain;
+use crate::prompt::PROMPT_FACTOR;
 use crate::queue::Pool;
-use crate::queue::Reading;
 use crate::queue::Seat;
 use http::StatusCode;
-use seam::Stream;
 use seam::Upstreams;
 use std::rc;
 use std::time;
-use tokio::sync::mpsc;
 use world::Name;
 
 /// Callers come back within this part of the time that they have left.
@@ -31,31 +28,22 @@
 const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// What a reservation lasts longer than its prompt is expected to take.
 const HOLD_MARGIN: time::Duration = time::Duration::from_millis(400);
-/// How much longer a prompt may take than expected.
-const PROMPT_FACTOR: u32 = 3;
-/// Least time that a prompt is given.
-const PROMPT_LEAST: time::Duration = time::Duration::from_millis(700);
-/// Prefill engines that are tried while a seat is kept.
-const PROMPT_TRIES: u32 = 2;
-/// A stream without bytes for so long has stalled: its caller would leave after
-/// two seconds at the least.
-const STALL_TIME: time::Duration = time::Duration::from_millis(1_500);
 /// How long the first event may take after the engine has the prompt.
-const FIRST_TIME: time::Duration = time::Duration::from_millis(2_500);
+pub(crate) const FIRST_TIME: time::Duration = time::Duration::from_millis(2_500);
 /// The part of an answer's memory that is counted from the start.
 const ANSWER_PART: f64 = 0.3;
 /// Tries of one request in all.
 const TRIES_MOST: u32 = 6;
 
 /// A stream that an engine has begun.
-struct Begun<S> {
-    answer: seam::Answer<S>,
-    engine: Name,
-    seat: Seat,
+pub(crate) struct Begun<S> {
+    pub(crate) answer: seam::Answer<S>,
+    pub(crate) engine: Name,
+    pub(crate) seat: Seat,
 }
 
 /// Why no engine has begun a stream.
-enum Miss {
+pub(crate) enum Miss {
     /// It has not run; another try may help.
     Unrun(&'static str),
     /// It may have run.
@@ -108,15 +96,15 @@
     plain::refuse(core, job, &reply)
 }
 
-struct Runner<P: seam::Platform> {
-    core: rc::Rc<Core<P>>,
-    pool: rc::Rc<Pool>,
-    job: rc::Rc<Job>,
+pub(crate) struct Runner<P: seam::Platform> {
+    pub(crate) core: rc::Rc<Core<P>>,
+    pub(crate) pool: rc::Rc<Pool>,
+    pub(crate) job: rc::Rc<Job>,
     ticket: pool::Ticket,
     tries: u32,
-    prompts: u32,
+    pub(crate) prompts: u32,
     sends: u32,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     back: bool,
 }
 
@@ -138,7 +126,7 @@
     }
 
     /// Tries engines until one has begun the stream.
-    async fn begin(
+    pub(crate) async fn begin(
         &mut self,
         after: Option<u64>,
     ) -> Result<Begun<<P::Upstreams as Upstreams>::Stream>, Miss> {
@@ -273,7 +261,7 @@
     ///
     /// Memory is used as the answer grows, and the streams of an engine are of
     /// all ages: on average half of their answers are there.
-    fn need(&self) -> u64 {
+    pub(crate) fn need(&self) -> u64 {
         let (prompt, answer) = self.job.call.tokens.unwrap_or_default();
         prompt + (answer as f64 * ANSWER_PART) as u64
     }
@@ -351,280 +339,10 @@
         }
     }
 
-    /// Has the prompt read, at a second engine where the first one fails; none
-    /// where the decode engine is to read it itself.
-    async fn read_anywhere(
-        &mut self,
-        lane: Option<(Reading, time::Duration)>,
-        zone: Option<&str>,
-    ) -> Result<Option<Cache<P>>, Miss> {
-        let mut lane = lane;
-        let mut missed = Miss::Unrun("no_prefill");
-        for _ in 0..PROMPT_TRIES {
-            let Some((reading, expected)) = lane else {
-                return Ok(None);
-            };
-            if self.prompts > 0 && !self.may_repeat() {
-                return Ok(None);
-            }
-            match self.read_prompt(reading, expected).await {
-                Ok(cache) => return Ok(Some(cache)),
-                Err(miss) => missed = miss,
-            }
-            lane = self.pool.read(self.job.call.prompt(), zone);
-        }
-        Err(missed)
-    }
-
-    async fn read_prompt(
-        &mut self,
-        reading: Reading,
-        expected: time::Duration,
-    ) -> Result<Cache<P>, Miss> {
-        self.prompts += 1;
-        let engine = reading.engine.clone();
-        let target = self.core.target(&engine).ok_or(Miss::Unrun("gone"))?;
-        let began = time::Instant::now();
-        let patience = (expected * PROMPT_FACTOR).max(PROMPT_LEAST);
-        let by = self.job.deadline.min(began + patience);
-        let begin = seam::Begin {
-            tenant: self.job.tenant.clone(),
-            left: Some(self.job.left()),
-            ..seam::Begin::default()
-        };
-        let prefilled = self
-            .core
-            .upstreams
-            .prefill(&target, &self.job.call, &begin, by)
-            .await;
-        let now = time::Instant::now();
-        let took = now.saturating_duration_since(began);
-        self.job
-            .line("prompt")
-            .with("upstream", &engine)
-            .with("tokens", self.job.call.prompt())
-            .with("expected_ms", measure::millis(expected))
-            .with("took_ms", measure::millis(took))
-            .with("ready", matches!(prefilled, seam::Prefilled::Ready(_)))
-            .info();
-        let mut lanes = self.pool.lanes.borrow_mut();
-        match prefilled {
-            seam::Prefilled::Ready(source) => {
-                lanes.learn(&engine, self.job.call.prompt(), took);
-                Ok(Cache::new(&self.core, source))
-            }
-            seam::Prefilled::Refused => {
-                lanes.fail(&engine, now);
-                Err(Miss::Unrun("prefill_refused"))
-            }
-            seam::Prefilled::Failed(cause) => {
-                lanes.fail(&engine, now);
-                self.job
-                    .line("prefill_failed")
-                    .with("upstream", &engine)
-                    .with("cause", cause)
-                    .with("took_ms", measure::millis(took))
-                    .info();
-                Err(Miss::Unrun("prefill_failed"))
-            }
-        }
-    }
-
-    fn may_repeat(&self) -> bool {
+    pub(crate) fn may_repeat(&self) -> bool {
         let now = time::Instant::now();
         let entries = self.core.entries();
         let mut retries = self.core.retries.borrow_mut();
         retries.take(&self.job.service, entries, now)
     }
-
-    /// Passes events on, and goes on elsewhere where the route allows it.
-    async fn pump(
-        &mut self,
-        begun: Begun<<P::Upstreams as Upstreams>::Stream>,
-        feed: mpsc::Sender<Piece>,
-    ) {
-        let mut events = Events::new(self.job.call.after);
-        let mut begun = begun;
-        loop {
-            let end = self.pass(&mut begun, &mut events, &feed).await;
-            let now = time::Instant::now();
-            self.job
-                .line("stream_end")
-                .with("upstream", &begun.engine)
-                .with("end", end.word())
-                .with("events", events.passed)
-                .with("first_ms", events.first.map_or(0, measure::millis))
-                .with("gap_ms", measure::millis(events.gap))
-                .info();
-            match end {
-                End::Whole => {
-                    self.core.crashes.borrow_mut().clear(self.job.digest);
-                    self.learn(&begun.seat);
-                    metrics::histogram!("answer_seconds", "kind" => "stream")
-                        .record(self.job.arrived.elapsed().as_secs_f64());
-                    // The caller may have gone; then nobody misses the end.
-                    let _ = feed.send(Piece::End).await;
-                    return;
-                }
-                End::Left | End::Overdue => return,
-                End::Broken | End::Stalled => {
-                    self.pool.seats.borrow_mut().fail(&begun.engine, now);
-                    if let Some(target) = self.core.target(&begun.engine) {
-                        self.core.suspect(self.job.digest, &target);
-                    }
-                }
-            }
-            if self.core.crashes.borrow().holds(self.job.digest) {
-                return;
-            }
-            let ok = begun.answer.status == StatusCode::OK;
-            if !ok || self.job.route.repeat != seam::Repeat::Resumable {
-                return;
-            }
-            events.restart();
-            let (engine, after) = (begun.engine.clone(), events.last);
-            drop(begun);
-            self.may_have_run = true;
-            let resumed = tokio::select! {
-                resumed = self.begin(after) => resumed,
-                () = feed.closed() => return,
-            };
-            begun = match resumed {
-                Ok(next) if next.answer.status == StatusCode::OK => next,
-                Ok(_) | Err(_) => {
-                    self.job.line("stream_lost").with("upstream", engine).info();
-                    return;
-                }
-            };
-        }
-    }
-
-    fn learn(&self, seat: &Seat) {
-        let held = seat.since.elapsed();
-        self.core.learn(&self.job.service, self.need(), held);
-    }
-
-    async fn pass(
-        &self,
-        begun: &mut Begun<<P::Upstreams as Upstreams>::Stream>,
-        events: &mut Events,
-        feed: &mpsc::Sender<Piece>,
-    ) -> End {
-        let mut patience = FIRST_TIME;
-        loop {
-            let by = time::Instant::now() + patience;
-            let next = tokio::time::timeout_at(
-                by.min(self.job.deadline).into(),
-                begun.answer.stream.next(),
-            );
-            let next = tokio::select! {
-                next = next => next,
-                () = feed.closed() => return End::Left,
-            };
-            let bytes = match next {
-                Ok(Some(Ok(bytes))) => bytes,
-                Ok(Some(Err(_))) => return End::Broken,
-                Ok(None) if events.inside() => return End::Broken,
-                Ok(None) => return End::Whole,
-                Err(_) if self.job.left().is_zero() => return End::Overdue,
-                Err(_) => return End::Stalled,
-            };
-            patience = STALL_TIME;
-            events.time(self.job.arrived);
-            if let Some(whole) = events.add(bytes)
-                && feed.send(Piece::Data(whole)).await.is_err()
-            {
-                return End::Left;
-            }
-        }
-    }
-}
-
-/// How an engine's part of a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    Whole,
-    Broken,
-    Stalled,
-    Left,
-    Overdue,
-}
-
-impl End {
-    fn word(self) -> &'static str {
-        match self {
-            End::Whole => "whole",
-            End::Broken => "broken",
-            End::Stalled => "stalled",
-            End::Left => "caller_left",
-            End::Overdue => "overdue",
-        }
-    }
-}
-
-/// Cuts a stream into whole events and knows the last one's id.
-struct Events {
-    rest: bytes::BytesMut,
-    last: Option<u64>,
-    passed: u64,
-    first: Option<time::Duration>,
-    gap: time::Duration,
-    seen: time::Instant,
-}
-
-impl Events {
-    fn new(after: Option<u64>) -> Self {
-        Self {
-            rest: bytes::BytesMut::new(),
-            last: after,
-            passed: 0,
-            first: None,
-            gap: time::Duration::ZERO,
-            seen: time::Instant::now(),
-        }
-    }
-
-    /// Notes the time of bytes that came: the first ones, and the longest pause.
-    fn time(&mut self, arrived: time::Instant) {
-        let now = time::Instant::now();
-        match self.first {
-            Some(_) => self.gap = self.gap.max(now.saturating_duration_since(self.seen)),
-            None => {
-                let first = now.saturating_duration_since(arrived);
-                metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
-                self.first = Some(first);
-            }
-        }
-        self.seen = now;
-    }
-
-    /// Adds bytes; gives all whole events.
-    fn add(&mut self, bytes: bytes::Bytes) -> Option<bytes::Bytes> {
-        let whole = match self.rest.is_empty() && bytes.ends_with(b"\n\n") {
-            true => bytes,
-            false => {
-                self.rest.extend_from_slice(&bytes);
-                let end = self.rest.windows(2).rposition(|w| w == b"\n\n")?;
-                self.rest.split_to(end + 2).freeze()
-            }
-        };
-        for line in whole.split(|b| *b == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = std::str::from_utf8(id).ok().map(str::trim);
-                self.last = id.and_then(|i| i.parse().ok()).or(self.last);
-                self.passed += 1;
-            }
-        }
-        Some(whole)
-    }
-
-    /// Tells whether an event has begun and not ended.
-    fn inside(&self) -> bool {
-        !self.rest.is_empty()
-    }
-
-    /// Forgets the event that broke off.
-    fn restart(&mut self) {
-        self.rest.clear();
-    }
 }
