A word to stop or reload holds from the first moment of a process

Its faults, now shown with a finding: entry-1 was told to stop (424 ms), started again (about 3,300 ms) and told to reload at once (3,339 ms). The process took its signals only after its settings were read, its log and runtime were made and its core was built, so the word to reload ended it, before its first log line. Part of it was the soak's: before a process runs its own code any signal ends it, and the soak sent one in that time.

Ruled out: a port still taken (the listener reuses it), Entry::join (which gave nothing for one that a signal had ended, and then started it as it should).

Change: the signals are taken first, before the settings are read; the soak waits until a started entry listens. The soak shows the faults it made beside what it found. One type, fake::Running, is the process of both kinds of daemons in the stand-ins.

--- a/crates/daemon/examples/load/drive.rs
+++ b/crates/daemon/examples/load/drive.rs
@@ -140,7 +140,7 @@
         Fault::Store => lab.store.kill(),
         Fault::Entry => {
             // A daemon that has gone already needs no signal.
-            lab.signal("entry-2", "-KILL");
+            lab.signal("entry-2", "KILL");
         }
     }
     thread::sleep(quarter);
--- a/crates/daemon/examples/recovery.rs
+++ b/crates/daemon/examples/recovery.rs
@@ -31,7 +31,7 @@
         s.lab.daemons[agent].kill();
     }),
     ("decode agent frozen", |s, i| {
-        assert!(s.lab.signal(&format!("decode-{}", i + 1), "-STOP"));
+        assert!(s.lab.signal(&format!("decode-{}", i + 1), "STOP"));
     }),
     ("decode engine killed", |s, i| s.lab.decodes[i].kill()),
     ("decode engine frozen", |s, i| s.lab.decodes[i].freeze(true)),
--- a/crates/daemon/examples/soak.rs
+++ b/crates/daemon/examples/soak.rs
@@ -23,12 +23,15 @@
     let mut broken = 0;
     for seed in seed..seed + count {
         let length = time::Duration::from_secs(seconds);
-        let found = soak::play(&program, soak::Plan { seed, length });
-        println!("seed {seed}: {} found", found.len());
-        for line in &found {
-            println!("  {line}");
+        let outcome = soak::play(&program, soak::Plan { seed, length });
+        let (found, asked) = (&outcome.found, outcome.asked);
+        println!("seed {seed}: {asked} requests, {} found", found.len());
+        if !found.is_empty() {
+            broken += 1;
+            for line in found.iter().chain(&outcome.faults) {
+                println!("  {line}");
+            }
         }
-        broken += usize::from(!found.is_empty());
     }
     println!("{count} seeds, {broken} with a promise broken");
     process::ExitCode::from(u8::from(broken > 0))
--- a/crates/daemon/src/app/platform.rs
+++ b/crates/daemon/src/app/platform.rs
@@ -10,6 +10,14 @@
 /// All I/O is on one thread: the platform charges each wake-up and lets one
 /// thread run at a time (docs/PLATFORM.md, "Processor").
 pub(crate) fn serve() -> Result<(), StartError> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::System)?;
+    let signals = {
+        let _within = runtime.enter();
+        direct::Signals::take().map_err(StartError::System)?
+    };
     let path = ::platform::boot_path().map_err(StartError::Platform)?;
     let text = fs::read_to_string(&path).map_err(|source| StartError::Read {
         path: path.display().to_string(),
@@ -17,10 +25,6 @@
     })?;
     let place = ::platform::read_boot(&text).map_err(StartError::Platform)?;
     let _log = trace::start_bounded_logging(log::LevelFilter::Info).map_err(StartError::System)?;
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(StartError::System)?;
     trace::Line::new("started")
         .with("host", &place.host)
         .with("zone", &place.zone)
@@ -33,7 +37,7 @@
         let store = ::platform::store(client.clone(), place.store);
         let engines = ::platform::engines(client.clone());
         let core = direct::Core::<::platform::Tracks>::new(place, store, engines, client);
-        direct::run(core).await
+        direct::run(core, signals).await
     });
     served.map_err(StartError::System)
 }
--- a/crates/daemon/tests/pair_tests.rs
+++ b/crates/daemon/tests/pair_tests.rs
@@ -49,7 +49,7 @@
                 session.lab.daemons[agent].kill();
             }
             Harm::DecodeAgentFrozen => {
-                assert!(session.lab.signal(&busy_host(session), "-STOP"));
+                assert!(session.lab.signal(&busy_host(session), "STOP"));
             }
             Harm::DecodeEngineKilled => session.lab.decodes[busy(session)].kill(),
             Harm::DecodeEngineFrozen => session.lab.decodes[busy(session)].freeze(true),
@@ -91,7 +91,7 @@
         engine.freeze(false);
     }
     for host in ["decode-1", "decode-2", "decode-3", "prefill-1"] {
-        if !session.lab.signal(host, "-CONT") {
+        if !session.lab.signal(host, "CONT") {
             let agent = session.lab.find(host);
             session.lab.spawn(agent);
         }
--- a/crates/daemon/tests/soak_tests.rs
+++ b/crates/daemon/tests/soak_tests.rs
@@ -11,6 +11,6 @@
 fn soak_keeps_the_promises(seed: u64) {
     let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
     let length = time::Duration::from_secs(6);
-    let found = soak::play(program, soak::Plan { seed, length });
-    assert!(found.is_empty(), "{found:#?}");
+    let outcome = soak::play(program, soak::Plan { seed, length });
+    assert!(outcome.found.is_empty(), "{outcome:#?}");
 }
--- a/crates/daemon/tests/stop_tests.rs
+++ b/crates/daemon/tests/stop_tests.rs
@@ -27,7 +27,7 @@
 }
 
 fn terminate(session: &Session, host: &str) {
-    assert!(session.lab.signal(host, "-TERM"));
+    assert!(session.lab.signal(host, "TERM"));
 }
 
 /// What the callers of a load have seen so far.
--- a/crates/daemon/tests/store_tests.rs
+++ b/crates/daemon/tests/store_tests.rs
@@ -178,11 +178,11 @@
 fn entry_that_slept_checks_before_it_serves() {
     let session = Session::start(two_entries(), program(), &[]);
     let (id, key) = session.key(session::RANGERS);
-    assert!(session.lab.signal("entry-1", "-STOP"));
+    assert!(session.lab.signal("entry-1", "STOP"));
     let (_, out) = session.client(&["key", "withdraw", &id]);
     assert!(out.contains("withdrawn"), "{out}");
     session::pause(2_000);
-    assert!(session.lab.signal("entry-1", "-CONT"));
+    assert!(session.lab.signal("entry-1", "CONT"));
     let got = session.complete(0, &key, PROMPT, 40);
     assert!([401, 503].contains(&got.status), "{got:?}");
     assert!(got.text.contains("\"not_run\":true"), "{got:?}");
--- a/crates/daemon/tests/stream_tests.rs
+++ b/crates/daemon/tests/stream_tests.rs
@@ -115,9 +115,9 @@
     let mut frozen = String::new();
     let got = stream_with_harm(&mut session, |s| {
         frozen = format!("decode-{}", busy_decode(s) + 1);
-        assert!(s.lab.signal(&frozen, "-STOP"));
+        assert!(s.lab.signal(&frozen, "STOP"));
     });
-    assert!(session.lab.signal(&frozen, "-CONT"));
+    assert!(session.lab.signal(&frozen, "CONT"));
     assert_whole(&got);
     assert!(session.wait_empty(), "{:?}", session.lab.held());
 }
@@ -138,10 +138,10 @@
     let mut session = start(shape);
     let mut empty = false;
     let got = stream_with_harm(&mut session, |s| {
-        assert!(s.lab.signal("entry-1", "-STOP"));
+        assert!(s.lab.signal("entry-1", "STOP"));
         // The engine would go on for longer than this by itself.
         empty = s.wait_empty();
-        assert!(s.lab.signal("entry-1", "-CONT"));
+        assert!(s.lab.signal("entry-1", "CONT"));
     });
     assert!(empty, "{:?}", session.lab.held());
     assert_whole(&got);
--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -368,7 +368,7 @@
     thread::scope(|scope| {
         let asking = scope.spawn(|| yard.stream(0, "/once/a", &[]));
         yard.wait(|y| runs(&y.engines[1]) == 1);
-        yard.entries[0].signal("TERM");
+        assert!(yard.entries[0].signal("TERM"));
         yard.wait(|y| !y.is_ready(0));
         let asked = asking.join().expect("the caller doesn't panic");
         assert!(asked.whole, "{asked:?}");
@@ -380,14 +380,31 @@
 #[test]
 fn settings_reload_by_signal() {
     let yard = yard(&[], 1);
-    yard.entries[0].signal("HUP");
+    assert!(yard.entries[0].signal("HUP"));
     yard.wait(|y| y.entries[0].log().contains("event=reload changed=false"));
     yard.entries[0].edit("grace_s = 8", "grace_s = 9");
-    yard.entries[0].signal("HUP");
+    assert!(yard.entries[0].signal("HUP"));
     yard.wait(|y| y.entries[0].log().contains("event=reload changed=true"));
     assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
 }
 
+#[test]
+fn word_to_reload_before_the_settings_are_read_ends_nothing() {
+    let mut yard = Yard::new(program(), &[], 1, 1);
+    yard.configure(|_| {});
+    yard.entries[0].start_slowly(|e| assert!(e.signal("HUP")));
+    yard.wait(|y| y.is_ready(0));
+    assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
+}
+
+#[test]
+fn word_to_stop_before_the_settings_are_read_is_kept() {
+    let mut yard = Yard::new(program(), &[], 1, 1);
+    yard.configure(|_| {});
+    yard.entries[0].start_slowly(|e| assert!(e.signal("TERM")));
+    assert_eq!(yard.entries[0].join(END), Some(0));
+}
+
 #[test]
 fn settings_reload_without_a_signal() {
     let yard = yard(&[], 1);
@@ -399,7 +416,7 @@
 fn settings_that_are_wrong_change_nothing() {
     let yard = yard(&[], 1);
     yard.entries[0].edit("grace_s = 8", "grace_s = \"long\"");
-    yard.entries[0].signal("HUP");
+    assert!(yard.entries[0].signal("HUP"));
     let refused = "event=settings_refused fault=\"bounds.grace_s: expected a number";
     yard.wait(|y| y.entries[0].log().contains(refused));
     assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
@@ -461,11 +478,11 @@
     yard.start();
     yard.wait(|y| y.entries.iter().all(|e| e.log().contains("event=peer ")));
     // The first is stopped, misses a version, and finds the store gone.
-    yard.entries[0].signal("STOP");
+    assert!(yard.entries[0].signal("STOP"));
     yard.configure(|a| a["routes"][3]["prefix"] = "/moved/".into());
     yard.wait(|y| y.ask(1, "GET", "/moved/a", "", &[]).status == 200);
     yard.store.behave(StoreMode::Out);
-    yard.entries[0].signal("CONT");
+    assert!(yard.entries[0].signal("CONT"));
     yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
 }
 
@@ -515,7 +532,7 @@
     let yard = yard(&[], 1);
     let before = yard.ask(0, "GET", "/status/a", "", &[]);
     assert!(!before.headers.contains("close"), "{before:?}");
-    yard.entries[0].signal("TERM");
+    assert!(yard.entries[0].signal("TERM"));
     yard.wait(|y| !y.is_ready(0));
     let after = yard.ask(0, "GET", "/status/a", "", &[]);
     assert_eq!(after.status, 200);
@@ -535,7 +552,7 @@
     thread::scope(|scope| {
         let asking = scope.spawn(|| yard.stream(0, "/once/a", &[]));
         yard.wait(|y| runs(&y.engines[1]) == 1);
-        yard.entries[0].signal("TERM");
+        assert!(yard.entries[0].signal("TERM"));
         let refused = |y: &Yard| std::net::TcpStream::connect(y.entries[0].front).is_err();
         yard.wait(refused);
         let before = runs(&yard.hosts[0]);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,3 +26,4 @@
 
 pub use crate::core::Core;
 pub use serve::run;
+pub use stop::Signals;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::peers;
 use crate::reload;
 use crate::stop;
+use crate::stop::Signals;
 use http::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -34,7 +35,7 @@
 const METRICS_PORT: u16 = 9_464;
 
 /// Serves until the process is told to stop and all requests are answered.
-pub async fn run<P: seam::Platform>(core: rc::Rc<Core<P>>) -> io::Result<()> {
+pub async fn run<P: seam::Platform>(core: rc::Rc<Core<P>>, signals: Signals) -> io::Result<()> {
     let meter = measure::start();
     let place = core.place.clone();
     let (closing, closed) = watch::channel(false);
@@ -61,7 +62,7 @@
     peers::start(core.clone())?;
     tokio::task::spawn_local(sweep(core.clone()));
     tokio::task::spawn_local(reload::follow(core.clone()));
-    stop::wait(&core, &closing).await
+    stop::wait(&core, signals, &closing).await
 }
 
 /// Binds a listener whose port is free again as soon as its process has gone.
--- a/crates/direct/src/stop.rs
+++ b/crates/direct/src/stop.rs
@@ -16,19 +16,38 @@
 /// What is left of the grace for the process to end in.
 const END_MARGIN: time::Duration = time::Duration::from_millis(250);
 
+/// The signals that a process answers. A signal that comes earlier ends the
+/// process, so they are taken before the settings are read.
+#[derive(Debug)]
+pub struct Signals {
+    term: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    /// Takes the signals from now on; must be called within a runtime. Gives the
+    /// system's error where it has no handler left.
+    pub fn take() -> io::Result<Self> {
+        Ok(Self {
+            term: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for the word to stop, then until all requests are answered.
 pub(crate) async fn wait<P: seam::Platform>(
     core: &rc::Rc<Core<P>>,
+    mut signals: Signals,
     closing: &watch::Sender<bool>,
 ) -> io::Result<()> {
-    let mut term = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload::read(core, reload::Why::Signal),
+            _ = signals.term.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload::read(core, reload::Why::Signal),
         }
     }
     let told = time::Instant::now();
--- a/crates/fake/src/lab.rs
+++ b/crates/fake/src/lab.rs
@@ -6,6 +6,7 @@
 use crate::engine::EngineConfig;
 use crate::hosts::Hosts;
 use crate::ports::free_address;
+use crate::running::Running;
 use crate::service::Service;
 use crate::store::Store;
 use std::fs;
@@ -93,7 +94,8 @@
     }
 }
 
-/// A daemon's process.
+/// A daemon of the lab, on a host of its own.
+#[derive(derive_more::Deref, derive_more::DerefMut)]
 pub struct Daemon {
     /// Its host's name.
     pub host: String,
@@ -104,8 +106,9 @@
     /// Where callers reach it; entries only.
     pub callers: Option<net::SocketAddr>,
     settings: path::PathBuf,
-    log: path::PathBuf,
-    child: Option<process::Child>,
+    #[deref]
+    #[deref_mut]
+    process: Running,
 }
 
 /// The site.
@@ -194,8 +197,7 @@
             admin: free_address(),
             callers: (role == Role::Entry).then(free_address),
             settings: self.folder.join(format!("{host}.yaml")),
-            log: self.folder.join(format!("{host}.log")),
-            child: None,
+            process: Running::new(self.folder.join(format!("{host}.log"))),
             host: host.clone(),
         };
         let text = self.settings_text(&daemon, zone, role, upstream);
@@ -249,32 +251,15 @@
     /// Starts a daemon's process.
     pub fn spawn(&mut self, i: usize) {
         let daemon = &mut self.daemons[i];
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(&daemon.log)
-            .expect("the temporary folder takes files");
-        let child = process::Command::new(&self.program)
-            .args(&self.words)
-            .arg(&daemon.settings)
-            .stdin(process::Stdio::null())
-            .stdout(log.try_clone().expect("a file can be shared"))
-            .stderr(log)
-            .spawn()
-            .expect("the daemon's program can be started");
-        daemon.child = Some(child);
+        let mut command = process::Command::new(&self.program);
+        command.args(&self.words).arg(&daemon.settings);
+        daemon.process.spawn(command);
     }
 
-    /// Sends a signal, as `-STOP`, to a host's daemon; gives false where none
+    /// Sends a signal, as `STOP`, to a host's daemon; gives false where none
     /// runs.
     pub fn signal(&self, host: &str, name: &str) -> bool {
-        let Some(id) = self.daemons[self.find(host)].id() else {
-            return false;
-        };
-        let sent = process::Command::new("kill")
-            .args([name, &id.to_string()])
-            .status();
-        sent.is_ok_and(|status| status.success())
+        self.daemons[self.find(host)].signal(name)
     }
 
     /// Finds a daemon by its host's name.
@@ -319,41 +304,6 @@
     }
 }
 
-impl Daemon {
-    /// Ends the process at once.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// The process, if it was started and not killed.
-    pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().map(process::Child::id)
-    }
-
-    /// Waits for the process to end by itself; gives its exit code.
-    pub fn join(&mut self, limit: time::Duration) -> Option<i32> {
-        let end = time::Instant::now() + limit;
-        let child = self.child.as_mut()?;
-        while time::Instant::now() < end {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.child = None;
-                return status.code();
-            }
-            thread::sleep(time::Duration::from_millis(10));
-        }
-        None
-    }
-
-    /// What the process has logged.
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-}
-
 impl Drop for Lab {
     fn drop(&mut self) {
         for daemon in &mut self.daemons {
--- a/crates/fake/src/tracks/entry.rs
+++ b/crates/fake/src/tracks/entry.rs
@@ -1,14 +1,19 @@
 //! A real daemon as an entry on the stand-ins.
 
 use crate::ports::free_address;
+use crate::running::Running;
 use std::fs;
+use std::io::Write;
 use std::net;
 use std::path;
 use std::process;
-use std::thread;
 use std::time;
 
+/// How long a daemon that was told to stop may take to end; more than its grace.
+const STOP_TIME: time::Duration = time::Duration::from_secs(20);
+
 /// A daemon and the files of its host.
+#[derive(derive_more::Deref, derive_more::DerefMut)]
 pub struct Entry {
     /// Its host's name.
     pub host: String,
@@ -18,8 +23,9 @@
     pub ready: net::SocketAddr,
     program: path::PathBuf,
     settings: path::PathBuf,
-    log: path::PathBuf,
-    child: Option<process::Child>,
+    #[deref]
+    #[deref_mut]
+    process: Running,
 }
 
 impl Entry {
@@ -65,25 +71,36 @@
             front,
             ready,
             program: program.to_owned(),
-            log: folder.join(format!("{host}.log")),
+            process: Running::new(folder.join(format!("{host}.log"))),
             settings,
-            child: None,
         }
     }
 
     /// Starts the daemon, also once more.
     pub fn start(&mut self) {
-        let log = fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(&self.log);
-        let child = process::Command::new(&self.program)
+        let mut command = process::Command::new(&self.program);
+        command
             .arg("platform")
-            .env("HORNBEAMPITCH_BOOT", &self.settings)
-            .stdin(process::Stdio::null())
-            .stdout(log.expect("the folder takes files"))
-            .spawn();
-        self.child = Some(child.expect("the daemon starts"));
+            .env("HORNBEAMPITCH_BOOT", &self.settings);
+        self.process.spawn(command);
+    }
+
+    /// Starts the daemon and does something while it waits for its settings, as on
+    /// a slow host.
+    pub fn start_slowly(&mut self, meanwhile: impl FnOnce(&mut Self)) {
+        let text = fs::read(&self.settings).expect("it was written");
+        let kept = self.settings.with_extension("kept");
+        fs::rename(&self.settings, &kept).expect("the folder takes files");
+        let made = process::Command::new("mkfifo").arg(&self.settings).status();
+        assert!(made.is_ok_and(|s| s.success()), "a pipe can be made");
+        self.start();
+        // Opens once the daemon has opened it for reading.
+        let pipe = fs::OpenOptions::new().write(true).open(&self.settings);
+        let mut pipe = pipe.expect("the pipe was made");
+        fs::rename(&kept, &self.settings).expect("the folder takes files");
+        meanwhile(self);
+        // The daemon may have ended meanwhile.
+        let _ = pipe.write_all(&text);
     }
 
     /// Changes the settings file of the host.
@@ -93,68 +110,12 @@
         fs::write(&self.settings, text.replace(old, new)).expect("the folder takes files");
     }
 
-    /// Sends a signal, by its name.
-    pub fn signal(&self, name: &str) {
-        let child = self.child.as_ref().expect("the daemon was started");
-        let sent = process::Command::new("kill")
-            .args([&format!("-{name}"), &child.id().to_string()])
-            .status();
-        assert!(sent.is_ok_and(|s| s.success()), "the signal was sent");
-    }
-
-    /// Sends a signal if the daemon still runs.
-    pub fn try_signal(&mut self, name: &str) {
-        let running = self
-            .child
-            .as_mut()
-            .is_some_and(|c| matches!(c.try_wait(), Ok(None)));
-        if running {
-            self.signal(name);
-        }
-    }
-
-    /// Starts the daemon again if it has ended, or once it has: one that was told
-    /// to stop ends by itself.
+    /// Starts the daemon again once it has ended: one that was told to stop ends by
+    /// itself.
     pub fn restart(&mut self) {
-        const STOP_TIME: time::Duration = time::Duration::from_secs(20);
-        if self.child.is_some() && self.join(STOP_TIME).is_none() {
-            self.kill();
-        }
-        self.child = None;
-        self.start();
-    }
-
-    /// Ends the daemon at once.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-
-    /// Waits for the daemon to end by itself; gives its exit code.
-    pub fn join(&mut self, limit: time::Duration) -> Option<i32> {
-        let end = time::Instant::now() + limit;
-        let child = self.child.as_mut()?;
-        while time::Instant::now() < end {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.child = None;
-                return status.code();
-            }
-            thread::sleep(time::Duration::from_millis(10));
-        }
-        None
-    }
-
-    /// What the daemon has logged; it writes a few times a second.
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
+        // By itself or by a signal; what still runs is killed.
+        let _ = self.join(STOP_TIME);
         self.kill();
+        self.start();
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,15 +4,22 @@
 use crate::proxy::Proxy;
 use crate::proxy::Way;
 use fake::free_address;
+use fake::tracks::Entry;
 use fake::tracks::StoreMode;
 use fake::tracks::Worker;
 use fake::tracks::Yard;
 use rand::Rng;
 use rand::SeedableRng;
+use std::net;
 use std::sync;
 use std::thread;
 use std::time;
 
+/// How long a start may take on a machine under load.
+const START_TIME: time::Duration = time::Duration::from_secs(10);
+/// Time between two looks.
+const LOOK_GAP: time::Duration = time::Duration::from_millis(5);
+
 /// One fault; each is undone after a while.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -42,29 +49,40 @@
     proxies
 }
 
-/// Strikes until the plan is over, then undoes all that still holds.
-pub(crate) fn strike(yard: &sync::Mutex<Yard>, proxies: &[Proxy], plan: Plan) {
+/// Strikes until the plan is over, then undoes all that still holds; gives what was
+/// done, with the time since the beginning.
+pub(crate) fn strike(yard: &sync::Mutex<Yard>, proxies: &[Proxy], plan: Plan) -> Vec<String> {
+    let began = time::Instant::now();
+    let mut done = Vec::new();
+    let mut note = |what: &str, fault: Fault| {
+        done.push(format!(
+            "{} ms: {what} {fault:?}",
+            began.elapsed().as_millis()
+        ));
+    };
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed);
     let end = time::Instant::now() + plan.length;
     let mut holding: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
         let fault = draw(&mut random, proxies.len());
         let until = time::Duration::from_millis(random.random_range(200..1_500));
+        note("begin", fault);
         begin(yard, proxies, fault);
         holding.push((time::Instant::now() + until, fault));
         thread::sleep(time::Duration::from_millis(random.random_range(50..500)));
         let now = time::Instant::now();
         let (over, left) = holding.into_iter().partition(|(at, _)| *at <= now);
         holding = left;
-        undo_all(yard, proxies, over);
+        for (_, fault) in over {
+            note("undo", fault);
+            undo(yard, proxies, fault);
+        }
     }
-    undo_all(yard, proxies, holding);
-}
-
-fn undo_all(yard: &sync::Mutex<Yard>, proxies: &[Proxy], faults: Vec<(time::Instant, Fault)>) {
-    for (_, fault) in faults {
+    for (_, fault) in holding {
+        note("undo", fault);
         undo(yard, proxies, fault);
     }
+    done
 }
 
 fn draw(random: &mut impl Rng, proxies: usize) -> Fault {
@@ -97,14 +115,28 @@
     }
 }
 
+/// Sends a signal; an entry that has ended gets none.
+fn tell(yard: &Yard, entry: usize, signal: &str) {
+    let _ended = !yard.entries[entry].signal(signal);
+}
+
+/// Waits until a process that was just started listens: before it runs its own
+/// code, any signal ends it, which is no fault of the product's.
+fn await_listening(entry: &Entry) {
+    let end = time::Instant::now() + START_TIME;
+    while net::TcpStream::connect(entry.front).is_err() && time::Instant::now() < end {
+        thread::sleep(LOOK_GAP);
+    }
+}
+
 fn begin(yard: &sync::Mutex<Yard>, proxies: &[Proxy], fault: Fault) {
     let mut yard = yard.lock().expect("no panic holds it");
     match fault {
         Fault::Proxy(index, way) => proxies[index].turn(way),
-        Fault::Pause(entry) => yard.entries[entry].try_signal("STOP"),
+        Fault::Pause(entry) => tell(&yard, entry, "STOP"),
         Fault::Kill(entry) => yard.entries[entry].kill(),
-        Fault::Term(entry) => yard.entries[entry].try_signal("TERM"),
-        Fault::Hangup(entry) => yard.entries[entry].try_signal("HUP"),
+        Fault::Term(entry) => tell(&yard, entry, "TERM"),
+        Fault::Hangup(entry) => tell(&yard, entry, "HUP"),
         Fault::Store(mode) => yard.store.behave(mode),
         Fault::Compact => yard.store.compact(),
         Fault::Configure => yard.configure(|_| {}),
@@ -120,11 +152,12 @@
     let mut yard = yard.lock().expect("no panic holds it");
     match fault {
         Fault::Proxy(index, _) => proxies[index].turn(Way::Open),
-        Fault::Pause(entry) => yard.entries[entry].try_signal("CONT"),
+        Fault::Pause(entry) => tell(&yard, entry, "CONT"),
         // Whatever has ended is started again, as the platform does.
         Fault::Kill(entry) | Fault::Term(entry) => {
-            yard.entries[entry].try_signal("CONT");
+            tell(&yard, entry, "CONT");
             yard.entries[entry].restart();
+            await_listening(&yard.entries[entry]);
         }
         Fault::Store(_) => yard.store.behave(StoreMode::Well),
         Fault::Breaks(index) => worker(&yard, index).0.behave(|m| m.breaks = None),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -36,8 +36,19 @@
     pub length: time::Duration,
 }
 
-/// Plays one soak; gives what was found, none where all promises held.
-pub fn play(program: &path::Path, plan: Plan) -> Vec<String> {
+/// What a soak has shown.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Promises that were broken.
+    pub found: Vec<String>,
+    /// The faults in their order, with the time since the beginning.
+    pub faults: Vec<String>,
+    /// How many requests callers have sent.
+    pub asked: usize,
+}
+
+/// Plays one soak.
+pub fn play(program: &path::Path, plan: Plan) -> Outcome {
     let mut yard = Yard::new(program, &STAGES, HOSTS, ENTRIES);
     let proxies = faults::put_between(&yard);
     for engine in &yard.engines {
@@ -49,13 +60,14 @@
     let fronts = callers::fronts(&yard);
     let mut seen = Vec::new();
     let mut found = Vec::new();
+    let mut faults = Vec::new();
     thread::scope(|scope| {
         let (fronts, stop) = (&fronts, &stop);
         let asking: Vec<_> = (0..CALLERS)
             .map(|n| scope.spawn(move || callers::ask_on(fronts, plan.seed, n, stop)))
             .collect();
         let _stopped = Stopped(stop);
-        faults::strike(&yard, &proxies, plan);
+        faults = faults::strike(&yard, &proxies, plan);
         found.extend(verdict::recovered(&yard));
         stop.store(true, atomic::Ordering::Relaxed);
         for caller in asking {
@@ -67,7 +79,11 @@
     });
     let yard = yard.into_inner().expect("no panic holds it");
     found.extend(verdict::judge(&yard, &seen));
-    found
+    Outcome {
+        found,
+        faults,
+        asked: seen.len(),
+    }
 }
 
 /// Stops the callers, also where a fault could not be made.
