One backoff, one name for each first speed, the holder's key named after what it holds

Cause: findings of the last reading of the code. feed::Pause drew waits as store::Backoff does; pool::Window::span had no caller; FIRST_SPEED stood twice with different meanings; hornbeampitch/orders read like a call of the platform's.

Change: route::Backoff serves both ways of working; the dead method is gone; UNSEEN_SPEED in direct::orders; the key is hornbeampitch/holder.

--- a/crates/daemon/src/agent/cache.rs
+++ b/crates/daemon/src/agent/cache.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use route::Backoff;
 use route::Blocks;
 use route::CacheEvent;
 use route::Mirror;
@@ -14,7 +15,6 @@
 use std::sync;
 use std::thread;
 use std::time;
-use store::Backoff;
 use tokio::sync::watch;
 use wire::CacheReporter;
 
--- a/crates/daemon/src/app/follow.rs
+++ b/crates/daemon/src/app/follow.rs
@@ -2,10 +2,10 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use route::Backoff;
 use std::convert;
 use std::thread;
 use std::time;
-use store::Backoff;
 use store::StoreError;
 use store::Versioned;
 
--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -455,8 +455,8 @@
         .engines
         .iter()
         .flat_map(|e| e.arrived("/hornbeampitch/order"));
-    let fence = yard.store.revision("hornbeampitch/orders");
-    let holder = yard.store.value("hornbeampitch/orders").unwrap_or_default();
+    let fence = yard.store.revision("hornbeampitch/holder");
+    let holder = yard.store.value("hornbeampitch/holder").unwrap_or_default();
     for order in orders {
         let body: serde_json::Value = serde_json::from_str(&order.body).expect("JSON");
         assert_eq!(body["fence"], fence);
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::core::Listing;
-use rand::Rng;
+use route::Backoff;
 use seam::Store;
 use std::rc;
 use std::time;
@@ -12,9 +12,9 @@
 const LIST_GAP: time::Duration = time::Duration::from_millis(650);
 /// How often an entry that has its list from others looks whether it is old.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(200);
-/// The pause after the store has failed.
-const FAULT_PAUSE: time::Duration = time::Duration::from_millis(250);
-/// The longest such pause.
+/// The longest first pause after the store has failed.
+const FAULT_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// The longest pause: the store that has come back is used within a second.
 const FAULT_MOST: time::Duration = time::Duration::from_millis(700);
 
 /// Follows the configuration.
@@ -96,11 +96,16 @@
 struct Pause {
     what: &'static str,
     failures: u32,
+    backoff: Backoff,
 }
 
 impl Pause {
     fn new(what: &'static str) -> Self {
-        Self { what, failures: 0 }
+        Self {
+            what,
+            failures: 0,
+            backoff: Backoff::new(FAULT_PAUSE, FAULT_MOST),
+        }
     }
 
     async fn fail(&mut self, fault: seam::StoreFault) {
@@ -111,11 +116,8 @@
                 .warn();
         }
         self.failures += 1;
-        let most = FAULT_PAUSE
-            .saturating_mul(1 << self.failures.min(4))
-            .min(FAULT_MOST);
-        let part = rand::rng().random_range(0.4..1.0);
-        tokio::time::sleep(most.mul_f64(part)).await;
+        let wait = self.backoff.fail(&mut rand::rng());
+        tokio::time::sleep(wait).await;
     }
 
     fn succeed(&mut self) {
@@ -126,5 +128,6 @@
                 .info();
         }
         self.failures = 0;
+        self.backoff.succeed();
     }
 }
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -12,15 +12,16 @@
 use world::Name;
 
 /// The key whose holder gives orders.
-const ORDERS_KEY: &str = "hornbeampitch/orders";
+const HOLDER_KEY: &str = "hornbeampitch/holder";
 /// How often the holder looks at the division of engines.
 const LOOK_GAP: time::Duration = time::Duration::from_millis(400);
 /// How long an order may take to its engine.
 const ORDER_TRAVEL: time::Duration = time::Duration::from_millis(300);
 /// What an order takes longer than the engines' own time for it: running work.
 const ORDER_MARGIN: time::Duration = time::Duration::from_secs(6);
-/// Prompt tokens a second that an engine is taken to read before any was seen.
-const FIRST_SPEED: f64 = 30_000.0;
+/// Prompt tokens a second that engines are taken to read before any was seen:
+/// less than they do, so that the first load brings engines to the prompts.
+const UNSEEN_SPEED: f64 = 30_000.0;
 /// News older than this says nothing about a peer's load.
 const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
 
@@ -85,7 +86,7 @@
         Step::Look if core.peer_holds(now) => orders.look(false, now),
         Step::Look => {
             // A failure counts as a key that is held.
-            let found = core.store.get(ORDERS_KEY).await;
+            let found = core.store.get(HOLDER_KEY).await;
             let free = found.is_ok_and(|f| f.item.is_none());
             orders.look(free, time::Instant::now());
         }
@@ -112,7 +113,7 @@
         return;
     };
     let host = core.place.host.as_bytes();
-    let swapped = core.store.swap(ORDERS_KEY, 0, host, Some(lease)).await;
+    let swapped = core.store.swap(HOLDER_KEY, 0, host, Some(lease)).await;
     let now = time::Instant::now();
     match swapped {
         Ok(seam::Swapped::Done(fence)) => {
@@ -220,7 +221,7 @@
     }
     let known: Vec<f64> = engines.iter().filter_map(|e| e.speed).collect();
     let speed = match known.len() {
-        0 => FIRST_SPEED,
+        0 => UNSEEN_SPEED,
         count => known.iter().sum::<f64>() / count as f64,
     };
     let capacity = pool.facts.borrow().capacity.max(1) as f64;
--- a/crates/pool/src/window.rs
+++ b/crates/pool/src/window.rs
@@ -50,9 +50,4 @@
         }
         self.sum
     }
-
-    /// The span of the window.
-    pub fn span(&self) -> time::Duration {
-        self.span
-    }
 }
--- a/crates/store/src/backoff.rs
+++ b/crates/route/src/backoff.rs
@@ -1,5 +1,5 @@
 //! Waits between retries, drawn at random so that a fleet does not return to
-//! the store all at once.
+//! what it lost all at once.
 
 use rand::Rng;
 use std::time;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,7 @@
 //! agent holds [`Seats`] and a [`Lane`]. Each moves on by events that carry the
 //! time, so that any order of events can be replayed; see docs/DESIGN.md.
 
+mod backoff;
 mod budget;
 mod fleet;
 mod journey;
@@ -18,6 +19,7 @@
 mod speed;
 mod urgency;
 
+pub use backoff::Backoff;
 pub use budget::{Cause, RetryBudget};
 pub use fleet::{Fleet, Pick, Report, View, Want};
 pub use journey::{Action, Context, Event, Failure, Fault, Journey, Stage, Work};
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,14 +5,12 @@
 //! since the service's rates grow more slowly than the fleet; see
 //! docs/DESIGN.md, "Store".
 
-mod backoff;
 mod budget;
 mod client;
 mod errors;
 mod message;
 mod watch;
 
-pub use backoff::Backoff;
 pub use budget::Budget;
 pub use client::{Client, Swap, Versioned};
 pub use errors::StoreError;
