Failures of hosts are told to peers, and two witnesses are believed

Change: pool::Faults, one copy of what hosts, lanes and seats each had: a host that failed rests, longer each time, and is tried by one request. Entries tell what rests; two peers are believed, one may be cut off itself, and so is one that finds most hosts failed. For those who only heard, the rest is 400 ms longer, so that witnesses try first.

Tests: who is believed, how long, and that lanes follow it; a peer's word changed nothing before.

--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -30,6 +30,9 @@
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
     /// Prompt tokens a second that it has seen engines read.
     pub(crate) speeds: collections::BTreeMap<Name, f64>,
+    /// Upstream hosts that it has seen fail, with the milliseconds of their rest.
+    #[serde(default)]
+    pub(crate) faults: collections::BTreeMap<Name, u64>,
     /// Whether it holds the key of orders.
     pub(crate) holds: bool,
     /// Crashes of upstream hosts over requests.
@@ -64,13 +67,18 @@
             ..News::default()
         };
         for (_, pool) in self.pools.all() {
-            news.seats.extend(pool.seats.borrow().own());
+            let seats = pool.seats.borrow();
+            news.seats.extend(seats.own());
+            news.faults.extend(seats.own_faults(now));
             let lanes = pool.lanes.borrow();
             news.lanes.extend(lanes.own());
+            news.faults.extend(lanes.own_faults(now));
             news.speeds.extend(lanes.speeds());
         }
         for (_, plain) in self.plains.all() {
-            news.calls.extend(plain.hosts.borrow().own());
+            let hosts = plain.hosts.borrow();
+            news.calls.extend(hosts.own());
+            news.faults.extend(hosts.own_faults(now));
         }
         news
     }
@@ -81,14 +89,17 @@
         for (_, pool) in self.pools.all() {
             let mut seats = pool.seats.borrow_mut();
             seats.hear(&peer, news.seats.clone(), now);
+            seats.hear_faults(&peer, &news.faults, now);
             drop(seats);
             let mut lanes = pool.lanes.borrow_mut();
             lanes.hear(&peer, news.lanes.clone(), now);
             lanes.hear_speeds(&news.speeds);
+            lanes.hear_faults(&peer, &news.faults, now);
         }
         for (_, plain) in self.plains.all() {
             let mut hosts = plain.hosts.borrow_mut();
             hosts.hear(&peer, news.calls.clone(), now);
+            hosts.hear_faults(&peer, &news.faults, now);
         }
         let mut allowance = self.allowance.borrow_mut();
         allowance.hear(&peer, news.used.clone(), now);
--- /dev/null
+++ b/crates/pool/src/faults.rs
@@ -0,0 +1,111 @@
+//! Upstream hosts that failed lately, by what this entry and its peers saw.
+//!
+//! Answers crashes and lost answers at many entries: each failed try costs a
+//! request or a prompt read in vain, and without news every entry would make its
+//! own. One that failed rests, longer each time, and is then tried by one request;
+//! what two peers say of it counts as well. A single peer, or one that finds most
+//! hosts failed, may itself be cut off and counts for nothing.
+
+use std::collections;
+use std::time;
+use world::Name;
+
+/// The longest pause; it doubles with each failure in a row.
+const REST_MOST: time::Duration = time::Duration::from_secs(4);
+/// How much longer a host rests for peers of those who saw it fail, so that these
+/// try it first and tell: one message's time and what a try takes.
+const HEARD_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// Peers that must have seen a host fail.
+const WITNESSES: usize = 2;
+
+/// Failures of the upstream hosts of one service.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    first: time::Duration,
+    own: collections::BTreeMap<Name, Fault>,
+    heard: collections::BTreeMap<Name, collections::BTreeMap<Name, time::Instant>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    until: time::Instant,
+    count: u32,
+}
+
+impl Faults {
+    /// Begins without failures; a host rests for `first` after one.
+    pub fn new(first: time::Duration) -> Self {
+        Self {
+            first,
+            own: collections::BTreeMap::new(),
+            heard: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Notes that a host has failed.
+    pub fn fail(&mut self, id: &str, now: time::Instant) {
+        let count = self.own.get(id).map_or(0, |f| f.count);
+        let pause = self.first.saturating_mul(1 << count.min(4));
+        let fault = Fault {
+            until: now + pause.min(REST_MOST),
+            count: count + 1,
+        };
+        self.own.insert(Name::from(id), fault);
+    }
+
+    /// Notes that a host has done as it was asked.
+    pub fn succeed(&mut self, id: &str) {
+        self.own.remove(id);
+    }
+
+    /// Notes that a host is tried: one that has failed gets nothing else until
+    /// this try has shown whether it works again.
+    pub fn attempt(&mut self, id: &str, now: time::Instant) {
+        if let Some(fault) = self.own.get_mut(id) {
+            fault.until = fault.until.max(now + self.first);
+        }
+    }
+
+    /// Tells whether a host gets nothing for now.
+    pub fn rests(&self, id: &str, now: time::Instant) -> bool {
+        let heard = self.heard.values();
+        let witnesses = heard.filter(|f| f.get(id).is_some_and(|u| *u > now));
+        self.own.get(id).is_some_and(|f| f.until > now) || witnesses.count() >= WITNESSES
+    }
+
+    /// What this entry has seen fail, with the milliseconds for which it rests.
+    pub fn own(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
+        let left = |f: &Fault| f.until.saturating_duration_since(now).as_millis();
+        let all = self.own.iter();
+        all.map(|(id, f)| (id.clone(), u64::try_from(left(f)).unwrap_or(u64::MAX)))
+            .filter(|(_, left)| *left > 0)
+            .collect()
+    }
+
+    /// Hears what a peer has seen fail, of the `known` hosts of the service.
+    pub fn hear(
+        &mut self,
+        peer: &Name,
+        failed: &collections::BTreeMap<Name, u64>,
+        known: &[&Name],
+        now: time::Instant,
+    ) {
+        let rests =
+            |left: u64| now + time::Duration::from_millis(left).min(REST_MOST) + HEARD_MARGIN;
+        let heard: collections::BTreeMap<Name, time::Instant> = failed
+            .iter()
+            .filter(|(id, _)| known.contains(id))
+            .map(|(id, left)| (id.clone(), rests(*left)))
+            .collect();
+        if heard.is_empty() || heard.len() * 2 > known.len() {
+            self.heard.remove(peer);
+        } else {
+            self.heard.insert(peer.clone(), heard);
+        }
+    }
+
+    /// Forgets hosts that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.own.retain(|id, _| known(id));
+    }
+}
--- a/crates/pool/src/hosts.rs
+++ b/crates/pool/src/hosts.rs
@@ -4,14 +4,13 @@
 //! call goes where the fewest are in hand for each slot, in the caller's zone
 //! where that costs little, and less to hosts that failed lately.
 
+use crate::faults::Faults;
 use std::collections;
 use std::time;
 use world::Name;
 
 /// How long a host that could not be reached gets no calls, at first.
 const FAULT_TIME: time::Duration = time::Duration::from_millis(500);
-/// The longest such pause; it doubles with each failure in a row.
-const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
 /// How long a host that was full gets no calls.
 const FULL_TIME: time::Duration = time::Duration::from_millis(80);
 /// Load for each slot by which a host of another zone must be better.
@@ -26,9 +25,10 @@
 const PEER_MEMORY: time::Duration = time::Duration::from_secs(2);
 
 /// A view of the hosts of one plain service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Hosts {
     hosts: collections::BTreeMap<Name, Host>,
+    faults: Faults,
     peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u32>)>,
 }
 
@@ -38,11 +38,20 @@
     slots: u32,
     own: u32,
     failing: f64,
-    rest: Option<time::Instant>,
-    faults: u32,
+    full: Option<time::Instant>,
     open: bool,
 }
 
+impl Default for Hosts {
+    fn default() -> Self {
+        Self {
+            hosts: collections::BTreeMap::new(),
+            faults: Faults::new(FAULT_TIME),
+            peers: collections::BTreeMap::new(),
+        }
+    }
+}
+
 impl Hosts {
     /// Takes the hosts that are ready.
     pub fn update<'a>(&mut self, members: impl Iterator<Item = &'a seam::Member>) {
@@ -56,6 +65,7 @@
             host.open = true;
         }
         self.hosts.retain(|_, h| h.open || h.own > 0);
+        self.faults.retain(|id| self.hosts.contains_key(id));
     }
 
     /// Picks a host, other than those tried; a resting one only where no other is left.
@@ -68,7 +78,7 @@
             let calls = h.own + self.others(id, now);
             let near = h.zone.as_deref() == Some(zone);
             let failing = (h.failing - FAILURE_USUAL).max(0.0) * FAILURE_COST;
-            let rests = h.rest.is_some_and(|r| r > now);
+            let rests = h.full.is_some_and(|f| f > now) || self.faults.rests(id, now);
             let load = f64::from(calls) / f64::from(h.slots);
             (rests, load + failing + if near { 0.0 } else { ZONE_WORTH })
         };
@@ -98,27 +108,41 @@
         if let Some(host) = self.hosts.get_mut(id) {
             let seen = if failed { 1.0 } else { 0.0 };
             host.failing = (1.0 - FAILURE_WEIGHT) * host.failing + FAILURE_WEIGHT * seen;
-            host.faults = 0;
-            host.rest = None;
+            host.full = None;
+            self.faults.succeed(id);
         }
     }
 
     /// Notes that a host was full.
     pub fn refuse(&mut self, id: &str, now: time::Instant) {
         if let Some(host) = self.hosts.get_mut(id) {
-            host.rest = Some(now + FULL_TIME);
+            host.full = Some(now + FULL_TIME);
         }
     }
 
     /// Notes that a host could not be reached, or broke off.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            let pause = FAULT_TIME.saturating_mul(1 << host.faults.min(4));
-            host.faults += 1;
-            host.rest = Some(now + pause.min(FAULT_MOST));
+        if self.hosts.contains_key(id) {
+            self.faults.fail(id, now);
         }
     }
 
+    /// Hears which hosts a peer has seen fail, with the milliseconds of their rest.
+    pub fn hear_faults(
+        &mut self,
+        peer: &Name,
+        failed: &collections::BTreeMap<Name, u64>,
+        now: time::Instant,
+    ) {
+        let known: Vec<&Name> = self.hosts.keys().collect();
+        self.faults.hear(peer, failed, &known, now);
+    }
+
+    /// Hosts that this entry has seen fail, with the milliseconds of their rest.
+    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
+        self.faults.own(now)
+    }
+
     /// This entry's own calls, for its peers.
     pub fn own(&self) -> collections::BTreeMap<Name, u32> {
         self.hosts
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -6,6 +6,7 @@
 //! prefers engines of its own and goes to others only where that is clearly
 //! sooner.
 
+use crate::faults::Faults;
 use std::collections;
 use std::time;
 use world::Name;
@@ -26,17 +27,16 @@
 const HOME_COST: f64 = 0.1;
 /// How long an engine that has refused or failed gets no prompts, at first.
 const FAULT_TIME: time::Duration = time::Duration::from_millis(500);
-/// The longest such pause; it doubles with each failure in a row.
-const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
 /// What a transfer between zones costs more, as time in seconds.
 const ZONE_COST: f64 = 0.02;
 /// After this silence a peer's prompts count no more.
 const PEER_MEMORY: time::Duration = time::Duration::from_millis(700);
 
 /// A view of the prefill engines of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Lanes {
     engines: collections::BTreeMap<Name, Lane>,
+    faults: Faults,
     peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u64>)>,
 }
 
@@ -45,12 +45,20 @@
     zone: Name,
     own: u64,
     speed: Option<f64>,
-    fault: Option<time::Instant>,
-    faults: u32,
     open: bool,
     home: bool,
 }
 
+impl Default for Lanes {
+    fn default() -> Self {
+        Self {
+            engines: collections::BTreeMap::new(),
+            faults: Faults::new(FAULT_TIME),
+            peers: collections::BTreeMap::new(),
+        }
+    }
+}
+
 impl Lanes {
     /// Takes the prefill engines that are ready.
     pub fn update<'a>(&mut self, members: impl Iterator<Item = &'a seam::Member>) {
@@ -63,14 +71,13 @@
                 zone: member.zone.clone(),
                 own: 0,
                 speed: None,
-                fault: None,
-                faults: 0,
                 open: true,
                 home: true,
             });
             lane.open = true;
         }
         self.engines.retain(|_, l| l.open || l.own > 0);
+        self.faults.retain(|id| self.engines.contains_key(id));
     }
 
     /// Divides the engines among entries: this one is `place` of `count`, in an
@@ -96,7 +103,7 @@
         let usable = self
             .engines
             .iter()
-            .filter(|(_, l)| l.open && l.fault.is_none_or(|f| f <= now))
+            .filter(|(id, l)| l.open && !self.faults.rests(id, now))
             .map(|(id, l)| {
                 let backlog = self.backlog(id, now) + prompt;
                 let time = backlog as f64 / l.speed.unwrap_or(FIRST_SPEED) + CALL_TIME;
@@ -114,9 +121,7 @@
     pub fn take(&mut self, id: &str, prompt: u64, now: time::Instant) {
         if let Some(lane) = self.engines.get_mut(id) {
             lane.own += prompt;
-            if lane.faults > 0 {
-                lane.fault = Some(now + FAULT_TIME);
-            }
+            self.faults.attempt(id, now);
         }
     }
 
@@ -142,19 +147,32 @@
             Some(known) => known + FALL_WEIGHT * (seen - known),
             None => seen,
         });
-        lane.fault = None;
-        lane.faults = 0;
+        self.faults.succeed(id);
     }
 
     /// Notes that an engine has refused or failed.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if let Some(lane) = self.engines.get_mut(id) {
-            let pause = FAULT_TIME.saturating_mul(1 << lane.faults.min(4));
-            lane.faults += 1;
-            lane.fault = Some(now + pause.min(FAULT_MOST));
+        if self.engines.contains_key(id) {
+            self.faults.fail(id, now);
         }
     }
 
+    /// Hears which engines a peer has seen fail, with the milliseconds of their rest.
+    pub fn hear_faults(
+        &mut self,
+        peer: &Name,
+        failed: &collections::BTreeMap<Name, u64>,
+        now: time::Instant,
+    ) {
+        let known: Vec<&Name> = self.engines.keys().collect();
+        self.faults.hear(peer, failed, &known, now);
+    }
+
+    /// Engines that this entry has seen fail, with the milliseconds of their rest.
+    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
+        self.faults.own(now)
+    }
+
     /// Prompt tokens known at an engine.
     pub fn backlog(&self, id: &str, now: time::Instant) -> u64 {
         let own = self.engines.get(id).map_or(0, |l| l.own);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -7,6 +7,7 @@
 mod allowance;
 mod balance;
 mod demand;
+mod faults;
 mod hosts;
 mod lanes;
 mod line;
@@ -21,6 +22,7 @@
 pub use allowance::Allowance;
 pub use balance::{Balance, Engine, Shift};
 pub use demand::{Asked, Demand};
+pub use faults::Faults;
 pub use hosts::Hosts;
 pub use lanes::Lanes;
 pub use line::{Line, Ticket, Wait};
--- a/crates/pool/src/seats.rs
+++ b/crates/pool/src/seats.rs
@@ -4,6 +4,7 @@
 //! most room is left, and one that was refused is left alone for a moment. The
 //! engines themselves have the last word on room.
 
+use crate::faults::Faults;
 use std::collections;
 use std::time;
 use world::Name;
@@ -15,8 +16,6 @@
 const FULL_MOST: time::Duration = time::Duration::from_millis(500);
 /// How long an engine that failed gets no new streams, at first.
 const FAULT_TIME: time::Duration = time::Duration::from_millis(800);
-/// The longest such pause; it doubles with each failure in a row.
-const FAULT_MOST: time::Duration = time::Duration::from_secs(4);
 /// How much fuller an engine of the same zone may be than another.
 const ZONE_WORTH: f64 = 0.04;
 /// How far apart in fill engines are taken for alike: what entries don't yet
@@ -42,9 +41,10 @@
 }
 
 /// A view of the decode engines of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Seats {
     engines: collections::BTreeMap<Name, Engine>,
+    faults: Faults,
     peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, Load>)>,
 }
 
@@ -56,11 +56,19 @@
     own: Load,
     full: Option<time::Instant>,
     refusals: u32,
-    fault: Option<time::Instant>,
-    faults: u32,
     open: bool,
 }
 
+impl Default for Seats {
+    fn default() -> Self {
+        Self {
+            engines: collections::BTreeMap::new(),
+            faults: Faults::new(FAULT_TIME),
+            peers: collections::BTreeMap::new(),
+        }
+    }
+}
+
 impl Seats {
     /// Takes the decode engines that are ready.
     pub fn update<'a>(
@@ -79,6 +87,7 @@
             engine.open = member.part != Some(seam::Part::Prefill);
         }
         self.engines.retain(|_, e| e.open || e.own.streams > 0);
+        self.faults.retain(|id| self.engines.contains_key(id));
     }
 
     /// Picks the engine for a stream that needs `need` tokens. `draw`, from 0 to
@@ -93,7 +102,7 @@
         let usable = self
             .engines
             .iter()
-            .filter(|(_, e)| e.usable(now))
+            .filter(|(id, e)| e.usable(now) && !self.faults.rests(id, now))
             .filter_map(|(id, e)| {
                 let load = self.load(id, now);
                 let fits = load.tokens + need <= e.capacity && load.streams < e.slots;
@@ -116,9 +125,7 @@
     pub fn take(&mut self, id: &str, tokens: u64, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.own.add(Load { tokens, streams: 1 });
-            if engine.faults > 0 {
-                engine.fault = Some(now + FAULT_TIME);
-            }
+            self.faults.attempt(id, now);
         }
     }
 
@@ -146,19 +153,32 @@
 
     /// Notes that an engine has failed.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            let pause = FAULT_TIME.saturating_mul(1 << engine.faults.min(4));
-            engine.faults += 1;
-            engine.fault = Some(now + pause.min(FAULT_MOST));
+        if self.engines.contains_key(id) {
+            self.faults.fail(id, now);
         }
     }
 
+    /// Hears which engines a peer has seen fail, with the milliseconds of their rest.
+    pub fn hear_faults(
+        &mut self,
+        peer: &Name,
+        failed: &collections::BTreeMap<Name, u64>,
+        now: time::Instant,
+    ) {
+        let known: Vec<&Name> = self.engines.keys().collect();
+        self.faults.hear(peer, failed, &known, now);
+    }
+
+    /// Engines that this entry has seen fail, with the milliseconds of their rest.
+    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
+        self.faults.own(now)
+    }
+
     /// Notes that an engine has done as it was asked.
     pub fn succeed(&mut self, id: &str) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.faults = 0;
-            engine.fault = None;
             engine.refusals = 0;
+            self.faults.succeed(id);
         }
     }
 
@@ -209,7 +229,6 @@
 
 impl Engine {
     fn usable(&self, now: time::Instant) -> bool {
-        let past = |until: Option<time::Instant>| until.is_none_or(|u| u <= now);
-        self.open && past(self.full) && past(self.fault)
+        self.open && self.full.is_none_or(|f| f <= now)
     }
 }
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -612,3 +612,87 @@
 fn list_is_shared(place: usize, age: u32, shared: bool) {
     assert_eq!(pool::shares_list(place, MS * age), shared);
 }
+
+fn failed(ids: &[(&str, u64)]) -> collections::BTreeMap<Name, u64> {
+    let named = ids.iter().map(|(id, left)| (Name::from(*id), *left));
+    named.collect()
+}
+
+/// Faults at one of many entries: `witnesses` peers say that host `a` of four rests.
+fn heard(witnesses: u32, t: time::Instant) -> pool::Faults {
+    let names: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
+    let known: Vec<&Name> = names.iter().collect();
+    let mut faults = pool::Faults::new(MS * 500);
+    for peer in 0..witnesses {
+        let peer = Name::from(format!("peer-{peer}"));
+        faults.hear(&peer, &failed(&[("a", 500)]), &known, t);
+    }
+    faults
+}
+
+#[parameterized(
+    nobody = { 0, false },
+    one_may_be_cut_off_itself = { 1, false },
+    two_are_believed = { 2, true },
+)]
+fn faults_seen_by_peers(witnesses: u32, rests: bool) {
+    let t = start();
+    assert_eq!(heard(witnesses, t).rests("a", t), rests);
+    assert!(!heard(witnesses, t).rests("b", t));
+}
+
+#[test]
+fn faults_seen_by_peers_are_tried_by_those_first() {
+    let t = start();
+    let faults = heard(2, t);
+    assert!(faults.rests("a", t + MS * 899));
+    assert!(!faults.rests("a", t + MS * 900));
+}
+
+#[test]
+fn faults_end_when_witnesses_say_so() {
+    let t = start();
+    let mut faults = heard(2, t);
+    let name = Name::from("a");
+    faults.hear(&Name::from("peer-1"), &failed(&[]), &[&name], t + MS * 250);
+    assert!(!faults.rests("a", t + MS * 250));
+}
+
+#[test]
+fn faults_of_most_hosts_are_the_peers_own_cut() {
+    let t = start();
+    let mut faults = heard(1, t);
+    let names: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
+    let known: Vec<&Name> = names.iter().collect();
+    let most = failed(&[("a", 500), ("b", 500), ("c", 500)]);
+    faults.hear(&Name::from("cut-off"), &most, &known, t);
+    assert!(!faults.rests("a", t));
+}
+
+#[test]
+fn faults_are_told_while_a_host_rests() {
+    let t = start();
+    let mut faults = pool::Faults::new(MS * 500);
+    faults.fail("a", t);
+    assert_eq!(faults.own(t + MS * 100), failed(&[("a", 400)]));
+    assert!(faults.own(t + MS * 500).is_empty());
+    faults.attempt("a", t + MS * 500);
+    assert_eq!(faults.own(t + MS * 500), failed(&[("a", 500)]));
+    faults.succeed("a");
+    assert!(faults.own(t + MS * 500).is_empty());
+}
+
+#[test]
+fn lanes_of_engines_that_peers_saw_fail_get_no_prompt() {
+    let t = start();
+    let mut lanes = pool::Lanes::default();
+    lanes.update(prefill(&["a", "b"]).iter());
+    for peer in ["x", "y"] {
+        lanes.hear_faults(&Name::from(peer), &failed(&[("a", 500)]), t);
+    }
+    for _ in 0..3 {
+        let (engine, _) = lanes.pick(1_000, None, t).expect("one is sound");
+        assert_eq!(&*engine, "b");
+        lanes.take(&engine, 1_000, t);
+    }
+}
