--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -4,6 +4,7 @@
 use crate::measure;
 use crate::news::News;
 use crate::plain::Plains;
+use crate::queue::Pool;
 use crate::queue::Pools;
 use std::cell;
 use std::collections;
@@ -184,9 +185,6 @@
             .read(members, listing.revision, now);
         for member in gone {
             seam::Upstreams::part_with(&self.upstreams, member.address);
-            for (_, pool) in self.pools.all() {
-                pool.lanes.borrow_mut().forget(&member.id);
-            }
         }
         self.note_changes(&before, from, listing.revision);
         *self.listed.borrow_mut() = Some(rc::Rc::new(listing));
@@ -234,6 +232,18 @@
             .collect()
     }
 
+    /// Prompt tokens a second that engines were seen to read, here or by peers.
+    pub(crate) fn speeds(&self, pool: &Pool) -> collections::BTreeMap<Name, f64> {
+        let mut speeds = collections::BTreeMap::new();
+        for peer in self.peers.borrow().values() {
+            if let Some((_, news)) = &peer.news {
+                speeds.extend(news.speeds.clone());
+            }
+        }
+        speeds.extend(pool.lanes.borrow().speeds());
+        speeds
+    }
+
     /// Tells whether a peer has said lately that it holds the key of orders.
     pub(crate) fn peer_holds(&self, now: time::Instant) -> bool {
         let peers = self.peers.borrow();
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -73,7 +73,7 @@
             let lanes = pool.lanes.borrow();
             news.lanes.extend(lanes.own());
             news.faults.extend(lanes.own_faults(now));
-            news.speeds.extend(lanes.speeds().clone());
+            news.speeds.extend(lanes.speeds());
         }
         for (_, plain) in self.plains.all() {
             let hosts = plain.hosts.borrow();
@@ -86,19 +86,16 @@
     /// Hears a peer's news; tells what this entry knows better.
     pub(crate) fn hear(&self, news: News, now: time::Instant) -> Better {
         let peer = news.entry.clone();
-        let roster = self.roster.borrow();
-        for (service, pool) in self.pools.all() {
+        for (_, pool) in self.pools.all() {
             let mut seats = pool.seats.borrow_mut();
             seats.hear(&peer, news.seats.clone(), now);
             seats.hear_faults(&peer, &news.faults, now);
             drop(seats);
             let mut lanes = pool.lanes.borrow_mut();
             lanes.hear(&peer, news.lanes.clone(), now);
-            let listed = |id: &str| roster.get(id).is_some_and(|m| m.service == service);
-            lanes.hear_speeds(&news.speeds, listed);
+            lanes.hear_speeds(&news.speeds);
             lanes.hear_faults(&peer, &news.faults, now);
         }
-        drop(roster);
         for (_, plain) in self.plains.all() {
             let mut hosts = plain.hosts.borrow_mut();
             hosts.hear(&peer, news.calls.clone(), now);
--- a/crates/direct/src/orders.rs
+++ b/crates/direct/src/orders.rs
@@ -183,7 +183,7 @@
     let roster = core.roster.borrow();
     let shifts = core.shifts.borrow();
     let (seats, lanes) = (pool.seats.borrow(), pool.lanes.borrow());
-    let speeds = lanes.speeds();
+    let speeds = core.speeds(pool);
     let ready = roster.ready(service);
     ready
         .filter_map(|m| {
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -36,7 +36,6 @@
 #[derive(Clone, Debug)]
 pub struct Lanes {
     engines: collections::BTreeMap<Name, Lane>,
-    speeds: collections::BTreeMap<Name, f64>,
     faults: Faults,
     peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u64>)>,
 }
@@ -45,6 +44,7 @@
 struct Lane {
     zone: Name,
     own: u64,
+    speed: Option<f64>,
     open: bool,
     home: bool,
 }
@@ -53,7 +53,6 @@
     fn default() -> Self {
         Self {
             engines: collections::BTreeMap::new(),
-            speeds: collections::BTreeMap::new(),
             faults: Faults::new(FAULT_TIME),
             peers: collections::BTreeMap::new(),
         }
@@ -71,6 +70,7 @@
             let lane = lane.or_insert_with(|| Lane {
                 zone: member.zone.clone(),
                 own: 0,
+                speed: None,
                 open: true,
                 home: true,
             });
@@ -106,8 +106,7 @@
             .filter(|(id, l)| l.open && !self.faults.rests(id, now))
             .map(|(id, l)| {
                 let backlog = self.backlog(id, now) + prompt;
-                let speed = self.speeds.get(id).copied().unwrap_or(FIRST_SPEED);
-                let time = backlog as f64 / speed + CALL_TIME;
+                let time = backlog as f64 / l.speed.unwrap_or(FIRST_SPEED) + CALL_TIME;
                 let far = zone.is_some_and(|z| z != &*l.zone);
                 let far = if far { ZONE_COST } else { 0.0 };
                 let home = if l.home { 0.0 } else { HOME_COST };
@@ -138,15 +137,16 @@
     /// Others may have been read meanwhile, so each gives a lower bound, which
     /// is near the truth where the engine was idle: higher ones count for more.
     pub fn learn(&mut self, id: &str, prompt: u64, took: time::Duration) {
+        let Some(lane) = self.engines.get_mut(id) else {
+            return;
+        };
         let seconds = (took.as_secs_f64() - CALL_TIME).max(LEAST_TIME);
         let seen = prompt as f64 / seconds;
-        let known = self.speeds.entry(Name::from(id)).or_insert(seen);
-        let weight = if seen > *known {
-            RISE_WEIGHT
-        } else {
-            FALL_WEIGHT
-        };
-        *known += weight * (seen - *known);
+        lane.speed = Some(match lane.speed {
+            Some(known) if seen > known => known + RISE_WEIGHT * (seen - known),
+            Some(known) => known + FALL_WEIGHT * (seen - known),
+            None => seen,
+        });
         self.faults.succeed(id);
     }
 
@@ -183,26 +183,19 @@
             .sum::<u64>()
     }
 
-    /// The speeds of engines in tokens a second, where they were seen; also of
-    /// those that now generate, which may be asked to read prompts again.
-    pub fn speeds(&self) -> &collections::BTreeMap<Name, f64> {
-        &self.speeds
-    }
-
-    /// Forgets an engine that has gone for good.
-    pub fn forget(&mut self, id: &str) {
-        self.speeds.remove(id);
+    /// The speeds of engines in tokens a second, where they were seen.
+    pub fn speeds(&self) -> collections::BTreeMap<Name, f64> {
+        let seen = self.engines.iter();
+        seen.filter_map(|(id, l)| Some((id.clone(), l.speed?)))
+            .collect()
     }
 
-    /// Hears of speeds that a peer has seen, where none was seen here; of `listed`
-    /// engines only, so that those which have gone are not brought back.
-    pub fn hear_speeds(
-        &mut self,
-        speeds: &collections::BTreeMap<Name, f64>,
-        listed: impl Fn(&str) -> bool,
-    ) {
-        for (id, speed) in speeds.iter().filter(|(id, _)| listed(id)) {
-            self.speeds.entry(id.clone()).or_insert(*speed);
+    /// Hears of speeds that a peer has seen, where none was seen here.
+    pub fn hear_speeds(&mut self, speeds: &collections::BTreeMap<Name, f64>) {
+        for (id, speed) in speeds {
+            if let Some(lane) = self.engines.get_mut(id) {
+                lane.speed.get_or_insert(*speed);
+            }
         }
     }
 
