News without what hardly changes, entries looked for by a few

Each entry listed the others every 1.5 s.

Change: speeds are told with each eighth message and kept by who hears them; six entries look for others every 1.5 s, the rest every 6 s, and who speaks to an entry is known by that.

--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -2,8 +2,10 @@
 
 use crate::core::Core;
 use crate::core::Listing;
+use crate::core::Peer;
 use crate::crashes::Crash;
 use std::collections;
+use std::net;
 use std::time;
 use world::Name;
 
@@ -12,6 +14,9 @@
 pub(crate) struct News {
     /// Who tells.
     pub(crate) entry: Name,
+    /// Where it takes news.
+    #[serde(default)]
+    pub(crate) address: Option<net::SocketAddr>,
     /// The version of its configuration.
     pub(crate) version: u64,
     /// The store's revision of its list of upstream hosts.
@@ -28,7 +33,7 @@
     pub(crate) used: collections::BTreeMap<Name, f64>,
     /// What callers ask it for, by service.
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
-    /// Prompt tokens a second that it has seen engines read.
+    /// Prompt tokens a second that it has seen engines read; now and then.
     pub(crate) speeds: collections::BTreeMap<Name, f64>,
     /// Upstream hosts that it has seen fail, with the milliseconds of their rest.
     #[serde(default)]
@@ -52,10 +57,11 @@
 }
 
 impl<P: seam::Platform> Core<P> {
-    /// What this entry tells its peers now.
-    pub(crate) fn news(&self, now: time::Instant) -> News {
+    /// What this entry tells its peers now; what hardly changes too if `whole`.
+    pub(crate) fn news(&self, whole: bool, now: time::Instant) -> News {
         let mut news = News {
             entry: self.place.host.clone(),
+            address: Some(self.place.links),
             version: self.force().map_or(0, |f| f.agreement.version),
             listed: self.roster.borrow().revision(),
             age_ms: u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
@@ -73,7 +79,9 @@
             let lanes = pool.lanes.borrow();
             news.lanes.extend(lanes.own());
             news.faults.extend(lanes.own_faults(now));
-            news.speeds.extend(lanes.speeds());
+            if whole {
+                news.speeds.extend(lanes.speeds());
+            }
         }
         for (_, plain) in self.plains.all() {
             let hosts = plain.hosts.borrow();
@@ -109,10 +117,33 @@
         }
         self.hear_shifts(&news, now);
         let better = self.better(&news);
-        if let Some(known) = self.peers.borrow_mut().get_mut(&peer) {
+        self.meet(&peer, news.address, news, now);
+        better
+    }
+
+    /// Keeps a peer's news; one that the store has not told of yet is known by them.
+    fn meet(&self, peer: &Name, address: Option<net::SocketAddr>, news: News, now: time::Instant) {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(known) = peers.get_mut(peer) {
+            let mut news = news;
+            if let Some((_, old)) = known.news.take()
+                && news.speeds.is_empty()
+            {
+                news.speeds = old.speeds;
+            }
             known.news = Some((now, news));
+        } else if let Some(address) = address.filter(|_| *peer != self.place.host) {
+            trace::Line::new("peer")
+                .with("peer", peer)
+                .with("address", address)
+                .info();
+            let met = Peer {
+                address,
+                news: Some((now, news)),
+                quiet: None,
+            };
+            peers.insert(peer.clone(), met);
         }
-        better
     }
 
     fn better(&self, news: &News) -> Better {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -27,8 +27,10 @@
 const ENTRY_LIFE: time::Duration = time::Duration::from_secs(10);
 /// Renewals for each life.
 const RENEW_GAP: time::Duration = time::Duration::from_secs(3);
-/// Time between two looks for new entries.
-const LOOK_GAP: time::Duration = time::Duration::from_millis(1_500);
+/// A peer whose news are younger than this is there, whatever the store says.
+const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
+/// Messages for each one that tells also what hardly changes.
+const WHOLE_EVERY: u32 = 8;
 /// Time between two messages to a peer.
 const NEWS_GAP: time::Duration = time::Duration::from_millis(250);
 /// How long a peer may take to answer.
@@ -137,7 +139,8 @@
             let mut found: collections::BTreeMap<Name, net::SocketAddr> = found.collect();
             found.remove(&core.place.host);
             let mut peers = core.peers.borrow_mut();
-            peers.retain(|name, _| found.contains_key(name));
+            let now = time::Instant::now();
+            peers.retain(|name, peer| found.contains_key(name) || peer.spoke(now));
             for (name, address) in found {
                 let peer = peers.entry(name.clone()).or_insert_with(|| {
                     trace::Line::new("peer")
@@ -153,7 +156,14 @@
                 peer.address = address;
             }
         }
-        tokio::time::sleep(LOOK_GAP).await;
+        tokio::time::sleep(pool::look_time(core.rank())).await;
+    }
+}
+
+impl Peer {
+    fn spoke(&self, now: time::Instant) -> bool {
+        let news = self.news.as_ref();
+        news.is_some_and(|(heard, _)| now.saturating_duration_since(*heard) < NEWS_MEMORY)
     }
 }
 
@@ -166,8 +176,11 @@
 
 /// Tells every peer what there is.
 async fn speak<P: seam::Platform>(core: rc::Rc<Core<P>>) {
+    let mut count = 0_u32;
     loop {
         tokio::time::sleep(NEWS_GAP).await;
+        count = count.wrapping_add(1);
+        let whole = count.is_multiple_of(WHOLE_EVERY);
         let now = time::Instant::now();
         let due: Vec<(Name, net::SocketAddr)> = core
             .peers
@@ -179,7 +192,7 @@
         if due.is_empty() {
             continue;
         }
-        let text = serde_json::to_vec(&core.news(now)).unwrap_or_default();
+        let text = serde_json::to_vec(&core.news(whole, now)).unwrap_or_default();
         let text = bytes::Bytes::from(text);
         for (name, address) in due {
             tokio::task::spawn_local(tell(core.clone(), name, address, text.clone()));
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -31,5 +31,5 @@
 pub use returns::Returns;
 pub use roster::Roster;
 pub use seats::{Load, Seats};
-pub use sharing::{reads_list, shares_list, watch_time};
+pub use sharing::{look_time, reads_list, shares_list, watch_time};
 pub use window::Window;
--- a/crates/pool/src/sharing.rs
+++ b/crates/pool/src/sharing.rs
@@ -1,7 +1,8 @@
 //! Who reads the list of upstream hosts for the others.
 //!
 //! Answers the store's rates, which grow more slowly than the fleet: a few
-//! entries read the list, and the others have it from them. One whose list has
+//! entries read the lists of hosts and of entries, and the others have them from
+//! those: an entry that comes speaks to all, and so is known. One whose list has
 //! grown old reads for itself. The configuration is watched by all, but the
 //! others begin anew less often, since the few tell them of each version.
 
@@ -24,6 +25,21 @@
 /// How long one watch of another entry waits.
 const OTHER_WATCH: time::Duration = time::Duration::from_secs(6);
 
+/// Time between two looks of a reader for entries that came or went.
+const READER_LOOK: time::Duration = time::Duration::from_millis(1_500);
+/// Time between two looks of another entry; a peer that has gone is spoken to in
+/// vain so long.
+const OTHER_LOOK: time::Duration = time::Duration::from_secs(6);
+
+/// How long an entry, which is `place` of `count`, waits until it looks for others
+/// again.
+pub fn look_time((place, count): (usize, usize)) -> time::Duration {
+    match place < READERS || count == 1 {
+        true => READER_LOOK,
+        false => OTHER_LOOK,
+    }
+}
+
 /// How long one watch of the configuration waits.
 pub fn watch_time(place: usize) -> time::Duration {
     match place < READERS {
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -696,3 +696,13 @@
         lanes.take(&engine, 1_000, t);
     }
 }
+
+#[parameterized(
+    reader = { 0, 30, 1_500 },
+    last_reader = { 5, 30, 1_500 },
+    other = { 6, 30, 6_000 },
+    one_that_knows_nobody = { 9, 1, 1_500 },
+)]
+fn entries_are_looked_for(place: usize, count: usize, wait: u32) {
+    assert_eq!(pool::look_time((place, count)), MS * wait);
+}
