An unchanged list of hosts is confirmed by peers

Cause: a peer gave its list only where the store's revision had moved on. In calm times it does not, so every entry found its list 1.3 s old and read it itself.

Change: who has the list at the same revision and younger says how old it is, and the asker takes that age, from when it asked.

Tests: the same revision and younger is taken, an older or another is not.

--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -54,6 +54,9 @@
     pub(crate) agreement: Option<String>,
     /// A newer list of upstream hosts.
     pub(crate) listing: Option<Listing>,
+    /// The age in milliseconds of its list, which is the same but younger.
+    #[serde(default)]
+    pub(crate) confirmed: Option<u64>,
 }
 
 impl<P: seam::Platform> Core<P> {
@@ -155,11 +158,20 @@
             better.agreement = text.ok().map(str::to_owned);
         }
         let age = time::Duration::from_millis(news.age_ms);
-        let shared = pool::shares_list(self.rank().0, age);
+        if !pool::shares_list(self.rank().0, age) {
+            return better;
+        }
+        let own = self.list_age(time::Instant::now());
         let listing = self.listed.borrow().clone();
-        better.listing = listing
-            .filter(|l| shared && l.revision > news.listed)
-            .map(|l| Listing::clone(&l));
+        match listing {
+            Some(listing) if listing.revision > news.listed => {
+                better.listing = Some(Listing::clone(&listing));
+            }
+            Some(listing) if listing.revision == news.listed && own < age => {
+                better.confirmed = u64::try_from(own.as_millis()).ok();
+            }
+            Some(_) | None => {}
+        }
         better
     }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -206,6 +206,8 @@
     address: net::SocketAddr,
     text: bytes::Bytes,
 ) {
+    let sent = time::Instant::now();
+    let listed = core.roster.borrow().revision();
     let better = exchange(&core, address, text).await;
     let now = time::Instant::now();
     if let Some(peer) = core.peers.borrow_mut().get_mut(&name) {
@@ -225,6 +227,11 @@
     if let Some(listing) = better.listing {
         core.list(listing, &name);
     }
+    if let Some(age) = better.confirmed {
+        // The answer is younger than the question: the age counts from there.
+        let age = time::Duration::from_millis(age) + now.saturating_duration_since(sent);
+        core.roster.borrow_mut().confirm(listed, age, now);
+    }
 }
 
 async fn exchange<P: seam::Platform>(
--- a/crates/pool/src/roster.rs
+++ b/crates/pool/src/roster.rs
@@ -34,12 +34,7 @@
         if revision < self.revision {
             return Vec::new();
         }
-        let away = self
-            .read
-            .is_some_and(|r| now.saturating_duration_since(r) > AWAY);
-        if away {
-            self.returned = Some(now);
-        }
+        self.note_return(now);
         self.read = Some(now);
         self.revision = revision;
         let mut fresh: collections::BTreeMap<Name, seam::Member> =
@@ -60,6 +55,20 @@
             .collect()
     }
 
+    /// Hears from a peer that the list was the same at this revision `age` ago;
+    /// gives whether that says more than was known.
+    pub fn confirm(&mut self, revision: u64, age: time::Duration, now: time::Instant) -> bool {
+        let Some(at) = now.checked_sub(age) else {
+            return false;
+        };
+        if revision != self.revision || self.read.is_none_or(|r| r >= at) {
+            return false;
+        }
+        self.note_return(at);
+        self.read = Some(at);
+        true
+    }
+
     /// The hosts of a service that take new work.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a seam::Member> + Clone {
         self.members
@@ -87,6 +96,15 @@
         self.read
     }
 
+    fn note_return(&mut self, now: time::Instant) {
+        let away = self
+            .read
+            .is_some_and(|r| now.saturating_duration_since(r) > AWAY);
+        if away {
+            self.returned = Some(now);
+        }
+    }
+
     fn forgives(&self, now: time::Instant) -> bool {
         self.returned
             .is_some_and(|r| now.saturating_duration_since(r) < RETURN_TIME)
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -706,3 +706,16 @@
 fn entries_are_looked_for(place: usize, count: usize, wait: u32) {
     assert_eq!(pool::look_time((place, count)), MS * wait);
 }
+
+#[parameterized(
+    same_and_younger = { 5, 200, true, 800 },
+    same_but_older = { 5, 1_200, false, 0 },
+    another = { 6, 200, false, 0 },
+)]
+fn roster_is_confirmed_by_a_peer(revision: u64, age: u32, told: bool, read: u32) {
+    let t = start();
+    let mut roster = pool::Roster::default();
+    roster.read(Vec::new(), 5, t);
+    assert_eq!(roster.confirm(revision, MS * age, t + MS * 1_000), told);
+    assert_eq!(roster.read_at(), Some(t + MS * read));
+}
