Soak: the store's connections are harmed, and configurations never go back

Change: a proxy stands between each entry and the store (slow, one way, silent, reset), so that single entries lose it; versions name the organisation, by which upstream hosts see which version let a request in, and a caller must never get an older one from the same life of an entry.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,11 +1,10 @@
 //! Callers that ask until they are told to stop, on connections that they keep.
 
-use fake::tracks::Yard;
+use crate::faults::Site;
 use rand::Rng;
 use rand::SeedableRng;
 use std::io::Read;
 use std::net;
-use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -64,17 +63,33 @@
     pub whole: bool,
     /// The proof of the host that answered.
     pub seal: String,
+    /// Who asked; each asks one thing after the other.
+    pub caller: u64,
+    /// The entry that was asked and which of its lives; none where it changed.
+    pub life: Option<(usize, u32)>,
 }
 
-/// Where the entries take connections.
-pub(crate) fn fronts(yard: &sync::Mutex<Yard>) -> Vec<net::SocketAddr> {
-    let yard = yard.lock().expect("no panic holds it");
-    yard.entries.iter().map(|e| e.front).collect()
+/// An entry as callers know it.
+pub(crate) struct Front<'a> {
+    address: net::SocketAddr,
+    lives: &'a atomic::AtomicU32,
+}
+
+/// The entries.
+pub(crate) fn fronts(site: &Site) -> Vec<Front<'_>> {
+    let yard = site.yard.lock().expect("no panic holds it");
+    let fronts = yard.entries.iter().zip(&site.lives);
+    fronts
+        .map(|(e, lives)| Front {
+            address: e.front,
+            lives,
+        })
+        .collect()
 }
 
 /// Asks until told to stop.
 pub(crate) fn ask_on(
-    fronts: &[net::SocketAddr],
+    fronts: &[Front<'_>],
     seed: u64,
     caller: u64,
     stop: &atomic::AtomicBool,
@@ -87,7 +102,13 @@
         let kind = kinds[random.random_range(0..kinds.len())];
         let entry = random.random_range(0..fronts.len());
         let id = format!("{seed:04x}{caller:04x}{:08x}", all.len());
-        all.push(ask(&agents[entry], fronts[entry], kind, id));
+        let lives = || fronts[entry].lives.load(atomic::Ordering::SeqCst);
+        let before = lives();
+        let mut seen = ask(&agents[entry], fronts[entry].address, kind, id);
+        seen.caller = caller;
+        // One that was asked over a restart may have been served by either life.
+        seen.life = (lives() == before).then_some((entry, before));
+        all.push(seen);
         std::thread::sleep(PAUSE);
     }
     all
@@ -109,6 +130,8 @@
         body: String::new(),
         whole: false,
         seal: String::new(),
+        caller: 0,
+        life: None,
     };
     let request = ureq::http::Request::builder()
         .method("POST")
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -24,6 +25,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Proxy(usize, Way),
+    Link(usize, Way),
     Pause(usize),
     Kill(usize),
     Term(usize),
@@ -35,8 +37,49 @@
     Hangup(usize),
 }
 
+/// What faults strike.
+pub(crate) struct Site {
+    pub yard: sync::Mutex<Yard>,
+    /// Before each worker: engines first, then plain hosts.
+    pub proxies: Vec<Proxy>,
+    /// Between each entry and the store.
+    pub links: Vec<Proxy>,
+    /// How often each entry was started again.
+    pub lives: Vec<atomic::AtomicU32>,
+}
+
+impl Site {
+    /// Puts proxies before the workers and the store, then starts all entries.
+    pub(crate) fn start(mut yard: Yard) -> Self {
+        let proxies = put_between(&yard);
+        let links = put_before_store(&yard);
+        yard.start();
+        let lives = yard.entries.iter().map(|_| atomic::AtomicU32::new(0));
+        Self {
+            lives: lives.collect(),
+            yard: sync::Mutex::new(yard),
+            proxies,
+            links,
+        }
+    }
+}
+
+/// Puts a proxy between each entry and the store.
+fn put_before_store(yard: &Yard) -> Vec<Proxy> {
+    let store = yard.store.address();
+    let between = |entry: &Entry| {
+        let link = Proxy::start(free_address(), store);
+        entry.edit(
+            &format!("address = \"{store}\""),
+            &format!("address = \"{}\"", link.address),
+        );
+        link
+    };
+    yard.entries.iter().map(between).collect()
+}
+
 /// Puts a proxy before every worker and lists the workers there.
-pub(crate) fn put_between(yard: &Yard) -> Vec<Proxy> {
+fn put_between(yard: &Yard) -> Vec<Proxy> {
     let workers = yard.engines.iter().chain(&yard.hosts);
     let proxies: Vec<Proxy> = workers
         .map(|w| {
@@ -51,7 +94,7 @@
 
 /// Strikes until the plan is over, then undoes all that still holds; gives what was
 /// done, with the time since the beginning.
-pub(crate) fn strike(yard: &sync::Mutex<Yard>, proxies: &[Proxy], plan: Plan) -> Vec<String> {
+pub(crate) fn strike(site: &Site, plan: Plan) -> Vec<String> {
     let began = time::Instant::now();
     let mut done = Vec::new();
     let mut note = |what: &str, fault: Fault| {
@@ -64,10 +107,10 @@
     let end = time::Instant::now() + plan.length;
     let mut holding: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
-        let fault = draw(&mut random, proxies.len());
+        let fault = draw(&mut random, site.proxies.len());
         let until = time::Duration::from_millis(random.random_range(200..1_500));
         note("begin", fault);
-        begin(yard, proxies, fault);
+        begin(site, fault);
         holding.push((time::Instant::now() + until, fault));
         thread::sleep(time::Duration::from_millis(random.random_range(50..500)));
         let now = time::Instant::now();
@@ -75,12 +118,12 @@
         holding = left;
         for (_, fault) in over {
             note("undo", fault);
-            undo(yard, proxies, fault);
+            undo(site, fault);
         }
     }
     for (_, fault) in holding {
         note("undo", fault);
-        undo(yard, proxies, fault);
+        undo(site, fault);
     }
     done
 }
@@ -89,7 +132,7 @@
     let proxy = random.random_range(0..proxies);
     let entry = random.random_range(0..crate::ENTRIES);
     let slow = time::Duration::from_millis(random.random_range(5..150));
-    match random.random_range(0..16) {
+    match random.random_range(0..20) {
         0 | 1 => Fault::Proxy(proxy, Way::Slow(slow)),
         2 => Fault::Proxy(proxy, Way::OneWay),
         3 => Fault::Proxy(proxy, Way::Silent),
@@ -104,10 +147,20 @@
         12 => Fault::Configure,
         13 => Fault::Breaks(proxy),
         14 => Fault::Drain(proxy),
+        15 => Fault::Link(entry, Way::Slow(slow)),
+        16 => Fault::Link(entry, Way::OneWay),
+        17 => Fault::Link(entry, Way::Silent),
+        18 => Fault::Link(entry, Way::Reset),
         _ => Fault::Hangup(entry),
     }
 }
 
+/// Gives the organisation a name by which upstream hosts see the version.
+fn name_version(agreement: &mut serde_json::Value) {
+    let version = agreement["version"].as_u64().unwrap_or(0);
+    agreement["tenants"][0]["name"] = serde_json::json!(format!("tenant-{version}"));
+}
+
 fn worker(yard: &Yard, index: usize) -> (&Worker, &'static str) {
     match yard.engines.get(index) {
         Some(engine) => (engine, "llm"),
@@ -129,17 +182,18 @@
     }
 }
 
-fn begin(yard: &sync::Mutex<Yard>, proxies: &[Proxy], fault: Fault) {
-    let mut yard = yard.lock().expect("no panic holds it");
+fn begin(site: &Site, fault: Fault) {
+    let mut yard = site.yard.lock().expect("no panic holds it");
     match fault {
-        Fault::Proxy(index, way) => proxies[index].turn(way),
+        Fault::Proxy(index, way) => site.proxies[index].turn(way),
+        Fault::Link(entry, way) => site.links[entry].turn(way),
         Fault::Pause(entry) => tell(&yard, entry, "STOP"),
         Fault::Kill(entry) => yard.entries[entry].kill(),
         Fault::Term(entry) => tell(&yard, entry, "TERM"),
         Fault::Hangup(entry) => tell(&yard, entry, "HUP"),
         Fault::Store(mode) => yard.store.behave(mode),
         Fault::Compact => yard.store.compact(),
-        Fault::Configure => yard.configure(|_| {}),
+        Fault::Configure => yard.configure(name_version),
         Fault::Breaks(index) => worker(&yard, index).0.behave(|m| m.breaks = Some(2)),
         Fault::Drain(index) => {
             let (worker, service) = worker(&yard, index);
@@ -148,15 +202,17 @@
     }
 }
 
-fn undo(yard: &sync::Mutex<Yard>, proxies: &[Proxy], fault: Fault) {
-    let mut yard = yard.lock().expect("no panic holds it");
+fn undo(site: &Site, fault: Fault) {
+    let mut yard = site.yard.lock().expect("no panic holds it");
     match fault {
-        Fault::Proxy(index, _) => proxies[index].turn(Way::Open),
+        Fault::Proxy(index, _) => site.proxies[index].turn(Way::Open),
+        Fault::Link(entry, _) => site.links[entry].turn(Way::Open),
         Fault::Pause(entry) => tell(&yard, entry, "CONT"),
         // Whatever has ended is started again, as the platform does.
         Fault::Kill(entry) | Fault::Term(entry) => {
             tell(&yard, entry, "CONT");
             yard.entries[entry].restart();
+            site.lives[entry].fetch_add(1, atomic::Ordering::SeqCst);
             await_listening(&yard.entries[entry]);
         }
         Fault::Store(_) => yard.store.behave(StoreMode::Well),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,7 +13,6 @@
 
 use fake::tracks::Yard;
 use std::path;
-use std::sync;
 use std::sync::atomic;
 use std::thread;
 use std::time;
@@ -49,15 +48,13 @@
 
 /// Plays one soak.
 pub fn play(program: &path::Path, plan: Plan) -> Outcome {
-    let mut yard = Yard::new(program, &STAGES, HOSTS, ENTRIES);
-    let proxies = faults::put_between(&yard);
+    let yard = Yard::new(program, &STAGES, HOSTS, ENTRIES);
     for engine in &yard.engines {
         engine.behave(|m| m.event_gap = time::Duration::from_millis(20));
     }
-    yard.start();
-    let yard = sync::Mutex::new(yard);
+    let site = faults::Site::start(yard);
     let stop = atomic::AtomicBool::new(false);
-    let fronts = callers::fronts(&yard);
+    let fronts = callers::fronts(&site);
     let mut seen = Vec::new();
     let mut found = Vec::new();
     let mut faults = Vec::new();
@@ -67,8 +64,8 @@
             .map(|n| scope.spawn(move || callers::ask_on(fronts, plan.seed, n, stop)))
             .collect();
         let _stopped = Stopped(stop);
-        faults = faults::strike(&yard, &proxies, plan);
-        found.extend(verdict::recovered(&yard));
+        faults = faults::strike(&site, plan);
+        found.extend(verdict::recovered(&site));
         stop.store(true, atomic::Ordering::Relaxed);
         for caller in asking {
             match caller.join() {
@@ -77,7 +74,7 @@
             }
         }
     });
-    let yard = yard.into_inner().expect("no panic holds it");
+    let yard = site.yard.into_inner().expect("no panic holds it");
     found.extend(verdict::judge(&yard, &seen));
     Outcome {
         found,
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -1,9 +1,9 @@
 //! The promises, by what callers and upstream hosts have seen.
 
 use crate::callers::Seen;
+use crate::faults::Site;
 use fake::tracks::Yard;
 use std::collections;
-use std::sync;
 use std::thread;
 use std::time;
 
@@ -17,8 +17,8 @@
 const LOOK_GAP: time::Duration = time::Duration::from_millis(50);
 
 /// Finds entries that do not serve again.
-pub(crate) fn recovered(yard: &sync::Mutex<Yard>) -> Vec<String> {
-    let yard = yard.lock().expect("no panic holds it");
+pub(crate) fn recovered(site: &Site) -> Vec<String> {
+    let yard = site.yard.lock().expect("no panic holds it");
     let end = time::Instant::now() + RECOVERY;
     let mut found = Vec::new();
     for index in 0..yard.entries.len() {
@@ -56,10 +56,42 @@
         }
         found.extend(judge_answer(one));
     }
+    found.extend(went_back(yard, seen));
     found.extend(held(yard));
     found
 }
 
+/// Finds answers by an older configuration than the same caller has had before
+/// from the same life of an entry: upstream hosts see the version in the
+/// organisation's name.
+fn went_back(yard: &Yard, seen: &[Seen]) -> Vec<String> {
+    let versions = versions(yard);
+    let mut newest = collections::BTreeMap::new();
+    let mut found = Vec::new();
+    for one in seen {
+        let (Some(life), Some(version)) = (one.life, versions.get(&one.id)) else {
+            continue;
+        };
+        let known = newest.entry((one.caller, life)).or_insert(*version);
+        if version < known {
+            found.push(format!("{one:?} by version {version} after {known}"));
+        }
+        *known = *version.max(known);
+    }
+    found
+}
+
+/// The version by which each request was let in.
+fn versions(yard: &Yard) -> collections::BTreeMap<String, u64> {
+    let arrivals = yard.engines.iter().chain(&yard.hosts);
+    let named = arrivals.flat_map(|w| w.arrivals()).filter_map(|a| {
+        let version = a.header("hornbeampitch-tenant").strip_prefix("tenant-")?;
+        let id = a.header("hornbeampitch-request-id").to_owned();
+        Some((id, version.parse().ok()?))
+    });
+    named.collect()
+}
+
 fn judge_answer(one: &Seen) -> Option<String> {
     if one.status != Some(200) {
         return None;
