A newer configuration is asked of one peer, after the store had its time

Each entry whose news showed an older version got the whole text from up to 31 peers, four times a second, on links of 10 Mbit/s: `event=peer_lost` 3,916 times, versions in force up to 10 s late (`event=configuration`), most of them on the smallest entries.

Ruled out: the store (up all the while, 60 lost readings, all on small links).

Change: a peer only says which version it has. pool::CatchUp: who is behind gives the store 500 ms, then asks one peer at a time for the text, with 2 s to get it; without any configuration it asks at once.

Tests: 31 peers tell and one is asked, after 500 ms; the first version at once. Both could not hold before, as every peer sent the text unasked.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -37,6 +37,7 @@
     pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Demand>>,
     pub(crate) shifts: cell::RefCell<Shifts>,
     pub(crate) peers: cell::RefCell<collections::BTreeMap<Name, Peer>>,
+    pub(crate) catching: cell::RefCell<pool::CatchUp>,
     pub(crate) duties: cell::Cell<seam::Duties>,
     pub(crate) holds: cell::Cell<bool>,
     pub(crate) stopping: cell::Cell<bool>,
@@ -102,6 +103,7 @@
             demand: cell::RefCell::default(),
             shifts: cell::RefCell::default(),
             peers: cell::RefCell::default(),
+            catching: cell::RefCell::default(),
             duties: cell::Cell::new(duties),
             holds: cell::Cell::new(false),
             stopping: cell::Cell::new(false),
@@ -157,6 +159,7 @@
             .with("routes", agreement.routes.len())
             .info();
         metrics::gauge!("configuration_version").set(agreement.version as f64);
+        self.catching.borrow_mut().advance();
         *self.agreement.borrow_mut() = Some(rc::Rc::new(Force { agreement, raw }));
         self.refresh();
     }
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -50,8 +50,9 @@
 /// What a peer answers: what it knows better.
 #[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct Better {
-    /// A newer configuration, as the store keeps it.
-    pub(crate) agreement: Option<String>,
+    /// The version of its configuration.
+    #[serde(default)]
+    pub(crate) version: u64,
     /// A newer list of upstream hosts.
     pub(crate) listing: Option<Listing>,
     /// The age in milliseconds of its list, which is the same but younger.
@@ -65,7 +66,7 @@
         let mut news = News {
             entry: self.place.host.clone(),
             address: Some(self.place.links),
-            version: self.force().map_or(0, |f| f.agreement.version),
+            version: self.version(),
             listed: self.roster.borrow().revision(),
             age_ms: u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
             used: self.allowance.borrow_mut().used(now),
@@ -150,13 +151,10 @@
     }
 
     fn better(&self, news: &News) -> Better {
-        let mut better = Better::default();
-        if let Some(force) = self.force()
-            && force.agreement.version > news.version
-        {
-            let text = std::str::from_utf8(&force.raw);
-            better.agreement = text.ok().map(str::to_owned);
-        }
+        let mut better = Better {
+            version: self.version(),
+            ..Better::default()
+        };
         let age = time::Duration::from_millis(news.age_ms);
         if !pool::shares_list(self.rank().0, age) {
             return better;
@@ -175,6 +173,11 @@
         better
     }
 
+    /// The version of the configuration in force; 0 where there is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.force().map_or(0, |f| f.agreement.version)
+    }
+
     fn own_shifts(&self, now: time::Instant) -> collections::BTreeMap<Name, (seam::Part, u64)> {
         let shifts = self.shifts.borrow();
         let left = |until: time::Instant| until.saturating_duration_since(now).as_millis();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -33,6 +33,12 @@
 const WHOLE_EVERY: u32 = 8;
 /// Time between two messages to a peer.
 const NEWS_GAP: time::Duration = time::Duration::from_millis(250);
+/// Where peers take news, and where they give their configuration.
+const NEWS_PATH: &str = "/news";
+const AGREEMENT_PATH: &str = "/agreement";
+/// How long a peer may take to give its configuration: a large one over a small
+/// link that has other work.
+const AGREEMENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
 /// How long a peer may take to answer.
 const NEWS_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// The pause after a peer didn't answer.
@@ -77,6 +83,10 @@
     core: &Core<P>,
     request: hyper::Request<Incoming>,
 ) -> hyper::Response<Body> {
+    if request.uri().path() == AGREEMENT_PATH {
+        let raw = core.force().map(|f| f.raw.clone()).unwrap_or_default();
+        return hyper::Response::new(Body::from(raw));
+    }
     let limited = http_body_util::Limited::new(request.into_body(), NEWS_BYTES);
     let body = limited.collect().await.map(|b| b.to_bytes());
     let news = body
@@ -221,8 +231,9 @@
     let Some(better) = better else {
         return;
     };
-    if let Some(raw) = better.agreement {
-        core.adopt(bytes::Bytes::from(raw), &name);
+    let version = core.version();
+    if better.version > version && core.catching.borrow_mut().hear(version == 0, now) {
+        tokio::task::spawn_local(catch_up(core.clone(), name.clone(), address));
     }
     if let Some(listing) = better.listing {
         core.list(listing, &name);
@@ -234,19 +245,43 @@
     }
 }
 
+/// Has a newer configuration from a peer.
+async fn catch_up<P: seam::Platform>(core: rc::Rc<Core<P>>, name: Name, address: net::SocketAddr) {
+    let by = time::Instant::now() + AGREEMENT_TIMEOUT;
+    let raw = ask(&core, address, AGREEMENT_PATH, bytes::Bytes::new(), by).await;
+    core.catching.borrow_mut().answered();
+    match raw {
+        Some(raw) => core.adopt(raw, &name),
+        None => trace::Line::new("configuration_untold")
+            .with("peer", &name)
+            .info(),
+    }
+}
+
 async fn exchange<P: seam::Platform>(
     core: &Core<P>,
     address: net::SocketAddr,
     text: bytes::Bytes,
 ) -> Option<Better> {
     let by = time::Instant::now() + NEWS_TIMEOUT;
+    let body = ask(core, address, NEWS_PATH, text, by).await?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Asks a peer; none where it gave no whole answer in time.
+async fn ask<P: seam::Platform>(
+    core: &Core<P>,
+    address: net::SocketAddr,
+    path: &str,
+    text: bytes::Bytes,
+    by: time::Instant,
+) -> Option<bytes::Bytes> {
     let request = hyper::Request::builder()
         .method(http::Method::POST)
-        .uri("/news")
+        .uri(path)
         .header(http::header::HOST, address.to_string())
         .body(web::Whole::from(text))
         .ok()?;
     let answer = core.links.call(address, request, by).await.ok()?;
-    let body = answer.whole(NEWS_BYTES, by).await?;
-    serde_json::from_slice(&body).ok()
+    answer.whole(NEWS_BYTES, by).await
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod allowance;
 mod balance;
+mod catchup;
 mod demand;
 mod faults;
 mod hosts;
@@ -21,6 +22,7 @@
 
 pub use allowance::Allowance;
 pub use balance::{Balance, Engine, Shift};
+pub use catchup::CatchUp;
 pub use demand::{Asked, Demand};
 pub use faults::Faults;
 pub use hosts::Hosts;
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -719,3 +719,25 @@
     assert_eq!(roster.confirm(revision, MS * age, t + MS * 1_000), told);
     assert_eq!(roster.read_at(), Some(t + MS * read));
 }
+
+#[test]
+fn newer_version_is_asked_of_one_peer_after_the_store_had_its_time() {
+    let t = start();
+    let mut catching = pool::CatchUp::default();
+    assert!((0..31).all(|_| !catching.hear(false, t)));
+    assert!(!catching.hear(false, t + MS * 499));
+    let asked = (0..31).filter(|_| catching.hear(false, t + MS * 500));
+    assert_eq!(asked.count(), 1);
+    catching.answered();
+    assert!(catching.hear(false, t + MS * 750));
+    catching.answered();
+    catching.advance();
+    assert!(!catching.hear(false, t + MS * 760));
+}
+
+#[test]
+fn first_version_is_asked_for_at_once() {
+    let mut catching = pool::CatchUp::default();
+    assert!(catching.hear(true, start()));
+    assert!(!catching.hear(true, start()));
+}
