What a restarted entry has forgotten counts against the allowance

Change: an entry that was started again, as the platform's settings say, and its peers as their news say, are taken to have used an equal part of the rate for the rest of a window; a first start of the whole system is not.

Tests: after a restart of both entries an organisation gets its burst and what the rate has given since; before, its whole window.

--- a/crates/direct/src/core.rs
+++ b/crates/direct/src/core.rs
@@ -82,6 +82,10 @@
         links: rc::Rc<web::Client>,
     ) -> rc::Rc<Self> {
         let duties = place.duties;
+        let mut allowance = pool::Allowance::new(duties.quota_window);
+        if !place.first {
+            allowance.restart(time::Instant::now());
+        }
         rc::Rc::new(Self {
             store,
             upstreams,
@@ -91,7 +95,7 @@
             listed: cell::RefCell::default(),
             pools: Pools::new(),
             plains: Plains::default(),
-            allowance: cell::RefCell::new(pool::Allowance::new(duties.quota_window)),
+            allowance: cell::RefCell::new(allowance),
             retries: cell::RefCell::new(pool::Retries::new(
                 duties.retry_ratio,
                 duties.retry_slack,
--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -31,6 +31,10 @@
     pub(crate) calls: collections::BTreeMap<Name, u32>,
     /// What it has let through, by organisation.
     pub(crate) used: collections::BTreeMap<Name, f64>,
+    /// How many milliseconds ago it was started again, while it doesn't know what
+    /// it has let through before.
+    #[serde(default)]
+    pub(crate) restart_ms: Option<u64>,
     /// What callers ask it for, by service.
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
     /// Prompt tokens a second that it has seen engines read; now and then.
@@ -63,13 +67,17 @@
 impl<P: seam::Platform> Core<P> {
     /// What this entry tells its peers now; what hardly changes too if `whole`.
     pub(crate) fn news(&self, whole: bool, now: time::Instant) -> News {
+        let mut allowance = self.allowance.borrow_mut();
+        let (used, restart) = (allowance.used(now), allowance.since_restart(now));
+        drop(allowance);
         let mut news = News {
             entry: self.place.host.clone(),
             address: Some(self.place.links),
             version: self.version(),
             listed: self.roster.borrow().revision(),
             age_ms: u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
-            used: self.allowance.borrow_mut().used(now),
+            used,
+            restart_ms: restart.and_then(|r| u64::try_from(r.as_millis()).ok()),
             asked: self.asked(now),
             holds: self.holds.get(),
             crashes: self.crash_news(now),
@@ -114,7 +122,8 @@
             hosts.hear_faults(&peer, &news.faults, now);
         }
         let mut allowance = self.allowance.borrow_mut();
-        allowance.hear(&peer, news.used.clone(), now);
+        let since = news.restart_ms.map(time::Duration::from_millis);
+        allowance.hear(&peer, news.used.clone(), since, now);
         drop(allowance);
         for crash in &news.crashes {
             self.note_crash(crash, now);
--- a/crates/pool/src/allowance.rs
+++ b/crates/pool/src/allowance.rs
@@ -3,7 +3,9 @@
 //! Answers the load of one organisation that sends many times its usual: its
 //! excess is refused, at whichever entries it arrives. Entries tell each other
 //! what they have let through in the window; one that is silent is taken to use
-//! its equal part.
+//! its equal part. One that was started again has forgotten what it let through:
+//! for a window's time it is taken to have used its equal part of the rate before,
+//! or a loss of all entries would give every organisation its whole window anew.
 
 use crate::window::Window;
 use std::collections;
@@ -20,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Allowance {
     span: time::Duration,
+    restart: Option<time::Instant>,
     own: collections::BTreeMap<Name, Window>,
     peers: collections::BTreeMap<Name, Peer>,
 }
@@ -27,6 +30,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     used: collections::BTreeMap<Name, f64>,
+    restart: Option<time::Instant>,
     heard: time::Instant,
 }
 
@@ -35,11 +39,23 @@
     pub fn new(span: time::Duration) -> Self {
         Self {
             span,
+            restart: None,
             own: collections::BTreeMap::new(),
             peers: collections::BTreeMap::new(),
         }
     }
 
+    /// Notes that this entry has let through what it no longer knows of.
+    pub fn restart(&mut self, now: time::Instant) {
+        self.restart = Some(now);
+    }
+
+    /// How long ago this entry was started again, while that matters.
+    pub fn since_restart(&self, now: time::Instant) -> Option<time::Duration> {
+        let since = now.saturating_duration_since(self.restart?);
+        (since < self.span).then_some(since)
+    }
+
     /// Charges a request if its organisation has units left; else tells how
     /// long it takes until the rate has made room.
     pub fn charge(
@@ -53,8 +69,9 @@
         };
         let limit = rate * self.span.as_secs_f64() + tenant.burst;
         let others = self.others(&tenant.name, limit, now);
+        let forgotten = rate * self.forgotten(now).as_secs_f64();
         let own = self.window(&tenant.name);
-        let used = own.sum(now) + others + units;
+        let used = own.sum(now) + others + forgotten + units;
         if used > limit {
             let wait = (used - limit) / rate.max(1.0);
             return Err(time::Duration::from_secs_f64(wait.min(60.0)));
@@ -77,14 +94,19 @@
             .collect()
     }
 
-    /// Hears what a peer has let through.
+    /// Hears what a peer has let through, and how long ago it was started again.
     pub fn hear(
         &mut self,
         peer: &Name,
         used: collections::BTreeMap<Name, f64>,
+        since: Option<time::Duration>,
         now: time::Instant,
     ) {
-        let heard = Peer { used, heard: now };
+        let heard = Peer {
+            used,
+            restart: since.and_then(|s| now.checked_sub(s)),
+            heard: now,
+        };
         self.peers.insert(peer.clone(), heard);
     }
 
@@ -104,6 +126,17 @@
             .sum()
     }
 
+    /// The part of the window that entries no longer know of, on average.
+    fn forgotten(&self, now: time::Instant) -> time::Duration {
+        let peers = self.peers.values().map(|p| p.restart);
+        let lost = peers.chain([self.restart]).map(|restart| {
+            restart.map_or(time::Duration::ZERO, |r| {
+                self.span.saturating_sub(now.saturating_duration_since(r))
+            })
+        });
+        lost.sum::<time::Duration>() / (self.peers.len() as u32 + 1)
+    }
+
     fn window(&mut self, tenant: &Name) -> &mut Window {
         self.own
             .entry(tenant.clone())
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -325,7 +325,7 @@
     let mut allowance = pool::Allowance::new(MS * 8_000);
     let tenant = tenant(100.0, 200.0);
     let used = collections::BTreeMap::from([(Name::from("rangers"), 900.0)]);
-    allowance.hear(&Name::from("peer"), used, t);
+    allowance.hear(&Name::from("peer"), used, None, t);
     assert_eq!(allowance.charge(&tenant, 100.0, t), Ok(()));
     assert!(allowance.charge(&tenant, 100.0, t).is_err());
 }
@@ -335,7 +335,7 @@
     let t = start();
     let mut allowance = pool::Allowance::new(MS * 8_000);
     let tenant = tenant(100.0, 200.0);
-    allowance.hear(&Name::from("peer"), collections::BTreeMap::new(), t);
+    allowance.hear(&Name::from("peer"), collections::BTreeMap::new(), None, t);
     let later = t + MS * 2_000;
     assert!(allowance.charge(&tenant, 600.0, later).is_err());
     assert_eq!(allowance.charge(&tenant, 500.0, later), Ok(()));
@@ -741,3 +741,34 @@
     assert!(catching.hear(true, start()));
     assert!(!catching.hear(true, start()));
 }
+
+/// What an organisation gets of its 100 a second over 8 s and burst of 200, at one
+/// entry of two, `after` both were started again.
+#[parameterized(
+    burst_at_once = { 0, 200.0 },
+    rate_since_then = { 4_000, 600.0 },
+    all_after_a_window = { 8_000, 1_000.0 },
+)]
+fn allowance_is_not_given_anew_by_a_restart(after: u32, units: f64) {
+    let t = start();
+    let tenant = tenant(100.0, 200.0);
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    allowance.restart(t);
+    let now = t + MS * after;
+    let nothing = collections::BTreeMap::new();
+    let since = allowance.since_restart(now);
+    allowance.hear(&Name::from("peer"), nothing, since, now);
+    assert_eq!(allowance.charge(&tenant, units, now), Ok(()));
+    assert!(allowance.charge(&tenant, 1.0, now).is_err());
+}
+
+#[test]
+fn allowance_of_one_restart_in_two_is_half_known() {
+    let t = start();
+    let tenant = tenant(100.0, 200.0);
+    let mut allowance = pool::Allowance::new(MS * 8_000);
+    let nothing = collections::BTreeMap::new();
+    allowance.hear(&Name::from("peer"), nothing, Some(time::Duration::ZERO), t);
+    assert_eq!(allowance.charge(&tenant, 600.0, t), Ok(()));
+    assert!(allowance.charge(&tenant, 1.0, t).is_err());
+}
--- a/crates/seam/src/duty.rs
+++ b/crates/seam/src/duty.rs
@@ -21,6 +21,9 @@
     pub links: net::SocketAddr,
     /// The store's address.
     pub store: net::SocketAddr,
+    /// Whether the whole system starts for the first time, so that nothing has
+    /// been used yet.
+    pub first: bool,
     /// What it must keep to.
     pub duties: Duties,
     /// What it may use.
