New speeds of engines are told to peers at once

Change: a message tells the speeds also where the number of known ones changed. No test of its own: what orders do by speeds is tested in pool, that news carry them is not.

--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -182,6 +182,13 @@
         better
     }
 
+    /// How many engines were seen to read prompts.
+    pub(crate) fn known_speeds(&self) -> usize {
+        let pools = self.pools.all();
+        let known = pools.iter().map(|(_, p)| p.lanes.borrow().speeds().len());
+        known.sum()
+    }
+
     /// The version of the configuration in force; 0 where there is none.
     pub(crate) fn version(&self) -> u64 {
         self.force().map_or(0, |f| f.agreement.version)
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -186,11 +186,14 @@
 
 /// Tells every peer what there is.
 async fn speak<P: seam::Platform>(core: rc::Rc<Core<P>>) {
-    let mut count = 0_u32;
+    let (mut count, mut told) = (0_u32, 0);
     loop {
         tokio::time::sleep(NEWS_GAP).await;
         count = count.wrapping_add(1);
-        let whole = count.is_multiple_of(WHOLE_EVERY);
+        // The first orders go by speeds, so new ones are told at once.
+        let known = core.known_speeds();
+        let whole = count.is_multiple_of(WHOLE_EVERY) || known != told;
+        told = known;
         let now = time::Instant::now();
         let due: Vec<(Name, net::SocketAddr)> = core
             .peers
