--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -37,7 +37,8 @@
     pub(crate) restart_ms: Option<u64>,
     /// What callers ask it for, by service.
     pub(crate) asked: collections::BTreeMap<Name, pool::Asked>,
-    /// Prompt tokens a second that it has seen engines read; now and then.
+    /// Prompt tokens a second that it has seen engines read; empty in most
+    /// messages, the last ones told hold on.
     pub(crate) speeds: collections::BTreeMap<Name, f64>,
     /// Upstream hosts that it has seen fail, with the milliseconds of their rest.
     #[serde(default)]
@@ -59,7 +60,8 @@
     pub(crate) version: u64,
     /// A newer list of upstream hosts.
     pub(crate) listing: Option<Listing>,
-    /// The age in milliseconds of its list, which is the same but younger.
+    /// The age in milliseconds of its list, where that is the same as the asker's
+    /// but was read later.
     #[serde(default)]
     pub(crate) confirmed: Option<u64>,
 }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -29,7 +29,7 @@
 const RENEW_GAP: time::Duration = time::Duration::from_secs(3);
 /// A peer whose news are younger than this is there, whatever the store says.
 const NEWS_MEMORY: time::Duration = time::Duration::from_secs(3);
-/// Messages for each one that tells also what hardly changes.
+/// One message in so many tells also what hardly changes.
 const WHOLE_EVERY: u32 = 8;
 /// Time between two messages to a peer.
 const NEWS_GAP: time::Duration = time::Duration::from_millis(250);
@@ -242,7 +242,7 @@
         core.list(listing, &name);
     }
     if let Some(age) = better.confirmed {
-        // The answer is younger than the question: the age counts from there.
+        // Counted from the question, so that the list never passes for younger.
         let age = time::Duration::from_millis(age) + now.saturating_duration_since(sent);
         core.roster.borrow_mut().confirm(listed, age, now);
     }
--- a/crates/pool/src/allowance.rs
+++ b/crates/pool/src/allowance.rs
@@ -45,7 +45,8 @@
         }
     }
 
-    /// Notes that this entry has let through what it no longer knows of.
+    /// Notes that this entry was started again, and so has let through what it no
+    /// longer knows of.
     pub fn restart(&mut self, now: time::Instant) {
         self.restart = Some(now);
     }
