What peers told is kept in one type and summed once for a choice

Cause: found on reading the change.

Change: pool::told::Told is the one copy; Faults know their hosts and are a field that callers use directly; a choice, and how full a pool is, go by sums made once. No decision is changed; tests of faults name their hosts in one place and keep their assertions.

--- a/crates/direct/src/news.rs
+++ b/crates/direct/src/news.rs
@@ -89,10 +89,10 @@
         for (_, pool) in self.pools.all() {
             let seats = pool.seats.borrow();
             news.seats.extend(seats.own());
-            news.faults.extend(seats.own_faults(now));
+            news.faults.extend(seats.faults.own(now));
             let lanes = pool.lanes.borrow();
             news.lanes.extend(lanes.own());
-            news.faults.extend(lanes.own_faults(now));
+            news.faults.extend(lanes.faults.own(now));
             if whole {
                 news.speeds.extend(lanes.speeds());
             }
@@ -100,7 +100,7 @@
         for (_, plain) in self.plains.all() {
             let hosts = plain.hosts.borrow();
             news.calls.extend(hosts.own());
-            news.faults.extend(hosts.own_faults(now));
+            news.faults.extend(hosts.faults.own(now));
         }
         news
     }
@@ -111,17 +111,17 @@
         for (_, pool) in self.pools.all() {
             let mut seats = pool.seats.borrow_mut();
             seats.hear(&peer, news.seats.clone(), now);
-            seats.hear_faults(&peer, &news.faults, now);
+            seats.faults.hear(&peer, &news.faults, now);
             drop(seats);
             let mut lanes = pool.lanes.borrow_mut();
             lanes.hear(&peer, news.lanes.clone(), now);
             lanes.hear_speeds(&news.speeds);
-            lanes.hear_faults(&peer, &news.faults, now);
+            lanes.faults.hear(&peer, &news.faults, now);
         }
         for (_, plain) in self.plains.all() {
             let mut hosts = plain.hosts.borrow_mut();
             hosts.hear(&peer, news.calls.clone(), now);
-            hosts.hear_faults(&peer, &news.faults, now);
+            hosts.faults.hear(&peer, &news.faults, now);
         }
         let mut allowance = self.allowance.borrow_mut();
         let since = news.restart_ms.map(time::Duration::from_millis);
--- a/crates/pool/benches/placing.rs
+++ b/crates/pool/benches/placing.rs
@@ -58,7 +58,9 @@
         };
         let loads = busy(peer, engines).map(|id| (id, load)).collect();
         seats.hear(&format!("peer-{peer}").into(), loads, now);
-        seats.hear_faults(&format!("peer-{peer}").into(), &failed(), now);
+        seats
+            .faults
+            .hear(&format!("peer-{peer}").into(), &failed(), now);
     }
     seats
 }
@@ -69,7 +71,9 @@
     for peer in 0..peers {
         let backlogs = busy(peer, engines).map(|id| (id, TOKENS)).collect();
         lanes.hear(&format!("peer-{peer}").into(), backlogs, now);
-        lanes.hear_faults(&format!("peer-{peer}").into(), &failed(), now);
+        lanes
+            .faults
+            .hear(&format!("peer-{peer}").into(), &failed(), now);
     }
     lanes
 }
--- a/crates/pool/src/faults.rs
+++ b/crates/pool/src/faults.rs
@@ -22,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Faults {
     first: time::Duration,
+    known: collections::BTreeSet<Name>,
     own: collections::BTreeMap<Name, Fault>,
     heard: collections::BTreeMap<Name, collections::BTreeMap<Name, time::Instant>>,
 }
@@ -37,13 +38,23 @@
     pub fn new(first: time::Duration) -> Self {
         Self {
             first,
+            known: collections::BTreeSet::new(),
             own: collections::BTreeMap::new(),
             heard: collections::BTreeMap::new(),
         }
     }
 
-    /// Notes that a host has failed.
+    /// Takes the hosts that are known now, and forgets others.
+    pub fn know<'a>(&mut self, hosts: impl Iterator<Item = &'a Name>) {
+        self.known = hosts.cloned().collect();
+        self.own.retain(|id, _| self.known.contains(id));
+    }
+
+    /// Notes that a host has failed; one that is not known counts for nothing.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
+        if !self.known.contains(id) {
+            return;
+        }
         let count = self.own.get(id).map_or(0, |f| f.count);
         let pause = self.first.saturating_mul(1 << count.min(4));
         let fault = Fault {
@@ -68,9 +79,20 @@
 
     /// Tells whether a host gets nothing for now.
     pub fn rests(&self, id: &str, now: time::Instant) -> bool {
-        let heard = self.heard.values();
-        let witnesses = heard.filter(|f| f.get(id).is_some_and(|u| *u > now));
-        self.own.get(id).is_some_and(|f| f.until > now) || witnesses.count() >= WITNESSES
+        self.resting(now).contains(id)
+    }
+
+    /// The hosts that get nothing for now.
+    pub fn resting(&self, now: time::Instant) -> collections::BTreeSet<&str> {
+        let mut witnesses: collections::BTreeMap<&str, usize> = collections::BTreeMap::new();
+        let heard = self.heard.values().flatten();
+        for (id, _) in heard.filter(|(_, until)| **until > now) {
+            *witnesses.entry(id).or_default() += 1;
+        }
+        let believed = witnesses.into_iter().filter(|(_, n)| *n >= WITNESSES);
+        let own = self.own.iter().filter(|(_, f)| f.until > now);
+        let own = own.map(|(id, _)| &**id);
+        own.chain(believed.map(|(id, _)| id)).collect()
     }
 
     /// What this entry has seen fail, with the milliseconds for which it rests.
@@ -82,30 +104,24 @@
             .collect()
     }
 
-    /// Hears what a peer has seen fail, of the `known` hosts of the service.
+    /// Hears what a peer has seen fail; of hosts of other services it is left out.
     pub fn hear(
         &mut self,
         peer: &Name,
         failed: &collections::BTreeMap<Name, u64>,
-        known: &[&Name],
         now: time::Instant,
     ) {
         let rests =
             |left: u64| now + time::Duration::from_millis(left).min(REST_MOST) + HEARD_MARGIN;
         let heard: collections::BTreeMap<Name, time::Instant> = failed
             .iter()
-            .filter(|(id, _)| known.contains(id))
+            .filter(|(id, _)| self.known.contains(*id))
             .map(|(id, left)| (id.clone(), rests(*left)))
             .collect();
-        if heard.is_empty() || heard.len() * 2 > known.len() {
+        if heard.is_empty() || heard.len() * 2 > self.known.len() {
             self.heard.remove(peer);
         } else {
             self.heard.insert(peer.clone(), heard);
         }
     }
-
-    /// Forgets hosts that are no longer known.
-    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
-        self.own.retain(|id, _| known(id));
-    }
 }
--- a/crates/pool/src/hosts.rs
+++ b/crates/pool/src/hosts.rs
@@ -5,6 +5,7 @@
 //! where that costs little, and less to hosts that failed lately.
 
 use crate::faults::Faults;
+use crate::told::Told;
 use std::collections;
 use std::time;
 use world::Name;
@@ -28,8 +29,9 @@
 #[derive(Clone, Debug)]
 pub struct Hosts {
     hosts: collections::BTreeMap<Name, Host>,
-    faults: Faults,
-    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u32>)>,
+    /// Which of them failed lately.
+    pub faults: Faults,
+    told: Told<u32>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -47,7 +49,7 @@
         Self {
             hosts: collections::BTreeMap::new(),
             faults: Faults::new(FAULT_TIME),
-            peers: collections::BTreeMap::new(),
+            told: Told::new(PEER_MEMORY),
         }
     }
 }
@@ -65,7 +67,7 @@
             host.open = true;
         }
         self.hosts.retain(|_, h| h.open || h.own > 0);
-        self.faults.retain(|id| self.hosts.contains_key(id));
+        self.faults.know(self.hosts.keys());
     }
 
     /// Picks a host, other than those tried; a resting one only where no other is left.
@@ -74,11 +76,12 @@
             .hosts
             .iter()
             .filter(|(id, h)| h.open && !tried.contains(id));
+        let (others, resting) = (self.told.all(now), self.faults.resting(now));
         let cost = |id: &Name, h: &Host| {
-            let calls = h.own + self.others(id, now);
+            let calls = h.own + others.get(&**id).copied().unwrap_or_default();
             let near = h.zone.as_deref() == Some(zone);
             let failing = (h.failing - FAILURE_USUAL).max(0.0) * FAILURE_COST;
-            let rests = h.full.is_some_and(|f| f > now) || self.faults.rests(id, now);
+            let rests = h.full.is_some_and(|f| f > now) || resting.contains(&**id);
             let load = f64::from(calls) / f64::from(h.slots);
             (rests, load + failing + if near { 0.0 } else { ZONE_WORTH })
         };
@@ -122,25 +125,7 @@
 
     /// Notes that a host could not be reached, or broke off.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if self.hosts.contains_key(id) {
-            self.faults.fail(id, now);
-        }
-    }
-
-    /// Hears which hosts a peer has seen fail, with the milliseconds of their rest.
-    pub fn hear_faults(
-        &mut self,
-        peer: &Name,
-        failed: &collections::BTreeMap<Name, u64>,
-        now: time::Instant,
-    ) {
-        let known: Vec<&Name> = self.hosts.keys().collect();
-        self.faults.hear(peer, failed, &known, now);
-    }
-
-    /// Hosts that this entry has seen fail, with the milliseconds of their rest.
-    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
-        self.faults.own(now)
+        self.faults.fail(id, now);
     }
 
     /// This entry's own calls, for its peers.
@@ -159,14 +144,6 @@
         calls: collections::BTreeMap<Name, u32>,
         now: time::Instant,
     ) {
-        self.peers.insert(peer.clone(), (now, calls));
-    }
-
-    fn others(&self, id: &str, now: time::Instant) -> u32 {
-        let peers = self.peers.values();
-        peers
-            .filter(|(heard, _)| now.saturating_duration_since(*heard) < PEER_MEMORY)
-            .map(|(_, calls)| calls.get(id).copied().unwrap_or(0))
-            .sum()
+        self.told.hear(peer, calls, now);
     }
 }
--- a/crates/pool/src/lanes.rs
+++ b/crates/pool/src/lanes.rs
@@ -7,6 +7,7 @@
 //! sooner.
 
 use crate::faults::Faults;
+use crate::told::Told;
 use std::collections;
 use std::time;
 use world::Name;
@@ -36,8 +37,9 @@
 #[derive(Clone, Debug)]
 pub struct Lanes {
     engines: collections::BTreeMap<Name, Lane>,
-    faults: Faults,
-    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, u64>)>,
+    /// Which of them failed lately.
+    pub faults: Faults,
+    told: Told<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -54,7 +56,7 @@
         Self {
             engines: collections::BTreeMap::new(),
             faults: Faults::new(FAULT_TIME),
-            peers: collections::BTreeMap::new(),
+            told: Told::new(PEER_MEMORY),
         }
     }
 }
@@ -77,7 +79,7 @@
             lane.open = true;
         }
         self.engines.retain(|_, l| l.open || l.own > 0);
-        self.faults.retain(|id| self.engines.contains_key(id));
+        self.faults.know(self.engines.keys());
     }
 
     /// Divides the engines among entries: this one is `place` of `count`, in an
@@ -100,12 +102,14 @@
         zone: Option<&str>,
         now: time::Instant,
     ) -> Option<(Name, time::Duration)> {
+        let (others, resting) = (self.told.all(now), self.faults.resting(now));
         let usable = self
             .engines
             .iter()
-            .filter(|(id, l)| l.open && !self.faults.rests(id, now))
+            .filter(|(id, l)| l.open && !resting.contains(&***id))
             .map(|(id, l)| {
-                let backlog = self.backlog(id, now) + prompt;
+                let others = others.get(&**id).copied().unwrap_or_default();
+                let backlog = l.own + others + prompt;
                 let time = backlog as f64 / l.speed.unwrap_or(FIRST_SPEED) + CALL_TIME;
                 let far = zone.is_some_and(|z| z != &*l.zone);
                 let far = if far { ZONE_COST } else { 0.0 };
@@ -152,35 +156,13 @@
 
     /// Notes that an engine has refused or failed.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if self.engines.contains_key(id) {
-            self.faults.fail(id, now);
-        }
-    }
-
-    /// Hears which engines a peer has seen fail, with the milliseconds of their rest.
-    pub fn hear_faults(
-        &mut self,
-        peer: &Name,
-        failed: &collections::BTreeMap<Name, u64>,
-        now: time::Instant,
-    ) {
-        let known: Vec<&Name> = self.engines.keys().collect();
-        self.faults.hear(peer, failed, &known, now);
-    }
-
-    /// Engines that this entry has seen fail, with the milliseconds of their rest.
-    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
-        self.faults.own(now)
+        self.faults.fail(id, now);
     }
 
     /// Prompt tokens known at an engine.
     pub fn backlog(&self, id: &str, now: time::Instant) -> u64 {
         let own = self.engines.get(id).map_or(0, |l| l.own);
-        let peers = self.peers.values();
-        own + peers
-            .filter(|(heard, _)| now.saturating_duration_since(*heard) < PEER_MEMORY)
-            .map(|(_, backlogs)| backlogs.get(id).copied().unwrap_or(0))
-            .sum::<u64>()
+        own + self.told.at(id, now)
     }
 
     /// The speeds of engines in tokens a second, where they were seen.
@@ -215,7 +197,7 @@
         backlogs: collections::BTreeMap<Name, u64>,
         now: time::Instant,
     ) {
-        self.peers.insert(peer.clone(), (now, backlogs));
+        self.told.hear(peer, backlogs, now);
     }
 
     /// Engines that take prompts.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,6 +18,7 @@
 mod roster;
 mod seats;
 mod sharing;
+mod told;
 mod window;
 
 pub use allowance::Allowance;
--- a/crates/pool/src/seats.rs
+++ b/crates/pool/src/seats.rs
@@ -5,7 +5,9 @@
 //! engines themselves have the last word on room.
 
 use crate::faults::Faults;
+use crate::told::Told;
 use std::collections;
+use std::ops;
 use std::time;
 use world::Name;
 
@@ -33,10 +35,14 @@
     pub streams: u32,
 }
 
-impl Load {
-    fn add(&mut self, other: Load) {
-        self.tokens += other.tokens;
-        self.streams += other.streams;
+impl ops::Add for Load {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            tokens: self.tokens + other.tokens,
+            streams: self.streams + other.streams,
+        }
     }
 }
 
@@ -44,8 +50,9 @@
 #[derive(Clone, Debug)]
 pub struct Seats {
     engines: collections::BTreeMap<Name, Engine>,
-    faults: Faults,
-    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, Load>)>,
+    /// Which of them failed lately.
+    pub faults: Faults,
+    told: Told<Load>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -64,7 +71,7 @@
         Self {
             engines: collections::BTreeMap::new(),
             faults: Faults::new(FAULT_TIME),
-            peers: collections::BTreeMap::new(),
+            told: Told::new(PEER_MEMORY),
         }
     }
 }
@@ -87,7 +94,7 @@
             engine.open = member.part != Some(seam::Part::Prefill);
         }
         self.engines.retain(|_, e| e.open || e.own.streams > 0);
-        self.faults.retain(|id| self.engines.contains_key(id));
+        self.faults.know(self.engines.keys());
     }
 
     /// Picks the engine for a stream that needs `need` tokens. `draw`, from 0 to
@@ -99,12 +106,13 @@
         mut draw: impl FnMut() -> f64,
         now: time::Instant,
     ) -> Option<Name> {
+        let (others, resting) = (self.told.all(now), self.faults.resting(now));
         let usable = self
             .engines
             .iter()
-            .filter(|(id, e)| e.usable(now) && !self.faults.rests(id, now))
+            .filter(|(id, e)| e.usable(now) && !resting.contains(&***id))
             .filter_map(|(id, e)| {
-                let load = self.load(id, now);
+                let load = e.own + others.get(&**id).copied().unwrap_or_default();
                 let fits = load.tokens + need <= e.capacity && load.streams < e.slots;
                 let fill = (load.tokens + need) as f64 / e.capacity.max(1) as f64;
                 let near = e.zone.as_deref() == Some(zone);
@@ -124,7 +132,7 @@
     /// other until this one has shown whether it works again.
     pub fn take(&mut self, id: &str, tokens: u64, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.own.add(Load { tokens, streams: 1 });
+            engine.own = engine.own + Load { tokens, streams: 1 };
             self.faults.attempt(id, now);
         }
     }
@@ -153,25 +161,7 @@
 
     /// Notes that an engine has failed.
     pub fn fail(&mut self, id: &str, now: time::Instant) {
-        if self.engines.contains_key(id) {
-            self.faults.fail(id, now);
-        }
-    }
-
-    /// Hears which engines a peer has seen fail, with the milliseconds of their rest.
-    pub fn hear_faults(
-        &mut self,
-        peer: &Name,
-        failed: &collections::BTreeMap<Name, u64>,
-        now: time::Instant,
-    ) {
-        let known: Vec<&Name> = self.engines.keys().collect();
-        self.faults.hear(peer, failed, &known, now);
-    }
-
-    /// Engines that this entry has seen fail, with the milliseconds of their rest.
-    pub fn own_faults(&self, now: time::Instant) -> collections::BTreeMap<Name, u64> {
-        self.faults.own(now)
+        self.faults.fail(id, now);
     }
 
     /// Notes that an engine has done as it was asked.
@@ -198,25 +188,22 @@
         loads: collections::BTreeMap<Name, Load>,
         now: time::Instant,
     ) {
-        self.peers.insert(peer.clone(), (now, loads));
+        self.told.hear(peer, loads, now);
     }
 
     /// All streams known at an engine.
     pub fn load(&self, id: &str, now: time::Instant) -> Load {
-        let mut load = self.engines.get(id).map(|e| e.own).unwrap_or_default();
-        for (heard, loads) in self.peers.values() {
-            if now.saturating_duration_since(*heard) < PEER_MEMORY {
-                load.add(loads.get(id).copied().unwrap_or_default());
-            }
-        }
-        load
+        let own = self.engines.get(id).map(|e| e.own).unwrap_or_default();
+        own + self.told.at(id, now)
     }
 
     /// The part of the pool's memory that streams hold, from 0 to 1.
     pub fn fill(&self, now: time::Instant) -> f64 {
+        let others = self.told.all(now);
         let open = self.engines.iter().filter(|(_, e)| e.open);
         let (held, whole) = open.fold((0, 0), |(held, whole), (id, e)| {
-            (held + self.load(id, now).tokens, whole + e.capacity)
+            let load = e.own + others.get(&**id).copied().unwrap_or_default();
+            (held + load.tokens, whole + e.capacity)
         });
         held as f64 / (whole.max(1)) as f64
     }
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -618,14 +618,19 @@
     named.collect()
 }
 
+/// Faults of four hosts.
+fn faults() -> pool::Faults {
+    let mut faults = pool::Faults::new(MS * 500);
+    faults.know(["a", "b", "c", "d"].map(Name::from).iter());
+    faults
+}
+
 /// Faults at one of many entries: `witnesses` peers say that host `a` of four rests.
 fn heard(witnesses: u32, t: time::Instant) -> pool::Faults {
-    let names: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
-    let known: Vec<&Name> = names.iter().collect();
-    let mut faults = pool::Faults::new(MS * 500);
+    let mut faults = faults();
     for peer in 0..witnesses {
         let peer = Name::from(format!("peer-{peer}"));
-        faults.hear(&peer, &failed(&[("a", 500)]), &known, t);
+        faults.hear(&peer, &failed(&[("a", 500)]), t);
     }
     faults
 }
@@ -653,8 +658,7 @@
 fn faults_end_when_witnesses_say_so() {
     let t = start();
     let mut faults = heard(2, t);
-    let name = Name::from("a");
-    faults.hear(&Name::from("peer-1"), &failed(&[]), &[&name], t + MS * 250);
+    faults.hear(&Name::from("peer-1"), &failed(&[]), t + MS * 250);
     assert!(!faults.rests("a", t + MS * 250));
 }
 
@@ -662,17 +666,15 @@
 fn faults_of_most_hosts_are_the_peers_own_cut() {
     let t = start();
     let mut faults = heard(1, t);
-    let names: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
-    let known: Vec<&Name> = names.iter().collect();
     let most = failed(&[("a", 500), ("b", 500), ("c", 500)]);
-    faults.hear(&Name::from("cut-off"), &most, &known, t);
+    faults.hear(&Name::from("cut-off"), &most, t);
     assert!(!faults.rests("a", t));
 }
 
 #[test]
 fn faults_are_told_while_a_host_rests() {
     let t = start();
-    let mut faults = pool::Faults::new(MS * 500);
+    let mut faults = faults();
     faults.fail("a", t);
     assert_eq!(faults.own(t + MS * 100), failed(&[("a", 400)]));
     assert!(faults.own(t + MS * 500).is_empty());
@@ -688,7 +690,9 @@
     let mut lanes = pool::Lanes::default();
     lanes.update(prefill(&["a", "b"]).iter());
     for peer in ["x", "y"] {
-        lanes.hear_faults(&Name::from(peer), &failed(&[("a", 500)]), t);
+        lanes
+            .faults
+            .hear(&Name::from(peer), &failed(&[("a", 500)]), t);
     }
     for _ in 0..3 {
         let (engine, _) = lanes.pick(1_000, None, t).expect("one is sound");
