The stand-ins hold the platform's names once; tests read them there

Cause: the platform's header, path and key names stood as text in the stand-ins, their tests and the soak, and the tests and the soak each told runs from prompts and own calls by the same lines.

Change: fake::tracks::names, used by all three, apart from the adapter's names on purpose: one that is wrong there must not be wrong in its test too. Arrival::is_run is the one copy. What the tests assert is as before.

--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -5,6 +5,7 @@
 use fake::tracks::StoreMode;
 use fake::tracks::Worker;
 use fake::tracks::Yard;
+use fake::tracks::names;
 use std::path;
 use std::thread;
 use std::time;
@@ -30,12 +31,7 @@
 
 /// Runs that a worker began: neither prompts nor calls of the system's own.
 fn runs(worker: &Worker) -> usize {
-    let mut all = worker.arrivals();
-    all.retain(|a| {
-        let prompt = a.header("hornbeampitch-serving-stage") == "prefill";
-        !a.path.starts_with("/hornbeampitch/") && !prompt
-    });
-    all.len()
+    worker.arrivals().iter().filter(|a| a.is_run()).count()
 }
 
 fn ran(yard: &Yard) -> usize {
@@ -50,22 +46,19 @@
     assert_eq!(ids(&asked.body), [1, 2, 3, 4, 5]);
     assert!(asked.headers.contains("seal-"), "{asked:?}");
     let decode = yard.engines[1].arrivals();
-    assert_eq!(decode[0].path, "/hornbeampitch/hold-take");
+    assert_eq!(decode[0].path, names::RESERVE_PATH);
     let run = &decode[1];
     assert_eq!(
         (run.path.as_str(), run.body.as_str()),
         ("/resumable/a?b=c", "a prompt")
     );
     let source = format!("{}/h1", yard.engines[0].address());
-    assert_eq!(run.header("hornbeampitch-kv-source"), source);
-    assert_eq!(run.header("hornbeampitch-kv-hold"), "d1");
-    assert_eq!(run.header("hornbeampitch-expect-instance"), "engine-1");
-    assert_eq!(run.header("hornbeampitch-tenant"), "tenant-a");
+    assert_eq!(run.header(names::SOURCE), source);
+    assert_eq!(run.header(names::HOLD), "d1");
+    assert_eq!(run.header(names::EXPECT), "engine-1");
+    assert_eq!(run.header(names::TENANT), "tenant-a");
     assert_eq!(run.header("api-key"), "");
-    let left: u64 = run
-        .header("hornbeampitch-deadline-ms")
-        .parse()
-        .expect("a number");
+    let left: u64 = run.header(names::DEADLINE).parse().expect("a number");
     assert!(left <= 8_000, "{left}");
 }
 
@@ -73,15 +66,15 @@
 fn headers_of_the_system_are_the_entrys_to_set() {
     let yard = yard(&["prefill", "decode"], 1);
     let forged = [
-        ("hornbeampitch-tenant", "tenant-b"),
-        ("hornbeampitch-kv-hold", "forged"),
-        ("hornbeampitch-kv-source", "forged"),
-        ("hornbeampitch-kv-backup", "forged"),
-        ("hornbeampitch-pin-ms", "4000"),
-        ("hornbeampitch-serving-stage", "prefill"),
-        ("hornbeampitch-expect-instance", "forged"),
-        ("hornbeampitch-expect-version", "7"),
-        ("hornbeampitch-request-priority", "0"),
+        (names::TENANT, "tenant-b"),
+        (names::HOLD, "forged"),
+        (names::SOURCE, "forged"),
+        (names::BACKUP, "forged"),
+        (names::PIN, "4000"),
+        (names::STAGE, "prefill"),
+        (names::EXPECT, "forged"),
+        (names::EXPECT_VERSION, "7"),
+        (names::PRIORITY, "0"),
         ("kv-fetch", "forged"),
         ("x-kept", "kept"),
     ];
@@ -92,20 +85,22 @@
     let run = yard.engines[1].arrived("/once/").remove(0);
     let call = yard.hosts[0].arrived("/status/").remove(0);
     for arrival in [&run, &call] {
-        assert_eq!(arrival.header("hornbeampitch-tenant"), "tenant-a");
+        assert_eq!(arrival.header(names::TENANT), "tenant-a");
         assert_eq!(arrival.header("x-kept"), "kept");
-        for name in ["kv-backup", "pin-ms", "expect-version", "request-priority"] {
-            assert_eq!(
-                arrival.header(&format!("hornbeampitch-{name}")),
-                "",
-                "{name}"
-            );
+        let dropped = [
+            names::BACKUP,
+            names::PIN,
+            names::EXPECT_VERSION,
+            names::PRIORITY,
+        ];
+        for name in dropped {
+            assert_eq!(arrival.header(name), "", "{name}");
         }
         assert_eq!(arrival.header("kv-fetch"), "");
-        assert_ne!(arrival.header("hornbeampitch-kv-hold"), "forged");
-        assert_ne!(arrival.header("hornbeampitch-kv-source"), "forged");
+        assert_ne!(arrival.header(names::HOLD), "forged");
+        assert_ne!(arrival.header(names::SOURCE), "forged");
     }
-    assert_eq!(call.header("hornbeampitch-serving-stage"), "");
+    assert_eq!(call.header(names::STAGE), "");
 }
 
 #[test]
@@ -113,7 +108,7 @@
     let yard = yard(&["prefill", "decode", "decode"], 0);
     yard.engines[0].behave(|m| m.holds_prompts = true);
     // So long a prompt is given some seconds.
-    let long = [("hornbeampitch-token-counts", "39000,100")];
+    let long = [(names::TOKENS, "39000,100")];
     thread::scope(|scope| {
         let asking = scope.spawn(|| yard.ask(0, "POST", "/resumable/a", "", &long));
         let asked = |y: &Yard| y.engines[1..].iter().any(|e| e.holds() == 1);
@@ -171,9 +166,12 @@
         scope.spawn(|| {
             use std::io::Write;
             let mut line = std::net::TcpStream::connect(yard.entries[0].front).expect("it listens");
-            let head = "POST /once/a HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n\
-                hornbeampitch-request-id: 77\r\nhornbeampitch-token-counts: 1000,100\r\n\
-                content-length: 0\r\n\r\n";
+            let head = format!(
+                "POST /once/a HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n\
+                {}: 77\r\n{}: 1000,100\r\ncontent-length: 0\r\n\r\n",
+                names::REQUEST_ID,
+                names::TOKENS,
+            );
             line.write_all(head.as_bytes()).expect("it reads");
             yard.wait(|y| y.engines[1].holds() == 1);
         });
@@ -252,7 +250,7 @@
     );
     let large = "x".repeat(100_001);
     assert_eq!(status(yard.ask(0, "POST", "/order/a", &large, &[])), 413);
-    let bad = [("hornbeampitch-deadline-ms", "soon")];
+    let bad = [(names::DEADLINE, "soon")];
     assert_eq!(status(yard.ask(0, "GET", "/status/a", "", &bad)), 400);
 }
 
@@ -294,7 +292,7 @@
     yard.configure(|a| a["routes"][3]["prefix"] = "/moved/".into());
     yard.wait(|y| y.ask(0, "GET", "/moved/a", "", &[]).status == 200);
     assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 404);
-    yard.store.put("op/config", old.as_bytes());
+    yard.store.put(names::AGREEMENT_KEY, old.as_bytes());
     yard.wait(|y| y.entries[0].log().contains("event=configuration_older"));
     assert_eq!(yard.ask(0, "GET", "/moved/a", "", &[]).status, 200);
 }
@@ -303,7 +301,7 @@
 fn configuration_unreadable_leaves_the_old_one() {
     let yard = yard(&[], 1);
     yard.store
-        .put("op/config", b"{\"version\": 99, \"routes\": 7}");
+        .put(names::AGREEMENT_KEY, b"{\"version\": 99, \"routes\": 7}");
     yard.wait(|y| {
         y.entries[0]
             .log()
@@ -323,9 +321,12 @@
 #[test]
 fn entry_of_another_writer_names_no_worker() {
     let yard = yard(&[], 1);
-    yard.store.put("servers/odd-1", b"\xff\xfe not text");
     yard.store
-        .put("servers/odd-2", br#"{"service":"app","address":7}"#);
+        .put(&names::member_key("odd-1"), b"\xff\xfe not text");
+    yard.store.put(
+        &names::member_key("odd-2"),
+        br#"{"service":"app","address":7}"#,
+    );
     yard.wait(|y| y.entries[0].log().contains("event=member_unreadable"));
     assert_eq!(yard.ask(0, "GET", "/status/a", "", &[]).status, 200);
 }
@@ -350,7 +351,7 @@
 #[test]
 fn host_missing_from_the_list_gets_nothing() {
     let yard = yard(&[], 2);
-    yard.store.remove("servers/host-0");
+    yard.store.remove(&names::member_key("host-0"));
     yard.wait(|y| y.entries[0].log().contains("id=host-0 state=Gone"));
     let before = runs(&yard.hosts[0]);
     for _ in 0..10 {
@@ -450,12 +451,12 @@
         y.stream(0, "/once/a", &[]);
         y.engines
             .iter()
-            .any(|e| !e.arrived("/hornbeampitch/order").is_empty())
+            .any(|e| !e.arrived(names::ORDER_PATH).is_empty())
     });
     let orders = yard
         .engines
         .iter()
-        .flat_map(|e| e.arrived("/hornbeampitch/order"));
+        .flat_map(|e| e.arrived(names::ORDER_PATH));
     let fence = yard.store.revision("hornbeampitch/holder");
     let holder = yard.store.value("hornbeampitch/holder").unwrap_or_default();
     for order in orders {
@@ -469,7 +470,7 @@
             (&body["op"], &body["stage"]),
             (&"stage".into(), &"decode".into())
         );
-        assert!(!order.header("hornbeampitch-expect-instance").is_empty());
+        assert!(!order.header(names::EXPECT).is_empty());
     }
 }
 
@@ -504,7 +505,7 @@
         yard.wait(noted);
         // The platform's list drops what has crashed.
         for host in yard.hosts.iter().filter(|h| h.crashed()) {
-            yard.store.remove(&format!("servers/{}", host.id));
+            yard.store.remove(&names::member_key(&host.id));
         }
         let gone = |e: &Entry| e.log().matches("state=Gone").count() == count;
         yard.wait(|y| y.entries.iter().all(gone));
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the Tracks Unit's platform, speaking its protocol.
 
 mod entry;
+pub mod names;
 mod store;
 mod worker;
 mod yard;
--- a/crates/fake/src/tracks/store.rs
+++ b/crates/fake/src/tracks/store.rs
@@ -1,6 +1,7 @@
 //! The platform's metadata store, as far as the project calls it.
 
 use crate::site::Site;
+use crate::tracks::names;
 use base64::Engine;
 use base64::engine::general_purpose;
 use serde_json::Value;
@@ -247,7 +248,7 @@
             StoreMode::Out => return None,
         }
         let (status, value) = match head.uri.path() {
-            "/hornbeampitch/kv-watch" => self.watch(&query).await,
+            names::WATCH_PATH => self.watch(&query).await,
             path => self.act(path, &query, &call),
         };
         match mode {
@@ -261,7 +262,7 @@
     fn act(&self, path: &str, query: &Query, call: &Value) -> (u16, Value) {
         let mut state = self.shared.lock().expect("no panic holds it");
         let done = match path {
-            "/hornbeampitch/kv-key" => match state.items.get(query.text("key")) {
+            names::GET_PATH => match state.items.get(query.text("key")) {
                 Some(item) => {
                     let mut found = row(query.text("key"), item);
                     found["current_rev"] = json!(state.revision);
@@ -269,9 +270,9 @@
                 }
                 None => (404, Value::Null),
             },
-            "/hornbeampitch/kv-range" => (200, state.list(query.text("prefix"))),
-            "/hornbeampitch/kv-txn" => state.swap(call),
-            "/hornbeampitch/kv-lease" => {
+            names::LIST_PATH => (200, state.list(query.text("prefix"))),
+            names::SWAP_PATH => state.swap(call),
+            names::GRANT_PATH => {
                 state.leases += 1;
                 (
                     200,
@@ -279,12 +280,12 @@
                 )
             }
             path => match path.rsplit_once('/') {
-                Some(("/hornbeampitch/kv-keep", lease)) => {
+                Some((names::RENEW_PATH, lease)) => {
                     let lease = lease.parse().unwrap_or(0);
                     let ended = state.ended.contains(&lease) || lease > state.leases;
                     (if ended { 404 } else { 200 }, json!({"ttl_ms": 3000}))
                 }
-                Some(("/hornbeampitch/kv-lease-end", lease)) => {
+                Some((names::END_PATH, lease)) => {
                     let lease = lease.parse().unwrap_or(0);
                     state.ended.insert(lease);
                     (200, Value::Null)
--- a/crates/fake/src/tracks/worker.rs
+++ b/crates/fake/src/tracks/worker.rs
@@ -1,6 +1,7 @@
 //! An engine or plain service of the platform.
 
 use crate::site::Site;
+use crate::tracks::names;
 use crate::tracks::store::answer;
 use serde_json::Value;
 use serde_json::json;
@@ -76,6 +77,13 @@
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).map_or("", String::as_str)
     }
+
+    /// Tells whether it is a request to be run: neither a prompt nor a call of the
+    /// system's own.
+    pub fn is_run(&self) -> bool {
+        let prompt = self.header(names::STAGE) == "prefill";
+        !prompt && !self.path.starts_with(names::OWN_PATHS)
+    }
 }
 
 /// The worker.
@@ -251,7 +259,7 @@
         let own = {
             let mut state = self.state();
             let deadly = state.manner.crashes_on == Some(arrival.body.as_str());
-            state.crashed |= deadly && arrival.header("hornbeampitch-expect-instance") == state.id;
+            state.crashed |= deadly && arrival.header(names::EXPECT) == state.id;
             // Until its process is back, whatever reaches it is cut off.
             if state.crashed {
                 return None;
@@ -274,25 +282,25 @@
     async fn run(&self, arrival: &Arrival) -> Option<web::Response<web::Body>> {
         let (stage, manner) = {
             let state = self.state();
-            if arrival.header("hornbeampitch-expect-instance") != state.id {
+            if arrival.header(names::EXPECT) != state.id {
                 return Some(answer(421, &Value::Null));
             }
             (state.stage, state.manner.clone())
         };
-        let id = arrival.header("hornbeampitch-request-id").to_owned();
+        let id = arrival.header(names::REQUEST_ID).to_owned();
         let head = web::Response::builder()
-            .header("hornbeampitch-request-id", &id)
-            .header("hornbeampitch-response-seal", format!("seal-{id}"));
+            .header(names::REQUEST_ID, &id)
+            .header(names::SEAL, format!("seal-{id}"));
         if stage.is_none() {
             let head = match (manner.mute, manner.sheds) {
                 (true, _) => return None,
-                (_, true) => head.status(503).header("hornbeampitch-not-executed", "1"),
+                (_, true) => head.status(503).header(names::UNRUN, "1"),
                 (false, false) => head.status(manner.status),
             };
             let body = web::whole(format!("{} {}", arrival.method, arrival.body));
             return head.body(body).ok();
         }
-        if arrival.header("hornbeampitch-serving-stage") == "prefill" {
+        if arrival.header(names::STAGE) == "prefill" {
             tokio::time::sleep(manner.prompt_time).await;
             while self.state().manner.holds_prompts {
                 tokio::time::sleep(LOOK_GAP).await;
@@ -339,23 +347,23 @@
 
     /// Uses up what a request brings along.
     fn take(&mut self, arrival: &Arrival) {
-        self.holds.remove(arrival.header("hornbeampitch-kv-hold"));
+        self.holds.remove(arrival.header(names::HOLD));
     }
 
     /// Answers the calls that are the system's own.
     fn own(&mut self, arrival: &Arrival) -> Option<(u16, Value)> {
         let path = arrival.path.as_str();
-        if let Some(handle) = path.strip_prefix("/hornbeampitch/kv-handle/") {
+        if let Some(handle) = path.strip_prefix(names::HANDLE_PATH) {
             self.handles.remove(handle);
             return Some((200, Value::Null));
         }
-        if let Some(hold) = path.strip_prefix("/hornbeampitch/hold-drop/") {
+        if let Some(hold) = path.strip_prefix(names::RELEASE_PATH) {
             self.holds.remove(hold);
             return Some((200, Value::Null));
         }
         match path {
-            "/hornbeampitch/hold-take" if self.manner.full => Some((503, Value::Null)),
-            "/hornbeampitch/hold-take" => {
+            names::RESERVE_PATH if self.manner.full => Some((503, Value::Null)),
+            names::RESERVE_PATH => {
                 self.count += 1;
                 let hold = format!("d{}", self.count);
                 let call: Value = serde_json::from_str(&arrival.body).unwrap_or(Value::Null);
@@ -364,11 +372,11 @@
                 self.holds.insert(hold.clone(), until);
                 Some((200, json!({"hold": hold})))
             }
-            "/hornbeampitch/report" => Some((
+            names::REPORT_PATH => Some((
                 200,
                 json!({"stage": self.stage, "busy": false, "seq": self.orders, "kv_used": 0}),
             )),
-            "/hornbeampitch/order" => {
+            names::ORDER_PATH => {
                 self.orders += 1;
                 Some((202, Value::Null))
             }
--- a/crates/fake/src/tracks/yard.rs
+++ b/crates/fake/src/tracks/yard.rs
@@ -4,6 +4,7 @@
 use crate::tracks::Entry;
 use crate::tracks::TracksStore;
 use crate::tracks::Worker;
+use crate::tracks::names;
 use serde_json::Value;
 use serde_json::json;
 use std::env;
@@ -98,7 +99,7 @@
         let version = self.agreement["version"].as_u64().unwrap_or(0) + 3;
         self.agreement["version"] = json!(version);
         let text = self.agreement.to_string();
-        self.store.put("op/config", text.as_bytes());
+        self.store.put(names::AGREEMENT_KEY, text.as_bytes());
     }
 
     /// Writes all workers' entries.
@@ -110,7 +111,7 @@
 
     /// Writes one worker's entry.
     pub fn list_one(&self, worker: &Worker, service: &str, state: &str) {
-        let key = format!("servers/{}", worker.id);
+        let key = names::member_key(&worker.id);
         self.store
             .put(&key, worker.entry(service, state).as_bytes());
     }
@@ -132,10 +133,7 @@
 
     /// Asks an entry for a stream.
     pub fn stream(&self, entry: usize, path: &str, headers: &[(&str, &str)]) -> Asked {
-        let mut all = vec![
-            ("hornbeampitch-model", "m"),
-            ("hornbeampitch-token-counts", "1000,100"),
-        ];
+        let mut all = vec![(names::MODEL, "m"), (names::TOKENS, "1000,100")];
         all.extend_from_slice(headers);
         self.ask(entry, "POST", path, "a prompt", &all)
     }
@@ -158,8 +156,8 @@
             .header("host", "agency.example");
         let has = |name: &str| headers.iter().any(|(n, _)| *n == name);
         for (name, value) in [
-            ("hornbeampitch-request-id", id.as_str()),
-            ("hornbeampitch-deadline-ms", "8000"),
+            (names::REQUEST_ID, id.as_str()),
+            (names::DEADLINE, "8000"),
             ("api-key", "key-a"),
         ] {
             if !has(name) {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that ask until they are told to stop, on connections that they keep.
 
 use crate::faults::Site;
+use fake::tracks::names;
 use rand::Rng;
 use rand::SeedableRng;
 use std::io::Read;
@@ -137,13 +138,10 @@
         .method("POST")
         .uri(format!("http://{front}{}a", kind.path()))
         .header("host", "agency.example")
-        .header("hornbeampitch-request-id", &seen.id)
-        .header(
-            "hornbeampitch-deadline-ms",
-            PATIENCE.as_millis().to_string(),
-        )
-        .header("hornbeampitch-model", "m")
-        .header("hornbeampitch-token-counts", "800,100")
+        .header(names::REQUEST_ID, &seen.id)
+        .header(names::DEADLINE, PATIENCE.as_millis().to_string())
+        .header(names::MODEL, "m")
+        .header(names::TOKENS, "800,100")
         .header("api-key", "key-a")
         .body(seen.id.clone())
         .expect("a request can be made");
@@ -152,7 +150,7 @@
     };
     let (head, mut body) = response.into_parts();
     seen.status = Some(head.status.as_u16());
-    let seal = head.headers.get("hornbeampitch-response-seal");
+    let seal = head.headers.get(names::SEAL);
     seen.seal = seal.map_or(String::new(), |s| format!("{s:?}").replace('"', ""));
     let mut bytes = Vec::new();
     seen.whole = body.as_reader().read_to_end(&mut bytes).is_ok();
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -2,7 +2,9 @@
 
 use crate::callers::Seen;
 use crate::faults::Site;
+use fake::tracks::Arrival;
 use fake::tracks::Yard;
+use fake::tracks::names;
 use std::collections;
 use std::thread;
 use std::time;
@@ -85,8 +87,8 @@
 fn versions(yard: &Yard) -> collections::BTreeMap<String, u64> {
     let arrivals = yard.engines.iter().chain(&yard.hosts);
     let named = arrivals.flat_map(|w| w.arrivals()).filter_map(|a| {
-        let version = a.header("hornbeampitch-tenant").strip_prefix("tenant-")?;
-        let id = a.header("hornbeampitch-request-id").to_owned();
+        let version = a.header(names::TENANT).strip_prefix("tenant-")?;
+        let id = a.header(names::REQUEST_ID).to_owned();
         Some((id, version.parse().ok()?))
     });
     named.collect()
@@ -117,13 +119,10 @@
 fn runs(yard: &Yard) -> collections::BTreeMap<String, usize> {
     let mut runs = collections::BTreeMap::new();
     for worker in yard.engines.iter().chain(&yard.hosts) {
-        let begun = worker.arrivals().into_iter().filter(|a| {
-            let prompt = a.header("hornbeampitch-serving-stage") == "prefill";
-            let own = a.path.starts_with("/hornbeampitch/");
-            !prompt && !own && a.header("hornbeampitch-expect-instance") == worker.id
-        });
+        let meant = |a: &Arrival| a.is_run() && a.header(names::EXPECT) == worker.id;
+        let begun = worker.arrivals().into_iter().filter(meant);
         for arrival in begun {
-            let id = arrival.header("hornbeampitch-request-id").to_owned();
+            let id = arrival.header(names::REQUEST_ID).to_owned();
             *runs.entry(id).or_insert(0) += 1;
         }
     }
