--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -33,6 +33,7 @@
         let mut events = EventSplitter::new(self.job.request.last_event);
         let mut started = started;
         loop {
+            let events_before = events.event_count;
             let end = self
                 .forward_until_end(&mut started, &mut events, &sender)
                 .await;
@@ -47,6 +48,7 @@
                 .with("events", events.event_count)
                 .with("first_ms", first_delay.map_or(0, telemetry::millis))
                 .with("gap_ms", telemetry::millis(events.max_gap))
+                .with("here", events.event_count - events_before)
                 .info();
             match end {
                 StreamEnd::Complete => {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -287,6 +287,7 @@
             .with("status", response.status.as_u16())
             .with("tries", self.failed_attempts + 1)
             .with("prefilled", cache.is_some())
+            .with("parts", job.request.part_list())
             .with("after", last_event.unwrap_or(0))
             .info();
         Ok(StartedStream {
--- a/crates/seam/src/request.rs
+++ b/crates/seam/src/request.rs
@@ -20,6 +20,9 @@
     pub timeout: Option<time::Duration>,
     /// Number of prompt tokens, and the maximum number of response tokens.
     pub token_counts: Option<(u64, u64)>,
+    /// Ids of the parts of the prompt that other requests may share, in order. The last
+    /// part, which belongs to this request or its session alone, is left out.
+    pub prompt_parts: Vec<Name>,
     /// The caller's estimate of the number of response tokens.
     pub length_hint: Option<u64>,
     /// Id of the last event that the caller received, when it resumes a stream.
@@ -37,6 +40,11 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Returns the ids of the prompt's shared parts as they are written in logs.
+    pub fn part_list(&self) -> String {
+        self.prompt_parts.join(",")
+    }
+
     /// Returns the most tokens of engine memory that the request may need; 0
     /// when the request states no token counts.
     pub fn memory_tokens(&self) -> u64 {
