--- a/crates/fake/src/test_server.rs
+++ b/crates/fake/src/test_server.rs
@@ -12,7 +12,24 @@
 /// port and all connections close without a last message.
 pub(crate) struct TestServer {
     pub address: net::SocketAddr,
-    runtime: sync::Mutex<Option<runtime::Runtime>>,
+    runtime: SharedRuntime,
+}
+
+type SharedRuntime = sync::Arc<sync::Mutex<Option<runtime::Runtime>>>;
+
+/// Kills a server from one of its own handlers.
+#[derive(Clone)]
+pub(crate) struct ServerKiller {
+    runtime: SharedRuntime,
+}
+
+impl ServerKiller {
+    /// Closes the port and every connection. A thread does it, since a runtime can't be
+    /// shut down by its own task.
+    pub(crate) fn kill(&self) {
+        let runtime = self.runtime.clone();
+        thread::spawn(move || shut_down(&runtime));
+    }
 }
 
 impl TestServer {
@@ -21,19 +38,19 @@
         let (runtime, address) = serve(address, handler);
         Self {
             address,
-            runtime: sync::Mutex::new(Some(runtime)),
+            runtime: sync::Arc::new(sync::Mutex::new(Some(runtime))),
         }
     }
 
     /// Closes the port and every connection at once.
     pub(crate) fn kill(&self) {
-        let runtime = self
-            .runtime
-            .lock()
-            .expect("the mutex is not poisoned")
-            .take();
-        if let Some(runtime) = runtime {
-            runtime.shutdown_background();
+        shut_down(&self.runtime);
+    }
+
+    /// Returns a handle by which a handler of this server kills it.
+    pub(crate) fn killer(&self) -> ServerKiller {
+        ServerKiller {
+            runtime: self.runtime.clone(),
         }
     }
 
@@ -59,6 +76,13 @@
     }
 }
 
+fn shut_down(runtime: &SharedRuntime) {
+    let runtime = runtime.lock().expect("the mutex is not poisoned").take();
+    if let Some(runtime) = runtime {
+        runtime.shutdown_background();
+    }
+}
+
 /// Number of attempts to bind a port, which a killed server may not have released yet.
 const BIND_ATTEMPTS: u32 = 100;
 /// Time between two attempts to bind a port.
--- a/crates/fake/src/tracks/names.rs
+++ b/crates/fake/src/tracks/names.rs
@@ -11,6 +11,8 @@
 pub const MODEL: &str = "hornbeampitch-model";
 /// Header: number of prompt tokens and maximum number of answer tokens.
 pub const TOKEN_COUNTS: &str = "hornbeampitch-token-counts";
+/// Header: parts of the prompt, each as its id and its number of tokens.
+pub const PROMPT_PREFIX: &str = "hornbeampitch-prompt-prefix";
 /// Header: organisation of the caller.
 pub const TENANT: &str = "hornbeampitch-tenant";
 /// Header: instance of the host that the request is meant for. Other instances refuse it.
--- a/crates/fake/src/tracks/received_call.rs
+++ b/crates/fake/src/tracks/received_call.rs
@@ -22,6 +22,13 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Returns whether the call's prompt has a shared part with this id.
+    pub fn has_part(&self, id: &str) -> bool {
+        let parts: Vec<&str> = self.header(names::PROMPT_PREFIX).split(',').collect();
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        shared.iter().any(|p| p.split(':').next() == Some(id))
+    }
+
     /// Returns whether the call executes a caller's request, as opposed to a prefill or
     /// an internal call.
     pub fn is_client_request(&self) -> bool {
--- a/crates/fake/src/tracks/worker.rs
+++ b/crates/fake/src/tracks/worker.rs
@@ -28,6 +28,7 @@
             shared: shared.clone(),
         };
         let server = TestServer::start(address, handler);
+        shared.lock().expect("the mutex is not poisoned").killer = Some(server.killer());
         Self {
             id: id.to_owned(),
             server,
--- a/crates/fake/src/tracks/worker_behaviour.rs
+++ b/crates/fake/src/tracks/worker_behaviour.rs
@@ -30,6 +30,11 @@
     pub shed_calls: bool,
     /// Request body that crashes the worker; none if no request does.
     pub crash_body: Option<&'static str>,
+    /// Shared part of a prompt on which the worker crashes once it has begun to answer,
+    /// with its port and all connections; none if no part does.
+    pub crash_part: Option<&'static str>,
+    /// Time from the head of such an answer to the crash.
+    pub crash_delay: time::Duration,
 }
 
 impl Default for WorkerBehaviour {
@@ -47,6 +52,8 @@
             drop_responses: false,
             shed_calls: false,
             crash_body: None,
+            crash_part: None,
+            crash_delay: time::Duration::from_millis(20),
         }
     }
 }
--- a/crates/fake/src/tracks/worker_handler.rs
+++ b/crates/fake/src/tracks/worker_handler.rs
@@ -101,6 +101,10 @@
         let last_event = call.header("last-event-id").parse().unwrap_or(0);
         let (sender, body) = web::body_channel();
         let active = ActiveStream::start(&self.shared);
+        if behaviour.crash_part.is_some_and(|part| call.has_part(part)) {
+            self.crash_after(behaviour.crash_delay, sender);
+            return head.body(body).ok();
+        }
         tokio::spawn(async move {
             let _active = active;
             for event in last_event + 1..=behaviour.event_count {
@@ -125,6 +129,23 @@
 }
 
 impl CallHandler {
+    /// Crashes the worker after a delay, in which the answer's head reaches the caller.
+    fn crash_after(&self, delay: time::Duration, sender: web::BodySender) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            if let Ok(mut state) = shared.lock() {
+                state.crashed = true;
+                if let Some(killer) = &state.killer {
+                    killer.kill();
+                }
+            }
+            // The answer must not end in order before the connection is closed.
+            std::future::pending::<()>().await;
+            drop(sender);
+        });
+    }
+
     /// Returns a body of bytes without end, which is no event and no answer.
     fn noise(&self, interval: time::Duration, chunk_bytes: usize) -> web::Body {
         let (sender, body) = web::body_channel();
--- a/crates/fake/src/tracks/worker_state.rs
+++ b/crates/fake/src/tracks/worker_state.rs
@@ -1,5 +1,6 @@
 //! State of a fake worker: what it holds for callers and how it answers internal calls.
 
+use crate::test_server::ServerKiller;
 use crate::tracks::names;
 use crate::tracks::received_call::ReceivedCall;
 use crate::tracks::worker_behaviour::WorkerBehaviour;
@@ -28,6 +29,8 @@
     pub(super) reservation_expiries: collections::BTreeMap<String, time::Instant>,
     pub(super) order_count: u64,
     pub(super) crashed: bool,
+    /// Closes the worker's port and connections; set once its server runs.
+    pub(super) killer: Option<ServerKiller>,
     /// Number of streams in progress.
     pub(super) active_count: usize,
     /// Number of chunks of noise that were sent.
@@ -48,6 +51,7 @@
             reservation_expiries: collections::BTreeMap::new(),
             order_count: 0,
             crashed: false,
+            killer: None,
             active_count: 0,
             noise_count: 0,
             advertised_address: None,
