A stream that ends with its connection before its first event is broken off

What callers saw: an engine that ends right after the head of an answer with neither a length nor chunks gave an empty stream that looked complete; it was not resumed, and did not count as a crash. Cause: the end of the connection is the end of such a body, and only an incomplete event was taken for a break. Now a body without framing has to hold an event. unframed_stream_is_complete_only_at_the_end_of_an_event failed before and passes.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -148,6 +148,7 @@
         let mut event_due = time::Instant::now() + FIRST_EVENT_TIMEOUT;
         let events_before = events.event_count;
         let mut is_proven = false;
+        let is_unframed = started.response.body.is_unframed();
         loop {
             let next = self.next_chunk(started, events, event_due.min(self.job.deadline));
             let next = tokio::select! {
@@ -159,6 +160,10 @@
                 Ok(Some(Ok(bytes))) => bytes,
                 Ok(Some(Err(_))) => return StreamEnd::ConnectionLost,
                 Ok(None) if events.has_partial() => return StreamEnd::ConnectionLost,
+                // A crash before the first event would look the same.
+                Ok(None) if is_unframed && events.event_count == events_before => {
+                    return StreamEnd::ConnectionLost;
+                }
                 Ok(None) => return StreamEnd::Complete,
                 Err(_) if self.job.time_left().is_zero() => return StreamEnd::DeadlinePassed,
                 Err(_) => return StreamEnd::Stalled,
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -92,6 +92,10 @@
 
     /// Returns the length in bytes that the response announced, if any.
     fn content_length(&self) -> Option<u64>;
+
+    /// Returns whether the body ends with its connection, so that its end alone does not
+    /// show that it is complete.
+    fn is_unframed(&self) -> bool;
 }
 
 /// Result of reserving memory and a slot at an engine.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -275,6 +275,15 @@
             .ok()
     }
 
+    /// Returns whether the peer announced neither a length nor chunks, so that the body
+    /// ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        let headers = &self.head.headers;
+        let is_framed = headers.contains_key(hyper::header::CONTENT_LENGTH)
+            || headers.contains_key(hyper::header::TRANSFER_ENCODING);
+        !is_framed && !body::Body::is_end_stream(&self.body)
+    }
+
     /// Returns the length of the body still to be read, in bytes; `None` if the peer
     /// did not announce it.
     pub fn content_length(&self) -> Option<u64> {
