A failure on a route of streams is passed on with its body

What callers saw: an engine's 500 with a body reached them as a 500 whose body is cut off. Cause: its body was read as events, of which it has no complete one. Bodies of failures are read whole, up to the bound of plain answers, and passed on with their length. failure_on_a_route_of_streams_is_passed_on_whole failed before and passes.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod prefill;
 mod relay;
 mod reload;
+mod reserve;
 mod role_orders;
 mod serve;
 mod shutdown;
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -20,7 +20,7 @@
 /// completely before the response head is sent, so that the call can still be
 /// retried or get an error response if the body is cut off.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// Longest response body that is read where its length is not announced; a host in
+/// Longest response body that is read before it is passed on; a host in
 /// trouble may send bytes without end.
 const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
 /// Delay after which a caller should retry if no host can take its call.
@@ -261,20 +261,14 @@
     if !is_buffered {
         return AttemptOutcome::Response(upstream, None);
     }
-    let next_chunk = async || upstream.body.next_chunk().await;
-    match web::collect_chunks(next_chunk, MAX_UNSIZED_BYTES, deadline).await {
-        Ok(bytes) => {
-            entry.record_answer(&job.elements);
+    match collect_body(job, &target.id, &mut upstream.body, deadline).await {
+        Some(bytes) => {
+            if !failed {
+                entry.record_answer(&job.elements);
+            }
             AttemptOutcome::Response(upstream, Some(bytes))
         }
-        Err(error) => {
-            if let web::ReadError::Oversized(bytes) = error {
-                job.log_line("body_oversized")
-                    .with("upstream", &target.id)
-                    .with("bytes", bytes)
-                    .with("bound", MAX_UNSIZED_BYTES)
-                    .warn();
-            }
+        None => {
             service
                 .balancer
                 .borrow_mut()
@@ -284,6 +278,26 @@
     }
 }
 
+/// Reads a body to its end; returns `None` if that does not come by `deadline`, the
+/// connection breaks or the body is too long, which is logged.
+pub(crate) async fn collect_body<S: ByteStream>(
+    job: &Job,
+    host: &str,
+    body: &mut S,
+    deadline: time::Instant,
+) -> Option<bytes::Bytes> {
+    let next_chunk = async || body.next_chunk().await;
+    let collected = web::collect_chunks(next_chunk, MAX_UNSIZED_BYTES, deadline).await;
+    if let Err(web::ReadError::Oversized(bytes)) = collected {
+        job.log_line("body_oversized")
+            .with("upstream", host)
+            .with("bytes", bytes)
+            .with("bound", MAX_UNSIZED_BYTES)
+            .warn();
+    }
+    collected.ok()
+}
+
 /// Returns whether a status tells the caller that the request was not executed.
 pub(crate) fn implies_not_executed(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -10,10 +10,7 @@
 use crate::entry::Entry;
 use crate::guards::ActiveRequest;
 use crate::guards::KvCacheGuard;
-use crate::guards::ReservationGuard;
 use crate::plain_service;
-use crate::prefill::PREFILL_TIME_FACTOR;
-use crate::telemetry;
 use crate::trials;
 use crate::trials::TrialGuard;
 use http::StatusCode;
@@ -30,10 +27,6 @@
 /// number of the route's latency targets, this number of its targets for the pause
 /// between two events, and this time.
 const CALLER_TIMEOUT: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
-/// Timeout for a reservation call.
-const RESERVE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
-/// Time that a reservation lasts beyond the timeout of its prompt.
-const RESERVE_MARGIN: time::Duration = time::Duration::from_millis(400);
 /// Timeout for the first event after the response head; the head itself may take
 /// twice as long.
 pub(crate) const FIRST_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
@@ -76,6 +69,9 @@
         Ok(started) => started,
         Err(error) => return failure_response(&entry, &job, &error),
     };
+    if !started.response.status.is_success() {
+        return forward_failure(&entry, &job, started).await;
+    }
     let (sender, body) = Body::channel(None);
     let mut response = hyper::Response::new(body);
     *response.status_mut() = started.response.status;
@@ -87,6 +83,27 @@
     response
 }
 
+/// Passes on an engine's failure with its body, which is no stream of events.
+async fn forward_failure<P: seam::Platform>(
+    entry: &Entry<P>,
+    job: &Job,
+    started: StartedStream<<P::Upstreams as Upstreams>::Body>,
+) -> hyper::Response<Body> {
+    let StartedStream {
+        mut response,
+        engine,
+        ..
+    } = started;
+    let body = plain_service::collect_body(job, &engine, &mut response.body, job.deadline).await;
+    let Some(bytes) = body else {
+        return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
+    };
+    let mut forwarded = hyper::Response::new(Body::from(bytes));
+    *forwarded.status_mut() = response.status;
+    *forwarded.headers_mut() = response.headers;
+    forwarded
+}
+
 fn failure_response<P: seam::Platform>(
     entry: &Entry<P>,
     job: &Job,
@@ -118,7 +135,7 @@
     pub(crate) job: rc::Rc<Job>,
     ticket: pool::Ticket,
     /// Attempts that have failed, without those at engines that were full.
-    failed_attempts: u32,
+    pub(crate) failed_attempts: u32,
     /// Prompts sent to prefill engines.
     pub(crate) prefill_count: u32,
     /// Requests sent to decode engines.
@@ -361,77 +378,6 @@
         (from + timeout).min(self.job.deadline)
     }
 
-    /// Finds out why an engine refused a stream for which it had granted a
-    /// reservation: either the engine is changing its role, or the prefill
-    /// engine no longer had the KV cache.
-    fn diagnose_refusal(&self, target: &seam::Target, source: Option<seam::KvSource>) {
-        let (entry, pool, target) = (self.entry.clone(), self.pool.clone(), target.clone());
-        tokio::task::spawn_local(async move {
-            let Some(status) = entry.upstreams.engine_status(&target).await else {
-                return;
-            };
-            let now = time::Instant::now();
-            let other_role = status.role.filter(|r| *r != seam::Role::Decode);
-            trace::LogLine::new("refusal_explained")
-                .with("upstream", &target.id)
-                .with("busy", status.switching)
-                .with("part", telemetry::role_label(status.role))
-                .with("used", status.used_tokens)
-                .info();
-            if status.switching || other_role.is_some() {
-                entry.mark_role_change(&target.id, other_role.unwrap_or(seam::Role::Prefill), now);
-            } else if let Some(source) = source {
-                pool.prefill_pool
-                    .borrow_mut()
-                    .record_failure(&source.holder.id, now);
-            }
-        });
-    }
-
-    /// Reserves memory and a slot at an engine until the stream should start.
-    async fn reserve(
-        &mut self,
-        target: &seam::Target,
-        need: u64,
-        expected: time::Duration,
-    ) -> Result<ReservationGuard<P>, StartError> {
-        let max_reservation = self.pool.spec.borrow().max_reservation;
-        let ttl = (expected * PREFILL_TIME_FACTOR + RESERVE_MARGIN).min(max_reservation);
-        let deadline = time::Instant::now() + RESERVE_TIMEOUT;
-        let outcome = self
-            .entry
-            .upstreams
-            .reserve(target, need, ttl, deadline)
-            .await;
-        let now = time::Instant::now();
-        let mut decode_pool = self.pool.decode_pool.borrow_mut();
-        match outcome {
-            seam::ReserveOutcome::Granted(name) => {
-                Ok(ReservationGuard::new(&self.entry, target, name))
-            }
-            seam::ReserveOutcome::Full => {
-                let load = decode_pool.load(&target.id, now);
-                decode_pool.record_refusal(&target.id, now);
-                self.job
-                    .log_line("seat_refused")
-                    .with("upstream", &target.id)
-                    .with("need", need)
-                    .with("known_tokens", load.memory.now())
-                    .with("known_peak", load.memory.peak())
-                    .with("known_streams", load.streams)
-                    .info();
-                // Only the engine knows how much room it has, so a full engine
-                // does not count as a failed attempt.
-                self.failed_attempts = self.failed_attempts.saturating_sub(1);
-                Err(StartError::NotExecuted("full"))
-            }
-            seam::ReserveOutcome::Failed(_) => {
-                decode_pool.record_failure(&target.id, now);
-                Err(StartError::NotExecuted("reserve_failed"))
-            }
-        }
-    }
-
     /// Takes one retry from the service's budget; returns false if none is left.
     pub(crate) fn take_retry(&self) -> bool {
         let now = time::Instant::now();
