--- a/crates/daemon/tests/unframed_tests.rs
+++ b/crates/daemon/tests/unframed_tests.rs
@@ -5,7 +5,13 @@
 use fake::tracks::RawWorker;
 use fake::tracks::TracksCluster;
 use fake::tracks::names;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net;
 use std::path;
+use std::sync::atomic;
+use std::thread;
 
 /// Length of the first of the two events of [`RAW_BODY`].
 const FIRST_EVENT_BYTES: usize = RAW_BODY.len() / 2;
@@ -98,3 +104,91 @@
         assert!(matches!(response.status, 502 | 504), "{response:?}");
     }
 }
+
+/// A peer whose replies end with their connection: its first replies to messages, and its
+/// first configurations, each after so many bytes.
+struct CutPeer {
+    reply: String,
+    reply_count: atomic::AtomicUsize,
+    configuration: String,
+    /// Lengths of the first configurations; those after them are whole.
+    lengths: Vec<usize>,
+    configuration_count: atomic::AtomicUsize,
+}
+
+impl CutPeer {
+    /// Returns what the peer sends next on this path.
+    fn next(&self, path: &str) -> &str {
+        if path.ends_with("/agreement") {
+            let count = self
+                .configuration_count
+                .fetch_add(1, atomic::Ordering::Relaxed);
+            let length = self.lengths.get(count).copied();
+            return &self.configuration[..length.unwrap_or(self.configuration.len())];
+        }
+        let count = self.reply_count.fetch_add(1, atomic::Ordering::Relaxed);
+        &self.reply[..count.min(self.reply.len())]
+    }
+
+    fn serve(&self, stream: &mut net::TcpStream) -> io::Result<()> {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte)?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let length = head.lines().find_map(|l| l.strip_prefix("content-length:"));
+        let length = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
+        stream.read_exact(&mut vec![0; length])?;
+        let path = head.split(' ').nth(1).unwrap_or_default();
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{}", self.next(path)).as_bytes())
+    }
+}
+
+#[test]
+fn unframed_reply_of_a_peer_is_used_only_if_it_is_whole() {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &[], 1, 1);
+    cluster.start();
+    let mut newer = cluster.configuration.clone();
+    newer["version"] = serde_json::json!(9);
+    newer["routes"][3]["prefix"] = serde_json::json!("/moved/");
+    let configuration = newer.to_string();
+    let whole = configuration.len();
+    let peer = CutPeer {
+        reply: r#"{"version":9}"#.to_owned(),
+        reply_count: atomic::AtomicUsize::new(0),
+        configuration,
+        lengths: vec![0, 1, whole / 2, whole - 1],
+        configuration_count: atomic::AtomicUsize::new(0),
+    };
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            // A call that fails is repeated by the entry.
+            let _ = peer.serve(&mut stream);
+        }
+    });
+    cluster.store.put(
+        "hornbeampitch/entry/cut-peer",
+        address.to_string().as_bytes(),
+    );
+    cluster.wait_until(|c| c.request(0, "GET", "/moved/a", "", &[]).status == 200);
+    cluster.wait_until(|c| {
+        c.entries[0]
+            .log()
+            .contains("event=configuration from=cut-peer")
+    });
+    let log = cluster.entries[0].log();
+    assert!(
+        log.matches("event=configuration_unreadable").count() >= 4,
+        "{log}"
+    );
+    assert_eq!(
+        log.matches("event=configuration from=cut-peer").count(),
+        1,
+        "{log}"
+    );
+}
