--- a/crates/daemon/tests/crash_tests.rs
+++ b/crates/daemon/tests/crash_tests.rs
@@ -30,8 +30,19 @@
     cluster
 }
 
-/// Sends a request with a body of its own and these shared parts.
+/// Sends a request with a body of its own and these shared parts, on a route whose streams
+/// may be resumed.
 fn send(cluster: &TracksCluster, entry: usize, number: usize, parts: &[&str]) -> EntryResponse {
+    send_to(cluster, entry, "resumable", number, parts)
+}
+
+fn send_to(
+    cluster: &TracksCluster,
+    entry: usize,
+    route: &str,
+    number: usize,
+    parts: &[&str],
+) -> EntryResponse {
     let shared: String = parts.iter().map(|p| format!("{p}:300,")).collect();
     let prefix = format!("{shared}{number:08x}:400");
     let headers = [
@@ -39,7 +50,7 @@
         (names::TOKEN_COUNTS, "1000,100"),
         (names::PROMPT_PREFIX, prefix.as_str()),
     ];
-    let path = format!("/resumable/{number}");
+    let path = format!("/{route}/{number}");
     cluster.request(entry, "POST", &path, &format!("prompt {number}"), &headers)
 }
 
@@ -80,3 +91,101 @@
     }
     assert_eq!(count_received(&cluster, CRASHING_PART), before);
 }
+
+/// Sends requests with a part, each with a part of its own beside it, until the part is
+/// condemned by itself.
+fn condemn(cluster: &TracksCluster, part: &str) {
+    send(cluster, 0, 900, &[SHARED_PART]);
+    let verdict = format!("event=condemned holds=part:{part} ");
+    for number in 0..MAX_CRASHES {
+        let own = format!("{:08x}", 0xb000 + number);
+        send(cluster, 0, 901 + number, &[SHARED_PART, part, &own]);
+        if cluster.entries[0].log().contains(&verdict) {
+            break;
+        }
+    }
+    let is_known = |c: &TracksCluster| c.entries.iter().all(|e| e.log().contains(&verdict));
+    cluster.wait_until(is_known);
+}
+
+#[test]
+fn crashing_part_is_found_where_streams_may_not_be_resumed() {
+    let cluster = start_cluster(2);
+    for number in 0..12 {
+        let own = format!("{:08x}", 0xa000 + number);
+        let parts = [SHARED_PART, CRASHING_PART, &own];
+        send_to(&cluster, number % 2, "once", number, &parts);
+        let sound = send_to(
+            &cluster,
+            number % 2,
+            "once",
+            100 + number,
+            &[SHARED_PART, &own],
+        );
+        assert!(sound.complete && sound.status == 200, "{sound:?}");
+    }
+    assert!(
+        crash_count(&cluster) <= MAX_CRASHES,
+        "{}",
+        crash_count(&cluster)
+    );
+}
+
+#[test]
+fn crashing_first_part_is_told_from_the_parts_behind_it() {
+    let cluster = start_cluster(1);
+    for number in 0..8 {
+        send(&cluster, 0, number, &[CRASHING_PART, "5e55104a"]);
+        let sound = send(&cluster, 0, 100 + number, &[SHARED_PART, "5e55104a"]);
+        assert!(sound.complete && sound.status == 200, "{sound:?}");
+    }
+    assert!(
+        crash_count(&cluster) <= MAX_CRASHES,
+        "{}",
+        crash_count(&cluster)
+    );
+}
+
+#[test]
+fn crashing_part_is_known_after_a_restart_of_all_entries() {
+    let mut cluster = start_cluster(2);
+    condemn(&cluster, CRASHING_PART);
+    let key = format!("hornbeampitch/crash/part:{CRASHING_PART}");
+    cluster.wait_until(|c| c.store.value(&key).is_some());
+    for entry in &mut cluster.entries {
+        entry.kill();
+    }
+    let before: Vec<usize> = cluster.entries.iter().map(|e| e.log().len()).collect();
+    for entry in &mut cluster.entries {
+        entry.start();
+    }
+    for (entry, length) in before.into_iter().enumerate() {
+        cluster.wait_until(|c| c.is_ready(entry));
+        cluster.wait_until(|c| c.entries[entry].log()[length..].contains("event=condemned "));
+    }
+    let received = count_received(&cluster, CRASHING_PART);
+    for entry in 0..2 {
+        let refused = send(&cluster, entry, 300 + entry, &[SHARED_PART, CRASHING_PART]);
+        assert_eq!(refused.status, 503, "{refused:?}");
+    }
+    assert_eq!(count_received(&cluster, CRASHING_PART), received);
+}
+
+#[test]
+fn operator_lifts_a_verdict_by_deleting_its_key() {
+    let cluster = start_cluster(2);
+    condemn(&cluster, CRASHING_PART);
+    let key = format!("hornbeampitch/crash/part:{CRASHING_PART}");
+    cluster.wait_until(|c| c.store.value(&key).is_some());
+    for engine in &cluster.engines {
+        engine.set_behaviour(|b| b.crash_part = None);
+    }
+    cluster.store.remove(&key);
+    for entry in 0..2 {
+        cluster.wait_until(|c| send(c, entry, 400, &[SHARED_PART, CRASHING_PART]).status == 200);
+    }
+    for entry in &cluster.entries {
+        cluster.wait_until(|_| entry.log().contains("event=condemned_lifted "));
+    }
+    assert!(cluster.store.value(&key).is_none());
+}
