A stopping entry exits only after several checks without an active request

What callers saw: a request read in the last moment before a stopping entry closed was cut off 0.1 s later. Cause: the wait for active requests ended at its first look, and 0.1 s later the process exited without looking again. Now four checks of 50 ms in a row must find none.

--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -665,3 +665,55 @@
         assert!(response.complete, "{response:?}");
     });
 }
+
+/// Time after the signal to stop for which an entry accepts requests.
+const ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_700);
+
+/// Sends a request on a connection that was open before the entry was told to stop, about
+/// when the entry stops accepting requests. Returns what the caller read until the end.
+fn request_at_end_of_accept_time(
+    entry: &fake::tracks::EntryDaemon,
+    delay: time::Duration,
+) -> String {
+    use std::io::Read;
+    use std::io::Write;
+    let stream = std::net::TcpStream::connect(entry.caller_address);
+    let mut stream = stream.expect("the entry listens");
+    assert!(entry.signal("TERM"));
+    thread::sleep(delay);
+    let head = format!(
+        "POST /once/a HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n\
+        {}: {:x}\r\n{}: 1000,100\r\ncontent-length: 0\r\n\r\n",
+        names::REQUEST_ID,
+        delay.as_micros(),
+        names::TOKEN_COUNTS,
+    );
+    let mut answer = Vec::new();
+    // The entry may have closed the connection already.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A request that is read in the last moment before a stopping entry would exit has to
+/// keep it, also while its prompt is processed.
+#[test]
+fn request_read_as_a_stopping_entry_would_exit_is_answered() {
+    let mut cluster = TracksCluster::new(program(), &["prefill", "decode"], 0, 12);
+    cluster.start();
+    cluster.engines[0].set_behaviour(|b| b.prefill_time = time::Duration::from_millis(400));
+    let answers: Vec<String> = thread::scope(|scope| {
+        let callers = cluster.entries.iter().enumerate().map(|(i, entry)| {
+            let delay = ACCEPT_TIME - time::Duration::from_millis(20);
+            let delay = delay + time::Duration::from_millis(2) * i as u32;
+            scope.spawn(move || request_at_end_of_accept_time(entry, delay))
+        });
+        let callers: Vec<_> = callers.collect();
+        let join = |c: thread::ScopedJoinHandle<'_, String>| c.join().expect("the caller ends");
+        callers.into_iter().map(join).collect()
+    });
+    let passed_on = cluster.engines[0].received_under("/once/").len();
+    let whole = answers.iter().filter(|a| a.ends_with("0\r\n\r\n"));
+    assert_eq!(whole.count(), passed_on, "{answers:#?}");
+    assert!(passed_on > 0, "no request was read in time: {answers:#?}");
+}
--- a/crates/direct/src/shutdown.rs
+++ b/crates/direct/src/shutdown.rs
@@ -14,6 +14,10 @@
 const ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_700);
 /// Interval at which to check whether requests are still active.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Checks in a row without an active request after which the process exits. A request may
+/// be read just as its connection is told to close, and the last bytes of a response need
+/// time to be sent.
+const MIN_IDLE_CHECKS: u32 = 4;
 /// Part of the grace period that is reserved for the process to exit.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(250);
 
@@ -62,11 +66,14 @@
     // that none is left to be closed.
     let _ = closing.send(true);
     let end = signalled_at + entry.bounds.get().grace_period.saturating_sub(EXIT_MARGIN);
-    while entry.active_requests.get() > 0 && time::Instant::now() < end {
+    let mut idle_checks = 0;
+    while idle_checks < MIN_IDLE_CHECKS && time::Instant::now() < end {
         tokio::time::sleep(CHECK_INTERVAL).await;
+        idle_checks = match entry.active_requests.get() {
+            0 => idle_checks + 1,
+            _ => 0,
+        };
     }
-    // Gives the last bytes of responses time to be sent.
-    tokio::time::sleep(CHECK_INTERVAL * 2).await;
     trace::LogLine::new("stopped")
         .with("requests", entry.active_requests.get())
         .info();
