--- a/crates/pool/src/crashes/quarantine.rs
+++ b/crates/pool/src/crashes/quarantine.rs
@@ -235,9 +235,14 @@
     /// Returns the recent crashes that this entry saw, for its peers.
     pub fn own_reports(&self, now: time::Instant) -> Vec<CrashReport> {
         let age = |crash: &Crash| now.saturating_duration_since(crash.at);
-        let recent = self.crashes.iter();
-        recent
+        let mut recent: Vec<(&CrashId, &Crash)> = self
+            .crashes
+            .iter()
             .filter(|(_, c)| c.own && age(c) < REPORT_TTL)
+            .collect();
+        recent.sort_by_key(|(_, c)| age(c));
+        recent
+            .into_iter()
             .take(MAX_REPORTS)
             .map(|(id, crash)| CrashReport {
                 id: id.clone(),
