Trials: a suspect keeps others back until its first event

Tests of a request in prefill when the verdict comes, of a verdict in an outage of the store, and of one that can't be read.

--- a/crates/daemon/tests/crash_tests.rs
+++ b/crates/daemon/tests/crash_tests.rs
@@ -2,8 +2,11 @@
 
 use fake::tracks::EntryResponse;
 use fake::tracks::TracksCluster;
+use fake::tracks::TracksStoreMode;
 use fake::tracks::names;
 use std::path;
+use std::thread;
+use std::time;
 
 /// Part of every prompt of the route.
 const SHARED_PART: &str = "5c1e07a2";
@@ -189,3 +192,73 @@
     }
     assert!(cluster.store.value(&key).is_none());
 }
+
+/// Writes a verdict on a part to the store, as an entry would.
+fn store_verdict(cluster: &TracksCluster, part: &str) {
+    let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let now = now.expect("the clock is right").as_millis();
+    let verdict = format!(
+        r#"{{"verdict":{{"elements":[{{"Part":"{part}"}}],"crashes":[],"age_ms":0,"revision":null}},"written_ms":{now}}}"#
+    );
+    let key = format!("hornbeampitch/crash/part:{part}");
+    cluster.store.put(&key, verdict.as_bytes());
+}
+
+#[test]
+fn request_in_prefill_is_refused_once_its_part_is_condemned() {
+    let cluster = start_cluster(1);
+    for engine in &cluster.engines[..2] {
+        engine.set_behaviour(|b| b.prefill_paused = true);
+    }
+    // The entry allows several seconds to prefill a prompt of this length.
+    let headers = [
+        (names::MODEL, "m"),
+        (names::TOKEN_COUNTS, "39000,100"),
+        (names::PROMPT_PREFIX, "bad0bad0:300,1:400"),
+        (names::DEADLINE_MS, "60000"),
+    ];
+    thread::scope(|scope| {
+        let cluster = &cluster;
+        let caller = scope.spawn(|| cluster.request(0, "POST", "/resumable/a", "", &headers));
+        cluster.wait_until(|c| count_received(c, CRASHING_PART) == 1);
+        store_verdict(cluster, CRASHING_PART);
+        let refused = caller.join().expect("the caller ends");
+        assert_eq!(refused.status, 503, "{refused:?}");
+    });
+    cluster.wait_until(|c| c.entries[0].log().contains("reason=quarantined"));
+    assert_eq!(count_received(&cluster, CRASHING_PART), 1);
+    cluster.wait_until(|c| c.engines.iter().all(|e| e.reservation_count() == 0));
+}
+
+#[test]
+fn verdict_reaches_peers_in_an_outage_and_the_store_after_it() {
+    let cluster = start_cluster(2);
+    cluster.store.set_mode(TracksStoreMode::Unavailable);
+    condemn(&cluster, CRASHING_PART);
+    let received = count_received(&cluster, CRASHING_PART);
+    let refused = send(&cluster, 1, 300, &[SHARED_PART, CRASHING_PART]);
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_eq!(count_received(&cluster, CRASHING_PART), received);
+    cluster.store.set_mode(TracksStoreMode::Normal);
+    let key = format!("hornbeampitch/crash/part:{CRASHING_PART}");
+    cluster.wait_until(|c| c.store.value(&key).is_some());
+}
+
+#[test]
+fn unreadable_verdict_is_reported_with_its_key_and_the_others_hold() {
+    let cluster = start_cluster(1);
+    cluster
+        .store
+        .put("hornbeampitch/crash/part:5c1e07a2", b"{\"verdict\":");
+    store_verdict(&cluster, CRASHING_PART);
+    cluster.wait_until(|c| {
+        c.entries[0]
+            .log()
+            .contains("event=condemned holds=part:bad0bad0")
+    });
+    let log = cluster.entries[0].log();
+    let line = "event=verdict_unreadable key=hornbeampitch/crash/part:5c1e07a2";
+    assert!(log.contains(line), "{log}");
+    let sound = send(&cluster, 0, 1, &[SHARED_PART]);
+    assert_eq!(sound.status, 200, "{sound:?}");
+}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -175,12 +175,12 @@
                     return StreamEnd::CallerGone;
                 }
                 event_due = time::Instant::now() + STALL_TIMEOUT;
-                if !is_proven
-                    && pool::CrashQuarantine::is_proven(events.event_count - events_before)
-                {
+                // An engine crashes before it completes an event.
+                self.trial = None;
+                let events_here = events.event_count - events_before;
+                if !is_proven && pool::CrashQuarantine::is_proven(events_here) {
                     is_proven = true;
                     self.entry.record_answer(&self.job.elements);
-                    self.trial = None;
                 }
             }
             if events.is_oversized() {
--- a/crates/direct/src/trials.rs
+++ b/crates/direct/src/trials.rs
@@ -8,8 +8,8 @@
 /// Time between two looks whether a suspect may run.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
-/// A run of a suspect. Until it is dropped, this entry runs no other request that holds
-/// the same suspected elements.
+/// A run of a suspect. Until it is dropped, with the first event of its answer, this entry
+/// runs no other request that holds the same suspected elements.
 pub(crate) struct TrialGuard<P: seam::Platform> {
     entry: rc::Rc<Entry<P>>,
     elements: pool::ElementSet,
