Quarantine: changes of verdicts are told by it, outdated keys leave the store

A verdict that an answer narrowed kept the revision of its wider key, so that the next list of the store would have lifted it; shown by answer_narrows_a_verdict_and_the_wider_one_is_lifted, written with the mend and not run before it. Keys of verdicts that are too old, lifted or covered by another one are removed by the first entry. A known verdict told again changes nothing and costs no new derivation.

--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -4,6 +4,7 @@
 use crate::admit::Job;
 use crate::entry::Entry;
 use crate::telemetry;
+use crate::verdict_store;
 use seam::Upstreams;
 use std::rc;
 use std::time;
@@ -135,29 +136,26 @@
     ) -> R {
         let now = time::Instant::now();
         let mut quarantine = self.quarantine.borrow_mut();
-        let before: Vec<pool::Verdict> = quarantine.verdicts(now).cloned().collect();
         let result = change(&mut quarantine);
-        let after: Vec<pool::Verdict> = quarantine.verdicts(now).cloned().collect();
+        let changes = quarantine.take_changes();
+        let in_force = quarantine.verdicts(now).count();
         drop(quarantine);
-        let is_in = |v: &pool::Verdict, list: &[pool::Verdict]| {
-            list.iter().any(|other| other.elements == v.elements)
-        };
-        let (mut added, mut lifted) = (0, 0);
-        for verdict in after.iter().filter(|v| !is_in(v, &before)) {
+        if changes.added.is_empty() && changes.lifted.is_empty() {
+            return result;
+        }
+        for verdict in &changes.added {
             log_verdict("condemned", verdict, now);
-            added += 1;
         }
-        for verdict in before.iter().filter(|v| !is_in(v, &after)) {
+        for verdict in &changes.lifted {
             log_verdict("condemned_lifted", verdict, now);
-            lifted += 1;
-            self.lifted.borrow_mut().push(verdict.clone());
-        }
-        if added + lifted > 0 {
-            metrics::counter!("verdicts", "kind" => "condemned").increment(added);
-            metrics::counter!("verdicts", "kind" => "lifted").increment(lifted);
-            metrics::gauge!("verdicts_in_force").set(after.len() as f64);
-            self.verdicts_changed.notify_waiters();
         }
+        metrics::counter!("verdicts", "kind" => "condemned").increment(changes.added.len() as u64);
+        metrics::counter!("verdicts", "kind" => "lifted").increment(changes.lifted.len() as u64);
+        metrics::gauge!("verdicts_in_force").set(in_force as f64);
+        let stored = changes.lifted.iter().filter_map(|v| Some((v, v.revision?)));
+        let keys = stored.map(|(v, revision)| (verdict_store::key_of(v), revision));
+        self.outdated_keys.borrow_mut().extend(keys);
+        self.verdicts_changed.notify_waiters();
         result
     }
 
@@ -257,7 +255,7 @@
 }
 
 /// Logs a verdict with the crashes that led to it.
-pub(crate) fn log_verdict(event: &str, verdict: &pool::Verdict, now: time::Instant) {
+fn log_verdict(event: &str, verdict: &pool::Verdict, now: time::Instant) {
     let age = now.saturating_duration_since(verdict.last_crash);
     trace::LogLine::new(event)
         .with("holds", verdict.label())
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -38,8 +38,8 @@
     pub(crate) quarantine: cell::RefCell<pool::CrashQuarantine>,
     /// Suspected elements of the requests that run alone.
     pub(crate) trials: cell::RefCell<pool::ElementSet>,
-    /// Lifted verdicts whose keys are to be removed from the store.
-    pub(crate) lifted: cell::RefCell<Vec<pool::Verdict>>,
+    /// Keys of verdicts that are to be removed from the store, with their revisions.
+    pub(crate) outdated_keys: cell::RefCell<Vec<(String, u64)>>,
     /// Wakes those that wait for a change of the verdicts.
     pub(crate) verdicts_changed: sync::Notify,
     /// Asks for a message to the peers ahead of time.
@@ -134,7 +134,7 @@
             )),
             quarantine: cell::RefCell::default(),
             trials: cell::RefCell::default(),
-            lifted: cell::RefCell::default(),
+            outdated_keys: cell::RefCell::default(),
             verdicts_changed: sync::Notify::new(),
             gossip_due: sync::Notify::new(),
             refusals: cell::RefCell::default(),
--- a/crates/direct/src/verdict_store.rs
+++ b/crates/direct/src/verdict_store.rs
@@ -34,9 +34,8 @@
     let mut due = collections::BTreeMap::new();
     loop {
         let now = time::Instant::now();
-        let lifted = entry.lifted.take();
-        for verdict in lifted {
-            remove(&entry, &verdict).await;
+        for (key, revision) in entry.outdated_keys.take() {
+            remove(&entry, &key, revision).await;
         }
         let unwritten: Vec<pool::Verdict> = {
             let quarantine = entry.quarantine.borrow();
@@ -53,7 +52,7 @@
                 write(&entry, verdict, now).await;
             }
         }
-        if unwritten.is_empty() && entry.lifted.borrow().is_empty() {
+        if unwritten.is_empty() && entry.outdated_keys.borrow().is_empty() {
             entry.verdicts_changed.notified().await;
         } else {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -68,8 +67,7 @@
     let items = list.items.iter().filter(|i| i.key.starts_with(KEY_PREFIX));
     let mut reports = Vec::new();
     for item in items {
-        let value = item.value.as_deref().unwrap_or_default();
-        match serde_json::from_slice::<StoredVerdict>(value) {
+        match decode(item) {
             Ok(stored) => {
                 let since = unix_millis().saturating_sub(stored.written_ms);
                 let mut report = stored.verdict;
@@ -90,6 +88,33 @@
         }
         quarantine.lift_removed(&elements, list.revision);
     });
+    if entry.position().0 == 0 {
+        remove_outdated(entry, list, now);
+    }
+}
+
+/// Has the keys removed whose verdicts are not in force: they are too old, answers have
+/// lifted them, or another verdict covers them.
+fn remove_outdated<P: seam::Platform>(
+    entry: &Entry<P>,
+    list: &seam::ListResult,
+    now: time::Instant,
+) {
+    let quarantine = entry.quarantine.borrow();
+    let in_force: Vec<String> = quarantine.verdicts(now).map(key_of).collect();
+    drop(quarantine);
+    let items = list.items.iter().filter(|i| i.key.starts_with(KEY_PREFIX));
+    let readable = items.filter(|i| decode(i).is_ok());
+    let outdated = readable.filter(|i| !in_force.contains(&i.key));
+    let outdated: Vec<(String, u64)> = outdated.map(|i| (i.key.clone(), i.revision)).collect();
+    if !outdated.is_empty() {
+        entry.outdated_keys.borrow_mut().extend(outdated);
+        entry.verdicts_changed.notify_waiters();
+    }
+}
+
+fn decode(item: &seam::Item) -> Result<StoredVerdict, serde_json::Error> {
+    serde_json::from_slice(item.value.as_deref().unwrap_or_default())
 }
 
 async fn write<P: seam::Platform>(entry: &Entry<P>, verdict: &pool::Verdict, now: time::Instant) {
@@ -121,16 +146,11 @@
     }
 }
 
-/// Removes the key of a verdict that was lifted. One that another entry has removed or
-/// written anew is left alone.
-async fn remove<P: seam::Platform>(entry: &Entry<P>, verdict: &pool::Verdict) {
-    let Some(revision) = verdict.revision else {
-        return;
-    };
-    let key = key_of(verdict);
-    if let Err(error) = entry.store.remove(&key, revision).await {
+/// Removes a key. One that another entry has removed or written anew is left alone.
+async fn remove<P: seam::Platform>(entry: &Entry<P>, key: &str, revision: u64) {
+    if let Err(error) = entry.store.remove(key, revision).await {
         trace::LogLine::new("verdict_unremoved")
-            .with("key", &key)
+            .with("key", key)
             .with("fault", error)
             .info();
     }
@@ -138,7 +158,7 @@
 
 /// Returns the store key of a verdict: its elements where they make a key that is easy
 /// to find, and otherwise a digest of them.
-fn key_of(verdict: &pool::Verdict) -> String {
+pub(crate) fn key_of(verdict: &pool::Verdict) -> String {
     let label = verdict.label();
     let is_plain = |b: u8| b.is_ascii_alphanumeric() || b":+-_.".contains(&b);
     if label.len() <= MAX_NAME_BYTES && label.bytes().all(is_plain) {
--- a/crates/pool/src/crashes/quarantine.rs
+++ b/crates/pool/src/crashes/quarantine.rs
@@ -6,9 +6,7 @@
 use crate::crashes::evidence::CrashedRun;
 use crate::crashes::evidence::Element;
 use crate::crashes::evidence::ElementSet;
-use crate::crashes::evidence::Progress;
 use crate::crashes::evidence::is_proven;
-use crate::crashes::judge;
 use crate::crashes::recent_answers::RecentAnswers;
 use crate::crashes::verdict::VERDICT_TTL;
 use crate::crashes::verdict::Verdict;
@@ -16,12 +14,8 @@
 use std::collections;
 use std::time;
 
-/// Largest number of crashes that are kept.
-const MAX_CRASHES: usize = 64;
-/// Largest number of verdicts that are kept.
-const MAX_VERDICTS: usize = 64;
 /// How long a crash is evidence.
-const EVIDENCE_TTL: time::Duration = VERDICT_TTL;
+pub(super) const EVIDENCE_TTL: time::Duration = VERDICT_TTL;
 /// How long an answer speaks for what its request held.
 const ANSWER_TTL: time::Duration = time::Duration::from_secs(30);
 /// Time after a peer's crash before this entry runs a suspect of it.
@@ -35,9 +29,6 @@
 /// Largest numbers of crashes and of answered elements in one message to peers.
 const MAX_REPORTS: usize = 16;
 const MAX_ANSWERED: usize = 128;
-/// How long a crash without possible causes is kept, so that a late report of it is
-/// recognised.
-const EXCUSED_TTL: time::Duration = time::Duration::from_secs(10);
 
 /// How a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,13 +48,23 @@
 /// request held.
 #[derive(Clone, Debug, Default)]
 pub struct CrashQuarantine {
-    crashes: collections::BTreeMap<CrashId, Crash>,
-    answers: RecentAnswers,
-    verdicts: Vec<Verdict>,
+    pub(super) crashes: collections::BTreeMap<CrashId, Crash>,
+    pub(super) answers: RecentAnswers,
+    pub(super) verdicts: Vec<Verdict>,
     /// Elements that may have caused a crash.
-    suspects: ElementSet,
+    pub(super) suspects: ElementSet,
     /// Elements at crashes and in verdicts, also cleared ones.
-    known: ElementSet,
+    pub(super) known: ElementSet,
+    pub(super) changes: VerdictChanges,
+}
+
+/// Verdicts that were added and lifted, to be logged and kept in the store.
+#[derive(Clone, Debug, Default)]
+pub struct VerdictChanges {
+    /// New verdicts.
+    pub added: Vec<Verdict>,
+    /// Verdicts that hold no more, or only for fewer elements.
+    pub lifted: Vec<Verdict>,
 }
 
 impl CrashQuarantine {
@@ -113,19 +114,17 @@
     /// Lets one condemned request through if a test of its verdict is due. Returns
     /// whether it may run, alone.
     pub fn start_test(&mut self, elements: &ElementSet, now: time::Instant) -> bool {
-        let mut condemning = self
-            .verdicts
-            .iter_mut()
-            .filter(|v| v.holds(now) && v.elements.is_subset(elements));
-        let due = condemning.by_ref().all(|v| v.is_test_due(now));
-        if due {
-            for verdict in &mut self.verdicts {
-                if verdict.elements.is_subset(elements) {
-                    verdict.tested_at = Some(now);
-                }
+        let verdicts = self.verdicts.iter_mut();
+        let mut condemning: Vec<&mut Verdict> = verdicts
+            .filter(|v| v.holds(now) && v.elements.is_subset(elements))
+            .collect();
+        let is_due = condemning.iter().all(|v| v.is_test_due(now));
+        if is_due {
+            for verdict in &mut condemning {
+                verdict.tested_at = Some(now);
             }
         }
-        due
+        is_due
     }
 
     /// Records a crash that this entry saw and a request that ran there. Returns whether
@@ -189,17 +188,24 @@
             .verdicts
             .iter()
             .position(|v| v.elements == report.elements);
-        let index = position.unwrap_or_else(|| {
-            let mut verdict = Verdict::new(report.elements.clone(), now);
-            verdict.last_crash = last_crash;
-            self.verdicts.push(verdict);
-            self.verdicts.len() - 1
-        });
-        let verdict = &mut self.verdicts[index];
+        if let Some(index) = position {
+            let verdict = &mut self.verdicts[index];
+            verdict.crashes.extend(report.crashes.iter().cloned());
+            verdict.last_crash = verdict.last_crash.max(last_crash);
+            verdict.revision = verdict.revision.max(report.revision);
+            return;
+        }
+        let before = self.verdicts.clone();
+        let mut verdict = Verdict::new(report.elements.clone(), last_crash);
         verdict.crashes.extend(report.crashes.iter().cloned());
-        verdict.last_crash = verdict.last_crash.max(last_crash);
-        verdict.revision = verdict.revision.max(report.revision);
-        self.update(now);
+        verdict.revision = report.revision;
+        self.verdicts.push(verdict);
+        self.update_since(&before, now);
+    }
+
+    /// Returns the verdicts that were added and lifted since the last call.
+    pub fn take_changes(&mut self) -> VerdictChanges {
+        std::mem::take(&mut self.changes)
     }
 
     /// Records that the store holds a verdict with this revision.
@@ -224,6 +230,7 @@
             self.crashes.retain(|_, c| !c.runs.iter().any(explains));
             self.suspects.retain(|e| !verdict.elements.contains(e));
         }
+        self.changes.lifted.extend(removed.iter().cloned());
         removed
     }
 
@@ -290,113 +297,8 @@
     }
 
     /// Returns whether an answer speaks for an element at the time of a crash.
-    fn is_excused(&self, element: &Element, crash: time::Instant) -> bool {
+    pub(super) fn is_excused(&self, element: &Element, crash: time::Instant) -> bool {
         let last = self.answers.last(element);
         last.is_some_and(|at| crash < at + ANSWER_TTL)
     }
-
-    /// Derives verdicts and suspects anew from the evidence.
-    fn update(&mut self, now: time::Instant) {
-        self.drop_excused(now);
-        let (ids, causes): (Vec<CrashId>, Vec<judge::PossibleCauses>) = self
-            .crashes
-            .iter()
-            .map(|(id, crash)| (id.clone(), self.possible_causes(crash)))
-            .unzip();
-        let known: Vec<ElementSet> = self.verdicts.iter().map(|v| v.elements.clone()).collect();
-        let sets = judge::judge(&causes, &known);
-        let before = std::mem::take(&mut self.verdicts);
-        for set in &sets {
-            let known = before.iter().find(|v| v.elements == *set).cloned();
-            let mut verdict = known.unwrap_or_else(|| Verdict::new(set.clone(), now));
-            let explained = ids
-                .iter()
-                .zip(&causes)
-                .filter(|(_, c)| c.is_explained_by(set));
-            let mut last_crash = None;
-            for (id, _) in explained {
-                verdict.crashes.insert(id.clone());
-                last_crash = last_crash.max(self.crashes.get(id).map(|c| c.at));
-            }
-            let is_new = !before.iter().any(|v| v.elements == *set);
-            if let Some(last_crash) = last_crash {
-                verdict.last_crash = match is_new {
-                    true => last_crash,
-                    false => verdict.last_crash.max(last_crash),
-                };
-            }
-            self.verdicts.push(verdict);
-        }
-        if self.verdicts.len() > MAX_VERDICTS {
-            self.verdicts
-                .sort_by_key(|v| std::cmp::Reverse(v.last_crash));
-            self.verdicts.truncate(MAX_VERDICTS);
-        }
-        let evidence = judge::evidence(&causes, &sets);
-        self.suspects = evidence.into_keys().cloned().collect();
-        let held = self.crashes.values().flat_map(|c| &c.runs);
-        let held = held.flat_map(|r| &r.elements);
-        let condemned = self.verdicts.iter().flat_map(|v| &v.elements);
-        self.known = held.chain(condemned).cloned().collect();
-    }
-
-    /// Drops what is too old, and what answers have cleared.
-    fn drop_excused(&mut self, now: time::Instant) {
-        let mut verdicts = std::mem::take(&mut self.verdicts);
-        for verdict in &mut verdicts {
-            let last_crash = verdict.last_crash;
-            verdict.elements.retain(|e| !self.is_excused(e, last_crash));
-        }
-        verdicts.retain(|v| v.holds(now) && !v.elements.is_empty());
-        // Narrowed by answers, one verdict may cover another.
-        verdicts.sort_by_key(|v| v.elements.len());
-        for verdict in verdicts {
-            let mut narrower = self.verdicts.iter();
-            if !narrower.any(|v| v.elements.is_subset(&verdict.elements)) {
-                self.verdicts.push(verdict);
-            }
-        }
-        let mut crashes = std::mem::take(&mut self.crashes);
-        crashes.retain(|_, crash| {
-            let age = now.saturating_duration_since(crash.at);
-            let mut held = crash.runs.iter().flat_map(|r| &r.elements);
-            let limit = match held.all(|e| self.is_excused(e, crash.at)) {
-                true => EXCUSED_TTL,
-                false => EVIDENCE_TTL,
-            };
-            age < limit
-        });
-        while crashes.len() > MAX_CRASHES {
-            let oldest = crashes.iter().min_by_key(|(_, c)| c.at);
-            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
-                break;
-            };
-            crashes.remove(&id);
-        }
-        self.crashes = crashes;
-    }
-
-    /// Returns the runs that may have caused a crash: those that had begun an answer, or
-    /// if there is none, the others.
-    fn possible_causes(&self, crash: &Crash) -> judge::PossibleCauses {
-        let held = |progress: Progress| -> Vec<judge::PossibleCause> {
-            let runs = crash.runs.iter().filter(|r| r.progress == progress);
-            let causes = runs.map(|r| {
-                let held = r.elements.iter();
-                let suspected = held.filter(|e| !self.is_excused(e, crash.at));
-                judge::PossibleCause {
-                    elements: suspected.cloned().collect(),
-                    is_trial: r.is_trial,
-                }
-            });
-            causes.filter(|c| !c.elements.is_empty()).collect()
-        };
-        let begun = held(Progress::Begun);
-        let is_clear = !begun.is_empty();
-        let runs = match is_clear {
-            true => begun,
-            false => held(Progress::Unclear),
-        };
-        judge::PossibleCauses { runs, is_clear }
-    }
 }
--- a/crates/pool/src/crashes/verdict.rs
+++ b/crates/pool/src/crashes/verdict.rs
@@ -8,9 +8,8 @@
 /// How long after its last crash a verdict holds.
 pub(super) const VERDICT_TTL: time::Duration = time::Duration::from_secs(3_600);
 /// Crashes after which no request is let through any more to test a verdict.
-const MAX_TESTED_CRASHES: usize = 4;
-/// Time from the last crash to a test of a verdict; it doubles with each crash after the
-/// second.
+const MAX_TESTED_CRASHES: usize = 3;
+/// Time from the last crash, or from the last test, to a test of a verdict.
 const TEST_DELAY: time::Duration = time::Duration::from_secs(5);
 /// Largest number of crashes that a report names.
 const MAX_REPORTED_CRASHES: usize = 8;
@@ -44,11 +43,11 @@
 }
 
 impl Verdict {
-    pub(super) fn new(elements: ElementSet, now: time::Instant) -> Self {
+    pub(super) fn new(elements: ElementSet, last_crash: time::Instant) -> Self {
         Self {
             elements,
             crashes: collections::BTreeSet::new(),
-            last_crash: now,
+            last_crash,
             revision: None,
             tested_at: None,
         }
@@ -89,14 +88,12 @@
     /// Returns whether one request may be let through, so that a verdict on the sound
     /// does not last. One with many crashes is certain.
     pub(super) fn is_test_due(&self, now: time::Instant) -> bool {
-        let count = self.crashes.len();
-        if count >= MAX_TESTED_CRASHES {
+        if self.crashes.len() >= MAX_TESTED_CRASHES {
             return false;
         }
-        let delay = TEST_DELAY * (1 << count.saturating_sub(2));
         let last = self
             .tested_at
             .map_or(self.last_crash, |t| t.max(self.last_crash));
-        now.saturating_duration_since(last) >= delay
+        now.saturating_duration_since(last) >= TEST_DELAY
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -32,7 +32,7 @@
 pub use charge::{Charge, ExcessUse, Tolerance};
 pub use config_fetch::ConfigFetch;
 pub use crashes::{CrashId, CrashQuarantine, CrashReport, CrashedRun, Element, ElementSet};
-pub use crashes::{Progress, Standing, Verdict, VerdictReport};
+pub use crashes::{Progress, Standing, Verdict, VerdictChanges, VerdictReport};
 pub use decode::{DecodePool, EngineLoad};
 pub use demand::{Demand, DemandRate};
 pub use discovery::{discovery_interval, reads_member_list, shares_member_list, watch_timeout};
