--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -66,22 +66,22 @@
     }
 
     /// Records the crashes, verdicts and answers that a peer reports.
-    pub(crate) fn apply_crash_news(&self, news: &CrashNews, peer: &str, now: time::Instant) {
-        if news.is_empty() {
+    pub(crate) fn apply_crash_update(&self, update: &CrashUpdate, peer: &str, now: time::Instant) {
+        if update.is_empty() {
             return;
         }
         let crashed = self.change_quarantine(|quarantine| {
-            for (element, age_ms) in &news.answered {
+            for (element, age_ms) in &update.answered {
                 let age = time::Duration::from_millis(*age_ms);
                 if let Some(at) = now.checked_sub(age) {
                     let element = pool::ElementSet::from([element.clone()]);
                     quarantine.record_answer(&element, at);
                 }
             }
-            for verdict in &news.verdicts {
+            for verdict in &update.verdicts {
                 quarantine.record_verdict(verdict, now);
             }
-            let mut crashes = news.crashes.clone();
+            let mut crashes = update.crashes.clone();
             crashes.retain(|c| quarantine.record_report(c.clone(), now));
             crashes
         });
@@ -91,12 +91,12 @@
         }
     }
 
-    /// Returns the news of crashes for the peers; with `full` it includes all verdicts,
+    /// Returns what to tell the peers of crashes; with `full` it includes all verdicts,
     /// and otherwise only new ones.
-    pub(crate) fn crash_news(&self, full: bool, now: time::Instant) -> CrashNews {
+    pub(crate) fn crash_update(&self, full: bool, now: time::Instant) -> CrashUpdate {
         let quarantine = self.quarantine.borrow();
         let verdicts = quarantine.verdicts(now).map(|v| v.report(now));
-        CrashNews {
+        CrashUpdate {
             crashes: quarantine.own_reports(now),
             verdicts: verdicts
                 .filter(|v| full || v.age_ms < NEW_VERDICT_MS)
@@ -188,7 +188,7 @@
 
 /// What an entry tells its peers of crashes.
 #[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
-pub(crate) struct CrashNews {
+pub(crate) struct CrashUpdate {
     /// Recent crashes that the entry saw.
     crashes: Vec<pool::CrashReport>,
     /// Verdicts in force.
@@ -197,7 +197,7 @@
     answered: Vec<(pool::Element, u64)>,
 }
 
-impl CrashNews {
+impl CrashUpdate {
     /// Returns whether there is nothing to tell.
     pub(crate) fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.verdicts.is_empty() && self.answered.is_empty()
@@ -211,7 +211,7 @@
     digest: route::Digest,
 ) -> pool::ElementSet {
     let parts = request.prompt_parts.iter().cloned();
-    let whole = pool::Element::Whole(Name::from(digest.to_string()));
+    let whole = pool::Element::Request(Name::from(digest.to_string()));
     parts.map(pool::Element::Part).chain([whole]).collect()
 }
 
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Messages by which entries share their load, use of allowances and other
 //! state.
 
-use crate::crashes::CrashNews;
+use crate::crashes::CrashUpdate;
 use crate::entry::Entry;
 use crate::entry::MemberList;
 use crate::entry::Peer;
@@ -53,8 +53,8 @@
     pub(crate) is_holder: bool,
     /// Crashes of upstream hosts, and what is held to have caused them.
     #[serde(default)]
-    #[serde(skip_serializing_if = "CrashNews::is_empty")]
-    pub(crate) crash_news: CrashNews,
+    #[serde(skip_serializing_if = "CrashUpdate::is_empty")]
+    pub(crate) crash_update: CrashUpdate,
     /// Engines that are changing their role, with the new role and the milliseconds
     /// after which it is no longer expected.
     #[serde(rename = "shifts")]
@@ -90,7 +90,7 @@
             usage: self.rate_limiter.borrow_mut().report(now),
             demand: self.current_demand(now),
             is_holder: self.is_holder.get(),
-            crash_news: self.crash_news(full, now),
+            crash_update: self.crash_update(full, now),
             role_changes: self.remaining_role_changes(now),
             ..GossipMessage::default()
         };
@@ -142,7 +142,7 @@
         let mut rate_limiter = self.rate_limiter.borrow_mut();
         rate_limiter.update_peer(&peer, &message.usage, now);
         drop(rate_limiter);
-        self.apply_crash_news(&message.crash_news, &peer, now);
+        self.apply_crash_update(&message.crash_update, &peer, now);
         self.apply_role_changes(&message, now);
         let reply = self.gossip_reply(&message);
         self.record_peer(&peer, message.address, message, now);
--- a/crates/pool/src/crashes/evidence.rs
+++ b/crates/pool/src/crashes/evidence.rs
@@ -31,7 +31,7 @@
     Part(Name),
     /// The request as a whole, by its digest.
     #[display("request:{_0}")]
-    Whole(Name),
+    Request(Name),
 }
 
 /// What a request holds, or what a verdict names.
--- a/crates/pool/tests/crash_tests.rs
+++ b/crates/pool/tests/crash_tests.rs
@@ -28,7 +28,7 @@
 }
 
 fn whole(number: usize) -> Element {
-    Element::Whole(format!("{number:032x}").into())
+    Element::Request(format!("{number:032x}").into())
 }
 
 fn crash(number: usize) -> CrashId {
