--- /dev/null
+++ b/crates/daemon/tests/connection_tests.rs
@@ -0,0 +1,165 @@
+//! Tests hosts in trouble on real connections: late second copies of answers, and heads
+//! without end.
+
+use fake::tracks::TracksCluster;
+use fake::tracks::names;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+/// Longest head that an entry may read; above the 400 KB at which its client gives up, with
+/// what the kernel buffers.
+const MAX_HEAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Starts an entry with one plain host, whose connections `serve` handles.
+fn start_cluster(
+    serve: impl Fn(net::TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> TracksCluster {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &[], 0, 1);
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let record = serde_json::json!({
+        "service": "app", "address": address, "zone": "ruahine", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 4,
+        "born": 1_767_816_250_201_u64,
+    });
+    cluster
+        .store
+        .put(&names::member_key("raw-0"), record.to_string().as_bytes());
+    let serve = sync::Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            // A connection that fails is the entry's to notice.
+            thread::spawn(move || serve(stream));
+        }
+    });
+    cluster.start();
+    cluster
+}
+
+/// Reads one call without a body that matters, and returns its path and id.
+fn read_call(stream: &mut net::TcpStream) -> io::Result<(String, String)> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let header = |name: &str| {
+        let line = head.lines().find_map(|l| l.strip_prefix(name));
+        let value = line.unwrap_or_default().trim_start_matches(':');
+        value.trim().to_owned()
+    };
+    let length = header("content-length").parse().unwrap_or(0);
+    stream.read_exact(&mut vec![0; length])?;
+    let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+    Ok((path, header(names::REQUEST_ID)))
+}
+
+/// Returns the answer to a call; its body is the call's path.
+fn answer(path: &str, id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal-{id}\r\ncontent-length: {}\r\n\r\n{path}",
+        names::REQUEST_ID,
+        names::RESPONSE_SEAL,
+        path.len(),
+    )
+}
+
+/// A host sends a second copy of its last answer, before the next one, on a connection that
+/// is in use again.
+#[test]
+fn late_second_copy_of_an_answer_reaches_no_other_caller() {
+    let reused = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counter = reused.clone();
+    let cluster = start_cluster(move |mut stream| {
+        let (path, id) = read_call(&mut stream)?;
+        let first = answer(&path, &id);
+        stream.write_all(first.as_bytes())?;
+        let (path, id) = read_call(&mut stream)?;
+        counter.fetch_add(1, atomic::Ordering::Relaxed);
+        stream.write_all((first + &answer(&path, &id)).as_bytes())
+    });
+    for number in 0..12 {
+        let path = format!("/order/{number}");
+        let response = cluster.request(0, "POST", &path, "an order", &[]);
+        match response.status {
+            200 => assert_eq!(response.body, path),
+            status => assert!(matches!(status, 502 | 504), "{response:?}"),
+        }
+    }
+    assert!(
+        reused.load(atomic::Ordering::Relaxed) > 0,
+        "no connection was used again"
+    );
+}
+
+/// The copy comes while the connection is idle.
+#[test]
+fn second_copy_of_an_answer_on_an_idle_connection_closes_it() {
+    let cluster = start_cluster(|mut stream| {
+        let (path, id) = read_call(&mut stream)?;
+        let answer = answer(&path, &id);
+        stream.write_all(answer.as_bytes())?;
+        stream.write_all(answer.as_bytes())?;
+        // Keeps the connection until the entry closes it.
+        stream.read_to_end(&mut Vec::new()).map(|_| ())
+    });
+    for number in 0..12 {
+        let path = format!("/status/{number}");
+        let response = cluster.request(0, "GET", &path, "", &[]);
+        assert_eq!((response.status, response.body), (200, path));
+    }
+}
+
+/// A host in trouble sends a head without end. It must neither fill the entry's memory nor
+/// hold the call until its deadline.
+#[test]
+fn head_without_end_is_cut_off() {
+    let sent = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let ended = sync::Arc::new(atomic::AtomicBool::new(false));
+    let (counter, end) = (sent.clone(), ended.clone());
+    let cluster = start_cluster(move |mut stream| {
+        read_call(&mut stream)?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nx-noise: ")?;
+        let noise = [b'x'; 16 * 1024];
+        while stream.write_all(&noise).is_ok() {
+            counter.fetch_add(noise.len(), atomic::Ordering::Relaxed);
+        }
+        end.store(true, atomic::Ordering::Relaxed);
+        Ok(())
+    });
+    let response = cluster.request(0, "POST", "/order/a", "an order", &[]);
+    assert!(matches!(response.status, 502 | 504), "{response:?}");
+    cluster.wait_until(|_| ended.load(atomic::Ordering::Relaxed));
+    assert!(sent.load(atomic::Ordering::Relaxed) < MAX_HEAD_BYTES);
+}
+
+/// A head that comes byte by byte is no answer either; its call ends with its deadline.
+#[test]
+fn head_of_single_bytes_ends_with_the_deadline() {
+    let ended = sync::Arc::new(atomic::AtomicBool::new(false));
+    let end = ended.clone();
+    let cluster = start_cluster(move |mut stream| {
+        read_call(&mut stream)?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nx-noise: ")?;
+        while stream.write_all(b"x").is_ok() {
+            thread::sleep(time::Duration::from_millis(50));
+        }
+        end.store(true, atomic::Ordering::Relaxed);
+        Ok(())
+    });
+    let deadline = [(names::DEADLINE_MS, "1000")];
+    let response = cluster.request(0, "POST", "/order/a", "an order", &deadline);
+    assert!(matches!(response.status, 502 | 504), "{response:?}");
+    cluster.wait_until(|_| ended.load(atomic::Ordering::Relaxed));
+}
