--- a/crates/daemon/tests/connection_tests.rs
+++ b/crates/daemon/tests/connection_tests.rs
@@ -1,6 +1,7 @@
 //! Tests hosts in trouble on real connections: late second copies of answers, and heads
 //! without end.
 
+use fake::tracks::RawCall;
 use fake::tracks::TracksCluster;
 use fake::tracks::names;
 use std::io;
@@ -45,28 +46,14 @@
     cluster
 }
 
-/// Reads one call without a body that matters, and returns its path and id.
-fn read_call(stream: &mut net::TcpStream) -> io::Result<(String, String)> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte)?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let header = |name: &str| {
-        let line = head.lines().find_map(|l| l.strip_prefix(name));
-        let value = line.unwrap_or_default().trim_start_matches(':');
-        value.trim().to_owned()
-    };
-    let length = header("content-length").parse().unwrap_or(0);
-    stream.read_exact(&mut vec![0; length])?;
-    let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-    Ok((path, header(names::REQUEST_ID)))
+/// Reads one call; an error if the entry has closed the connection.
+fn read_call(stream: &mut net::TcpStream) -> io::Result<RawCall> {
+    RawCall::read(stream)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
 /// Returns the answer to a call; its body is the call's path.
-fn answer(path: &str, id: &str) -> String {
+fn answer(call: &RawCall) -> String {
+    let RawCall { path, id } = call;
     format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal-{id}\r\ncontent-length: {}\r\n\r\n{path}",
         names::REQUEST_ID,
@@ -82,12 +69,11 @@
     let reused = sync::Arc::new(atomic::AtomicUsize::new(0));
     let counter = reused.clone();
     let cluster = start_cluster(move |mut stream| {
-        let (path, id) = read_call(&mut stream)?;
-        let first = answer(&path, &id);
+        let first = answer(&read_call(&mut stream)?);
         stream.write_all(first.as_bytes())?;
-        let (path, id) = read_call(&mut stream)?;
+        let call = read_call(&mut stream)?;
         counter.fetch_add(1, atomic::Ordering::Relaxed);
-        stream.write_all((first + &answer(&path, &id)).as_bytes())
+        stream.write_all((first + &answer(&call)).as_bytes())
     });
     for number in 0..12 {
         let path = format!("/order/{number}");
@@ -107,8 +93,7 @@
 #[test]
 fn second_copy_of_an_answer_on_an_idle_connection_closes_it() {
     let cluster = start_cluster(|mut stream| {
-        let (path, id) = read_call(&mut stream)?;
-        let answer = answer(&path, &id);
+        let answer = answer(&read_call(&mut stream)?);
         stream.write_all(answer.as_bytes())?;
         stream.write_all(answer.as_bytes())?;
         // Keeps the connection until the entry closes it.
--- a/crates/daemon/tests/unframed_tests.rs
+++ b/crates/daemon/tests/unframed_tests.rs
@@ -2,11 +2,11 @@
 
 use fake::tracks::EntryResponse;
 use fake::tracks::RAW_BODY;
+use fake::tracks::RawCall;
 use fake::tracks::RawWorker;
 use fake::tracks::TracksCluster;
 use fake::tracks::names;
 use std::io;
-use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::path;
@@ -131,18 +131,10 @@
     }
 
     fn serve(&self, stream: &mut net::TcpStream) -> io::Result<()> {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte)?;
-            head.push(byte[0]);
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
-        let length = head.lines().find_map(|l| l.strip_prefix("content-length:"));
-        let length = length.and_then(|l| l.trim().parse().ok()).unwrap_or(0);
-        stream.read_exact(&mut vec![0; length])?;
-        let path = head.split(' ').nth(1).unwrap_or_default();
-        stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{}", self.next(path)).as_bytes())
+        let Some(call) = RawCall::read(stream)? else {
+            return Ok(());
+        };
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{}", self.next(&call.path)).as_bytes())
     }
 }
 
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod entry;
 pub mod names;
+mod raw_call;
 mod raw_worker;
 mod received_call;
 mod store;
@@ -14,6 +15,7 @@
 
 pub use cluster::{EntryResponse, TracksCluster};
 pub use entry::EntryDaemon;
+pub use raw_call::RawCall;
 pub use raw_worker::{RAW_BODY, RawWorker};
 pub use received_call::ReceivedCall;
 pub use store::{TracksStore, TracksStoreMode};
--- a/crates/fake/src/tracks/raw_worker.rs
+++ b/crates/fake/src/tracks/raw_worker.rs
@@ -1,14 +1,14 @@
 //! Fake worker that answers callers' requests with neither a length nor chunks.
 
+use crate::tracks::names;
+use crate::tracks::raw_call::RawCall;
 use serde_json::Value;
 use serde_json::json;
 use std::io;
-use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::thread;
-
-use crate::tracks::names;
+use std::time;
 
 /// Body of the answer to every request of a caller.
 pub const RAW_BODY: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
@@ -56,7 +56,7 @@
 
 /// Answers the calls on one connection until an answer ends it.
 fn serve(mut stream: net::TcpStream) -> io::Result<()> {
-    while let Some(call) = read_call(&mut stream)? {
+    while let Some(call) = RawCall::read(&mut stream)? {
         if !call.path.starts_with(names::INTERNAL_PREFIX) {
             return answer(stream, &call);
         }
@@ -72,39 +72,8 @@
     Ok(())
 }
 
-struct Call {
-    path: String,
-    id: String,
-}
-
-/// Reads one call; `None` if the caller has closed the connection.
-fn read_call(stream: &mut net::TcpStream) -> io::Result<Option<Call>> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte)? == 0 {
-            return Ok(None);
-        }
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let header = |name: &str| {
-        let line = head.lines().find_map(|l| l.strip_prefix(name));
-        line.unwrap_or_default()
-            .trim_start_matches(':')
-            .trim()
-            .to_owned()
-    };
-    let length = header("content-length").parse().unwrap_or(0);
-    stream.read_exact(&mut vec![0; length])?;
-    Ok(Some(Call {
-        path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
-        id: header(names::REQUEST_ID),
-    }))
-}
-
 /// Answers a caller's request as its path says, and ends the connection.
-fn answer(mut stream: net::TcpStream, call: &Call) -> io::Result<()> {
+fn answer(mut stream: net::TcpStream, call: &RawCall) -> io::Result<()> {
     let mut words = call.path.rsplit('/').next().unwrap_or_default().split('-');
     let status = words.next().unwrap_or_default();
     let length: usize = words.next().unwrap_or_default().parse().unwrap_or(0);
@@ -116,7 +85,7 @@
     );
     stream.write_all((head + &RAW_BODY[..length]).as_bytes())?;
     if words.next() == Some("reset") {
-        socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO))?;
+        socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
     }
     Ok(())
 }
