--- a/crates/daemon/tests/connection_tests.rs
+++ b/crates/daemon/tests/connection_tests.rs
@@ -53,7 +53,7 @@
 
 /// Returns the answer to a call; its body is the call's path.
 fn answer(call: &RawCall) -> String {
-    let RawCall { path, id } = call;
+    let RawCall { path, id, .. } = call;
     format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal-{id}\r\ncontent-length: {}\r\n\r\n{path}",
         names::REQUEST_ID,
--- a/crates/fake/src/tracks/raw_call.rs
+++ b/crates/fake/src/tracks/raw_call.rs
@@ -12,6 +12,8 @@
     pub path: String,
     /// Id of the caller's request; empty for other calls.
     pub id: String,
+    /// Lines of the head, in lower case.
+    head: String,
 }
 
 impl RawCall {
@@ -27,16 +29,21 @@
             head.push(byte[0]);
         }
         let head = String::from_utf8_lossy(&head).to_lowercase();
-        let header = |name: &str| {
-            let line = head.lines().find_map(|l| l.strip_prefix(name));
-            let value = line.unwrap_or_default().trim_start_matches(':');
-            value.trim().to_owned()
+        let mut call = Self {
+            path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
+            id: String::new(),
+            head,
         };
-        let length = header("content-length").parse().unwrap_or(0);
+        call.id = call.header(names::REQUEST_ID).to_owned();
+        let length = call.header("content-length").parse().unwrap_or(0);
         stream.read_exact(&mut vec![0; length])?;
-        Ok(Some(Self {
-            path: head.split(' ').nth(1).unwrap_or_default().to_owned(),
-            id: header(names::REQUEST_ID),
-        }))
+        Ok(Some(call))
+    }
+
+    /// Returns the value of a header in lower case; empty if the call has none.
+    pub fn header(&self, name: &str) -> &str {
+        let line = self.head.lines().find_map(|l| l.strip_prefix(name));
+        let value = line.unwrap_or_default().trim_start_matches(':');
+        value.trim()
     }
 }
