A silent engine ends no stream

Cause: the relay took 1.5 s without an event for the end of a stream. On a route that may not be resumed it dropped the answer; on one that may, it closed the stream first and then asked for a seat elsewhere, so that without a seat or a retry in the budget the answer was lost, although the engine went on. An engine also pauses for as long when it puts a stream back for lack of memory.

Change: pool::StreamProgress decides. Where a stream can't move, silence ends nothing before the request's deadline; only bytes that complete no event do. Where it can, the start elsewhere is prepared beside the silent stream; the first that goes on wins, and the silent one is given up 250 ms after the request was sent to the other, so that never both work on it for 400 ms. A refusal elsewhere leaves the silent stream as it was. Each answer that is cut has a line (answer_cut) with its cause, and a counter.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -118,6 +118,14 @@
             .with("age_ms", telemetry::millis(self.arrived_at.elapsed()))
     }
 
+    /// Counts an answer that ends before it is complete, and starts its log line.
+    pub(crate) fn log_cut(&self, cause: &'static str, upstream: &str) -> trace::LogLine {
+        metrics::counter!("answers_cut", "cause" => cause).increment(1);
+        self.log_line("answer_cut")
+            .with("upstream", upstream)
+            .with("cause", cause)
+    }
+
     /// Builds a reply of the entry itself to this request.
     pub(crate) fn reply(
         &self,
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -56,6 +56,11 @@
         self.last_arrival = now;
     }
 
+    /// Returns the time since the last bytes.
+    pub(crate) fn silence(&self) -> time::Duration {
+        self.last_arrival.elapsed()
+    }
+
     /// Returns the time from the first to the last bytes.
     pub(crate) fn duration(&self) -> time::Duration {
         self.first_arrival
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod reload;
 mod reserve;
+mod resume;
 mod role_orders;
 mod serve;
 mod shutdown;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -3,7 +3,7 @@
 use crate::body::Chunk;
 use crate::crashes;
 use crate::events::EventSplitter;
-use crate::stream::FIRST_EVENT_TIMEOUT;
+use crate::resume::Resumption;
 use crate::stream::StartedStream;
 use crate::stream::StreamRunner;
 use crate::telemetry;
@@ -13,11 +13,6 @@
 use std::time;
 use tokio::sync::mpsc;
 
-/// Time without a complete event after which a stream counts as stalled. It is below
-/// the two seconds that callers wait at least, so that the stream can be resumed
-/// before its caller disconnects.
-const STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
 /// A stream counts as paused after this many of its usual times between two events.
 const PAUSE_FACTOR: u32 = 4;
 /// A stream does not count as paused before this time.
@@ -33,88 +28,99 @@
     ) {
         let mut events = EventSplitter::new(self.job.request.last_event);
         let mut started = started;
+        let mut can_move = self.job.route.retry == seam::RetryMode::Resumable
+            && started.response.status == StatusCode::OK;
         loop {
-            let events_before = events.event_count;
             let end = self
-                .forward_until_end(&mut started, &mut events, &sender)
+                .forward_until_end(&mut started, &mut events, &sender, can_move)
                 .await;
-            let now = time::Instant::now();
-            let first_delay = events
-                .first_arrival
-                .map(|first| first.saturating_duration_since(self.job.arrived_at));
-            self.job
-                .log_line("stream_end")
-                .with("upstream", &started.engine)
-                .with("end", end.label())
-                .with("events", events.event_count)
-                .with("first_ms", first_delay.map_or(0, telemetry::millis))
-                .with("gap_ms", telemetry::millis(events.max_gap))
-                .with("here", events.event_count - events_before)
-                .info();
             match end {
                 StreamEnd::Complete => {
-                    self.entry.record_answer(&self.job.elements);
-                    self.record_stream(&started.seat, &events);
-                    metrics::histogram!("answer_seconds", "kind" => "stream")
-                        .record(self.job.arrived_at.elapsed().as_secs_f64());
-                    // The caller may have disconnected, so a failure to send
-                    // the end is ignored.
-                    let _ = sender.send(Chunk::End).await;
+                    self.complete(&started, &events, &sender).await;
                     return;
                 }
-                StreamEnd::CallerGone | StreamEnd::DeadlinePassed => return,
+                StreamEnd::CallerGone | StreamEnd::DeadlinePassed => {
+                    return self.log_cut(end, &started.engine, &events);
+                }
                 StreamEnd::ConnectionLost | StreamEnd::Stalled | StreamEnd::Oversized => {
+                    self.handle_failure(&started).await;
+                }
+            }
+            if !can_move || self.entry.is_condemned(&self.job) {
+                return self.log_cut(end, &started.engine, &events);
+            }
+            let engine = started.engine.clone();
+            let silent = (end == StreamEnd::Stalled).then_some(started);
+            match self.resume(silent, &mut events, &sender).await {
+                Resumption::Moved(next) => started = next,
+                Resumption::WentOn(first, bytes) => {
                     self.pool
                         .decode_pool
                         .borrow_mut()
-                        .record_failure(&started.engine, now);
-                    let events_here = events.event_count - events_before;
-                    if let Some(target) = self.entry.target(&started.engine) {
-                        self.wait_for_crash_check(&target, events_here).await;
+                        .record_success(&first.engine);
+                    if sender.send(Chunk::Data(bytes)).await.is_err() {
+                        return self.log_cut(StreamEnd::CallerGone, &engine, &events);
                     }
-                    self.trial = None;
+                    started = first;
                 }
-            }
-            if self.entry.is_condemned(&self.job) {
-                return;
-            }
-            let ok = started.response.status == StatusCode::OK;
-            if !ok || self.job.route.retry != seam::RetryMode::Resumable {
-                return;
-            }
-            events.discard_partial();
-            let (engine, after) = (started.engine.clone(), events.last_id);
-            drop(started);
-            self.may_have_run = true;
-            let resumed = tokio::select! {
-                resumed = self.start(after) => resumed,
-                () = sender.closed() => return,
-            };
-            started = match resumed {
-                Ok(next) if next.response.status == StatusCode::OK => next,
-                Ok(_) | Err(_) => {
-                    self.job
-                        .log_line("stream_lost")
-                        .with("upstream", engine)
-                        .info();
+                Resumption::Ended(first) => {
+                    self.complete(&first, &events, &sender).await;
                     return;
                 }
-            };
+                Resumption::Refused(Some(first)) => {
+                    started = first;
+                    can_move = false;
+                }
+                Resumption::Refused(None) => return self.log_cut(end, &engine, &events),
+                Resumption::CallerGone => {
+                    return self.log_cut(StreamEnd::CallerGone, &engine, &events);
+                }
+            }
         }
     }
 
-    /// Has it checked whether an engine crashed under this stream, of which it had sent
-    /// some complete events. If the stream may have been the cause, waits a moment for the
+    /// Ends the caller's answer as complete.
+    async fn complete(
+        &self,
+        started: &StartedStream<<P::Upstreams as Upstreams>::Body>,
+        events: &EventSplitter,
+        sender: &mpsc::Sender<Chunk>,
+    ) {
+        self.entry.record_answer(&self.job.elements);
+        self.record_stream(&started.seat, events);
+        metrics::histogram!("answer_seconds", "kind" => "stream")
+            .record(self.job.arrived_at.elapsed().as_secs_f64());
+        // The caller may have disconnected, so a failure to send the end is ignored.
+        let _ = sender.send(Chunk::End).await;
+    }
+
+    /// Logs an answer that ends before it is complete. Dropping the sender then aborts
+    /// it, so that the caller notices.
+    fn log_cut(&self, end: StreamEnd, engine: &str, events: &EventSplitter) {
+        self.job
+            .log_cut(end.label(), engine)
+            .with("events", events.event_count)
+            .with("silent_ms", telemetry::millis(events.silence()))
+            .info();
+    }
+
+    /// Records that an engine failed a stream, and has it checked whether the engine
+    /// crashed under it. If the stream may have been the cause, waits a moment for the
     /// result, so that it does not crash the next engine at once.
-    async fn wait_for_crash_check(&self, target: &seam::Target, events: u64) {
-        let Some(progress) = pool::Progress::of_stream(events) else {
-            return;
-        };
-        let check = self
-            .entry
-            .check_for_crash(&self.job, target, progress, self.is_trial());
-        // After a time-out the check goes on by itself.
-        let _ = tokio::time::timeout(crashes::MAX_CHECK_WAIT, check).await;
+    async fn handle_failure(&mut self, started: &StartedStream<<P::Upstreams as Upstreams>::Body>) {
+        self.pool
+            .decode_pool
+            .borrow_mut()
+            .record_failure(&started.engine, time::Instant::now());
+        let progress = pool::Progress::of_stream(started.event_count);
+        if let (Some(target), Some(progress)) = (self.entry.target(&started.engine), progress) {
+            let check = self
+                .entry
+                .check_for_crash(&self.job, &target, progress, self.is_trial());
+            // After a time-out the check goes on by itself.
+            let _ = tokio::time::timeout(crashes::MAX_CHECK_WAIT, check).await;
+        }
+        self.trial = None;
     }
 
     /// Waits for the next bytes of an engine. A stream whose next event is long overdue
@@ -143,42 +149,61 @@
         started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
         sender: &mpsc::Sender<Chunk>,
+        can_move: bool,
+    ) -> StreamEnd {
+        let end = self.read_events(started, events, sender, can_move).await;
+        let first_delay = events
+            .first_arrival
+            .map(|first| first.saturating_duration_since(self.job.arrived_at));
+        self.job
+            .log_line("stream_end")
+            .with("upstream", &started.engine)
+            .with("end", end.label())
+            .with("events", events.event_count)
+            .with("first_ms", first_delay.map_or(0, telemetry::millis))
+            .with("gap_ms", telemetry::millis(events.max_gap))
+            .with("here", started.event_count)
+            .info();
+        end
+    }
+
+    async fn read_events(
+        &mut self,
+        started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
+        events: &mut EventSplitter,
+        sender: &mpsc::Sender<Chunk>,
+        can_move: bool,
     ) -> StreamEnd {
-        // Only a complete event shows that the stream goes on.
-        let mut event_due = time::Instant::now() + FIRST_EVENT_TIMEOUT;
-        let events_before = events.event_count;
+        let mut progress = pool::StreamProgress::new(can_move, time::Instant::now());
         let mut is_proven = false;
-        let is_unframed = started.response.body.is_unframed();
         loop {
-            let next = self.next_chunk(started, events, event_due.min(self.job.deadline));
+            let check_at = progress.check_at().min(self.job.deadline);
+            let next = self.next_chunk(started, events, check_at);
             let next = tokio::select! {
                 next = next => next,
                 () = sender.closed() => return StreamEnd::CallerGone,
             };
-            started.seat.set_paused(false);
             let bytes = match next {
                 Ok(Some(Ok(bytes))) => bytes,
                 Ok(Some(Err(_))) => return StreamEnd::ConnectionLost,
-                Ok(None) if events.has_partial() => return StreamEnd::ConnectionLost,
-                // A crash before the first event would look the same.
-                Ok(None) if is_unframed && events.event_count == events_before => {
-                    return StreamEnd::ConnectionLost;
-                }
-                Ok(None) => return StreamEnd::Complete,
+                Ok(None) if started.is_whole(events) => return StreamEnd::Complete,
+                Ok(None) => return StreamEnd::ConnectionLost,
                 Err(_) if self.job.time_left().is_zero() => return StreamEnd::DeadlinePassed,
-                Err(_) => return StreamEnd::Stalled,
+                Err(_) if progress.is_stalled(time::Instant::now()) => return StreamEnd::Stalled,
+                Err(_) => continue,
             };
+            started.seat.set_paused(false);
             events.record_arrival(self.job.arrived_at);
             self.update_forecast(&mut started.seat, events);
-            if let Some(complete) = events.push(bytes) {
+            let complete = started.push(events, bytes);
+            progress.record_read(complete.is_some(), time::Instant::now());
+            if let Some(complete) = complete {
                 if sender.send(Chunk::Data(complete)).await.is_err() {
                     return StreamEnd::CallerGone;
                 }
-                event_due = time::Instant::now() + STALL_TIMEOUT;
                 // An engine crashes before it completes an event.
                 self.trial = None;
-                let events_here = events.event_count - events_before;
-                if !is_proven && pool::CrashQuarantine::is_proven(events_here) {
+                if !is_proven && pool::CrashQuarantine::is_proven(started.event_count) {
                     is_proven = true;
                     self.entry.record_answer(&self.job.elements);
                 }
@@ -190,6 +215,27 @@
     }
 }
 
+impl<S: ByteStream> StartedStream<S> {
+    /// Adds bytes of this engine, and returns all events that are complete now.
+    pub(crate) fn push(
+        &mut self,
+        events: &mut EventSplitter,
+        bytes: bytes::Bytes,
+    ) -> Option<bytes::Bytes> {
+        let before = events.event_count;
+        let complete = events.push(bytes);
+        self.event_count += events.event_count - before;
+        complete
+    }
+
+    /// Returns whether a body that has ended in order is complete.
+    pub(crate) fn is_whole(&self, events: &EventSplitter) -> bool {
+        // Without a length or chunks, a crash before the first event looks the same.
+        let may_have_crashed = self.response.body.is_unframed() && self.event_count == 0;
+        !events.has_partial() && !may_have_crashed
+    }
+}
+
 /// How forwarding from one engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
--- /dev/null
+++ b/crates/direct/src/resume.rs
@@ -0,0 +1,136 @@
+//! Starts an interrupted stream at another engine, from the event that its caller
+//! received last.
+//!
+//! An engine that is only silent may go on. Its stream is kept open while the start
+//! elsewhere is prepared, and given up only once the other engine has taken over.
+
+use crate::body::Chunk;
+use crate::events::EventSplitter;
+use crate::stream::StartedStream;
+use crate::stream::StreamRunner;
+use http::StatusCode;
+use seam::ByteStream;
+use seam::Upstreams;
+use std::cell;
+use std::future;
+use std::future::Future;
+use std::pin;
+use std::task;
+use std::time;
+use tokio::sync::mpsc;
+
+/// How long a silent stream is kept open after the request was sent to another engine, in
+/// case that engine refuses it. Longer, and both would work on the same request.
+const HANDOVER_TIME: time::Duration = time::Duration::from_millis(250);
+/// Interval at which to check whether the handover is over.
+const HANDOVER_CHECK: time::Duration = time::Duration::from_millis(50);
+
+/// How an attempt to resume a stream ended.
+pub(crate) enum Resumption<S> {
+    /// The stream goes on at another engine.
+    Moved(StartedStream<S>),
+    /// The silent engine goes on, with these complete events.
+    WentOn(StartedStream<S>, bytes::Bytes),
+    /// The silent engine has ended the stream in order.
+    Ended(StartedStream<S>),
+    /// No other engine takes the stream; the silent one is still there or not.
+    Refused(Option<StartedStream<S>>),
+    /// The caller disconnected.
+    CallerGone,
+}
+
+/// What a silent engine did while the start elsewhere was prepared.
+enum Sign {
+    Read(Option<Result<bytes::Bytes, seam::FailureCause>>),
+    HandedOver,
+}
+
+impl<P: seam::Platform> StreamRunner<P> {
+    /// Starts the stream at another engine, beside the one that is silent.
+    pub(crate) async fn resume(
+        &mut self,
+        silent: Option<StartedStream<<P::Upstreams as Upstreams>::Body>>,
+        events: &mut EventSplitter,
+        sender: &mpsc::Sender<Chunk>,
+    ) -> Resumption<<P::Upstreams as Upstreams>::Body> {
+        let mut silent = silent;
+        let job = self.job.clone();
+        let sent_at = self.sent_at.clone();
+        self.may_have_run = true;
+        let mut start = pin::pin!(self.start(events.last_id));
+        let moved = loop {
+            let sign = tokio::select! {
+                biased;
+                () = sender.closed() => return Resumption::CallerGone,
+                sign = next_sign(&mut silent, &sent_at) => sign,
+                moved = &mut start => break moved,
+            };
+            let Some(mut first) = silent.take() else {
+                continue;
+            };
+            match sign {
+                Sign::HandedOver | Sign::Read(Some(Err(_))) => {}
+                Sign::Read(None) if first.is_whole(events) => return Resumption::Ended(first),
+                Sign::Read(None) => {}
+                Sign::Read(Some(Ok(bytes))) => {
+                    events.record_arrival(job.arrived_at);
+                    if let Some(complete) = first.push(events, bytes) {
+                        job.log_line("stream_went_on")
+                            .with("upstream", &first.engine)
+                            .with("events", events.event_count)
+                            .info();
+                        return Resumption::WentOn(first, complete);
+                    }
+                    if !events.is_oversized() {
+                        silent = Some(first);
+                    }
+                }
+            }
+        };
+        match moved {
+            Ok(next) if next.response.status == StatusCode::OK => {
+                drop(silent);
+                events.discard_partial();
+                Resumption::Moved(next)
+            }
+            Ok(_) | Err(_) => {
+                job.log_line("stream_lost")
+                    .with("upstream", silent.as_ref().map_or("", |s| &s.engine))
+                    .with("kept", silent.is_some())
+                    .info();
+                Resumption::Refused(silent)
+            }
+        }
+    }
+}
+
+/// Returns the next bytes of the silent engine. It isn't read while the request is under
+/// way to another engine, which then has the stream; `HandedOver` is returned once that has
+/// lasted for the handover time. Without a silent engine, waits for ever.
+async fn next_sign<S: ByteStream>(
+    silent: &mut Option<StartedStream<S>>,
+    sent_at: &cell::Cell<Option<time::Instant>>,
+) -> Sign {
+    let Some(first) = silent else {
+        return future::pending().await;
+    };
+    let mut chunk = pin::pin!(first.response.body.next_chunk());
+    let read = future::poll_fn(|context| match sent_at.get() {
+        Some(_) => task::Poll::Pending,
+        None => chunk.as_mut().poll(context),
+    });
+    tokio::select! {
+        chunk = read => Sign::Read(chunk),
+        () = wait_for_handover(sent_at) => Sign::HandedOver,
+    }
+}
+
+/// Returns once a request has been under way for the handover time.
+async fn wait_for_handover(sent_at: &cell::Cell<Option<time::Instant>>) {
+    while sent_at
+        .get()
+        .is_none_or(|sent| sent.elapsed() < HANDOVER_TIME)
+    {
+        tokio::time::sleep(HANDOVER_CHECK).await;
+    }
+}
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -27,9 +27,9 @@
 /// number of the route's latency targets, this number of its targets for the pause
 /// between two events, and this time.
 const CALLER_TIMEOUT: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
-/// Timeout for the first event after the response head; the head itself may take
-/// twice as long.
-pub(crate) const FIRST_EVENT_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+/// How long an engine may take to send the head of its response if another engine can
+/// take over; otherwise it has the time that is left.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
 /// that were full.
 const MAX_ATTEMPTS: u32 = 6;
@@ -39,6 +39,8 @@
     pub(crate) response: seam::Response<S>,
     pub(crate) engine: Name,
     pub(crate) seat: Seat,
+    /// Complete events that this engine has sent.
+    pub(crate) event_count: u64,
 }
 
 /// Why no engine has started a stream.
@@ -142,8 +144,8 @@
     send_count: u32,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
-    /// Whether an attempt has sent the request and got no response yet.
-    is_sending: cell::Cell<bool>,
+    /// When the current attempt sent the request, as long as it has got no response.
+    pub(crate) sent_at: rc::Rc<cell::Cell<Option<time::Instant>>>,
     /// Whether this request is a retry after a recent refusal.
     is_retry: bool,
     /// Keeps similar requests back while this one may crash its engine.
@@ -166,7 +168,7 @@
             prefill_count: 0,
             send_count: 0,
             may_have_run: false,
-            is_sending: cell::Cell::new(false),
+            sent_at: rc::Rc::default(),
             is_retry,
             trial: None,
         }
@@ -190,7 +192,7 @@
             self.trial = None;
             self.failed_attempts += 1;
             let reason = match error {
-                StartError::Condemned if self.may_have_run || self.is_sending.get() => {
+                StartError::Condemned if self.may_have_run || self.sent_at.get().is_some() => {
                     return Err(StartError::Unknown("quarantined"));
                 }
                 StartError::Condemned => return Err(error),
@@ -276,16 +278,17 @@
             last_event,
             priority: None,
         };
-        let deadline = job
-            .deadline
-            .min(time::Instant::now() + FIRST_EVENT_TIMEOUT * 2);
-        self.is_sending.set(true);
+        let deadline = match job.route.retry.is_repeatable() {
+            true => job.deadline.min(time::Instant::now() + HEAD_TIMEOUT),
+            false => job.deadline,
+        };
+        self.sent_at.set(Some(time::Instant::now()));
         let result = self
             .entry
             .upstreams
             .send(&target, &job.request, &options, deadline)
             .await;
-        self.is_sending.set(false);
+        self.sent_at.set(None);
         let now = time::Instant::now();
         let response = match result {
             Ok(response) => response,
@@ -343,6 +346,7 @@
             response,
             engine,
             seat,
+            event_count: 0,
         })
     }
 
