Upstream hosts' notices in answers: leaving, and Retry-After of a 503

Cause: the platform has two new rules. A host that leaves says so in all its answers (`Server-Leaving: 1`), and must get no request later than drain_ms after that. A host that refuses with 503 may add `Retry-After`, and must get next to nothing until then. The entry read neither: it went by the membership list alone, tried a host again 60 to 80 ms after a refusal, and passed `server-leaving` on to callers.

Change: the adapter decodes both headers once, for answers to calls of any kind, into seam::HostNotice; 421 is another process's answer and gives none. pool::HostNotices decides, on an injected clock, by incarnation (id and start time; seam::Target has the start time for that). direct::HostGate makes all calls to upstream hosts, applies the notices as they arrive, and withholds calls against them: work at leaving hosts, and calls of any kind during a pause. The pools of plain services, decode and prefill engines share the notices and pick no such host; a seat at one is given up before the stream is sent. The list takes no notice back. Peers are told which hosts are leaving, not of pauses. A pause is at most 60 s, 1 s if its value can't be read, and is not shortened by a later one. After it a single call tests the host; others follow once it is answered without a new pause, or after 300 ms. If all hosts of a service are paused, requests are refused at once with 503 `hosts_paused` and the earliest end plus up to 0.5 s; waiting streams too, unless they may have run.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -28,6 +28,8 @@
 const HOLD_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// Callers return after at most the time that is left to them, divided by this.
 pub(crate) const RETURN_DIVISOR: u32 = 3;
+/// The longest time by which callers return later than a host takes calls again.
+const MAX_RETURN_SPREAD: time::Duration = time::Duration::from_millis(500);
 /// Units charged for a request when the organisation's allowance counts
 /// requests.
 const UNITS_PER_REQUEST: f64 = 1.0;
@@ -118,6 +120,14 @@
             .with("age_ms", telemetry::millis(self.arrived_at.elapsed()))
     }
 
+    /// Builds the reply to this request if all hosts want no call until `retry_at`. Callers
+    /// are told to return a little later, each at another time.
+    pub(crate) fn paused_reply(&self, retry_at: time::Instant, now: time::Instant) -> seam::Reply {
+        let spread = rand::rng().random_range(time::Duration::ZERO..MAX_RETURN_SPREAD);
+        let delay = retry_at.saturating_duration_since(now) + spread;
+        self.reply(StatusCode::SERVICE_UNAVAILABLE, Some(delay), "hosts_paused")
+    }
+
     /// Builds a reply of the entry itself to this request.
     pub(crate) fn reply(
         &self,
--- a/crates/direct/src/engine_pool.rs
+++ b/crates/direct/src/engine_pool.rs
@@ -8,6 +8,7 @@
 use std::collections;
 use std::rc;
 use std::time;
+use tokio::sync;
 use tokio::sync::oneshot;
 use world::Name;
 
@@ -28,6 +29,7 @@
     pools: cell::RefCell<collections::BTreeMap<Name, rc::Rc<EnginePool>>>,
     /// Number of the last ticket.
     last_ticket: cell::Cell<u64>,
+    notices: pool::SharedNotices,
 }
 
 /// The engines of one service and the streams that wait for them.
@@ -45,6 +47,8 @@
     zone: cell::RefCell<Name>,
     /// Whether the polling task runs.
     polling: cell::Cell<bool>,
+    /// Tells waiting streams that all decode engines want no call now.
+    pub(crate) all_paused: sync::Notify,
 }
 
 /// Message that ends a stream's wait.
@@ -134,8 +138,11 @@
 }
 
 impl EnginePools {
-    pub(crate) fn new() -> Self {
-        Self::default()
+    pub(crate) fn new(notices: pool::SharedNotices) -> Self {
+        Self {
+            notices,
+            ..Self::default()
+        }
     }
 
     /// Returns the next ticket; tickets are numbered in order of arrival.
@@ -190,7 +197,7 @@
             .pools
             .borrow_mut()
             .entry(service.clone())
-            .or_insert_with(|| rc::Rc::new(EnginePool::new(spec.clone())))
+            .or_insert_with(|| rc::Rc::new(EnginePool::new(spec.clone(), &self.notices)))
             .clone();
         *pool.spec.borrow_mut() = spec.clone();
         let mut decode_pool = pool.decode_pool.borrow_mut();
@@ -205,16 +212,17 @@
 }
 
 impl EnginePool {
-    fn new(spec: seam::EngineSpec) -> Self {
+    fn new(spec: seam::EngineSpec, notices: &pool::SharedNotices) -> Self {
         Self {
             spec: cell::RefCell::new(spec),
-            decode_pool: cell::RefCell::default(),
-            prefill_pool: cell::RefCell::default(),
+            decode_pool: cell::RefCell::new(pool::DecodePool::new(notices.clone())),
+            prefill_pool: cell::RefCell::new(pool::PrefillPool::new(notices.clone())),
             responses: cell::RefCell::default(),
             queue: cell::RefCell::default(),
             waiters: cell::RefCell::default(),
             zone: cell::RefCell::new(Name::from("")),
             polling: cell::Cell::new(false),
+            all_paused: sync::Notify::new(),
         }
     }
 
@@ -275,6 +283,9 @@
     /// Assigns free seats to waiting streams in queue order, and drops expired
     /// streams from the queue.
     pub(crate) fn assign_seats(&self, now: time::Instant) {
+        if self.decode_pool.borrow().retry_at(now).is_some() {
+            self.all_paused.notify_waiters();
+        }
         let expired = self.queue.borrow().expired(now);
         for ticket in expired {
             self.offer(ticket, Offer::Expired);
@@ -349,10 +360,11 @@
 
 impl<P: seam::Platform> Entry<P> {
     /// Returns whether an upstream host still accepts new requests.
-    pub(crate) fn is_accepting(&self, id: &str) -> bool {
+    pub(crate) fn is_accepting(&self, id: &Name) -> bool {
         let host_list = self.host_list.borrow();
         let member = host_list.get(id);
-        member.is_some_and(|m| m.state == seam::MemberState::Ready)
+        let is_ready = member.is_some_and(|m| m.state == seam::MemberState::Ready);
+        is_ready && self.notices.borrow().allows(id, time::Instant::now())
     }
 
     /// Returns the id and address of an upstream host.
@@ -362,6 +374,7 @@
         Some(seam::Target {
             id: member.id.clone(),
             address: member.address,
+            started_ms: member.started_ms,
         })
     }
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::EnginePools;
+use crate::gate::HostGate;
 use crate::gossip::GossipMessage;
 use crate::plain_service::PlainServices;
 use crate::telemetry;
@@ -22,7 +23,9 @@
     /// Settings of this process.
     pub settings: seam::Settings,
     pub(crate) store: P::Store,
-    pub(crate) upstreams: P::Upstreams,
+    pub(crate) upstreams: HostGate<P::Upstreams>,
+    /// What upstream hosts have said of themselves.
+    pub(crate) notices: pool::SharedNotices,
     /// HTTP client for calls to peers.
     pub(crate) peer_client: rc::Rc<web::Client>,
     pub(crate) config: cell::RefCell<Option<rc::Rc<ActiveConfig>>>,
@@ -117,15 +120,17 @@
         if !settings.first_start {
             rate_limiter.record_restart(time::Instant::now());
         }
+        let notices = pool::SharedNotices::default();
         rc::Rc::new(Self {
             store,
-            upstreams,
+            upstreams: HostGate::new(upstreams, notices.clone()),
             peer_client,
             config: cell::RefCell::default(),
             host_list: cell::RefCell::default(),
             member_list: cell::RefCell::default(),
-            pools: EnginePools::new(),
-            plain_services: PlainServices::default(),
+            pools: EnginePools::new(notices.clone()),
+            plain_services: PlainServices::new(notices.clone()),
+            notices,
             rate_limiter: cell::RefCell::new(rate_limiter),
             retry_budget: cell::RefCell::new(pool::RetryBudget::new(
                 bounds.retry_ratio,
@@ -227,6 +232,10 @@
             .host_list
             .borrow_mut()
             .update(members, member_list.revision, now);
+        let host_list = self.host_list.borrow();
+        let listed = host_list.members();
+        self.notices.borrow_mut().set_listed(listed, now);
+        drop(host_list);
         for member in removed {
             seam::Upstreams::close_connections(&self.upstreams, member.address);
         }
@@ -243,14 +252,15 @@
         };
         let host_list = self.host_list.borrow();
         for service in &active.config.services {
+            let ready = host_list.ready(&service.name);
+            let ready = ready.filter(|m| !self.notices.borrow().is_leaving(&m.id));
             match &service.engine {
                 Some(spec) => {
-                    let ready = host_list.ready(&service.name);
                     let available = ready.filter(|m| !self.is_changing_role(m));
                     self.pools
                         .update(&service.name, spec, available, self.position());
                 }
-                None => self.plain_services.update(&service.name, &host_list),
+                None => self.plain_services.update(&service.name, ready),
             }
         }
     }
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -5,6 +5,7 @@
 use crate::entry::Entry;
 use crate::entry::MemberList;
 use crate::entry::Peer;
+use crate::gate;
 use std::collections;
 use std::net;
 use std::time;
@@ -55,6 +56,10 @@
     #[serde(default)]
     #[serde(skip_serializing_if = "CrashUpdate::is_empty")]
     pub(crate) crash_update: CrashUpdate,
+    /// Upstream hosts that have told the sender itself that they are leaving.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) leaving: Vec<pool::Incarnation>,
     /// Engines that are changing their role, with the new role and the milliseconds
     /// after which it is no longer expected.
     #[serde(rename = "shifts")]
@@ -91,6 +96,7 @@
             demand: self.current_demand(now),
             is_holder: self.is_holder.get(),
             crash_update: self.crash_update(full, now),
+            leaving: self.notices.borrow().own_leaving(now),
             role_changes: self.remaining_role_changes(now),
             ..GossipMessage::default()
         };
@@ -144,11 +150,23 @@
         drop(rate_limiter);
         self.apply_crash_update(&message.crash_update, &peer, now);
         self.apply_role_changes(&message, now);
+        self.apply_leaving(&message, now);
         let reply = self.gossip_reply(&message);
         self.record_peer(&peer, message.address, message, now);
         reply
     }
 
+    /// Applies that upstream hosts are leaving, as they have told a peer.
+    fn apply_leaving(&self, message: &GossipMessage, now: time::Instant) {
+        let new = self.notices.borrow_mut().record_peer(&message.leaving, now);
+        for host in &new {
+            gate::log_leaving(host, &message.entry);
+        }
+        if !new.is_empty() {
+            self.update_pools();
+        }
+    }
+
     /// Stores a peer's message. A peer that the store has not listed yet is
     /// added by its first message.
     fn record_peer(
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine_pool;
 mod entry;
 mod events;
+mod gate;
 mod gossip;
 mod guards;
 mod peers;
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -25,6 +25,8 @@
 const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
 /// Delay after which a caller should retry if no host can take its call.
 const NO_HOST_RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
+/// Time between two looks whether a host takes calls again.
+const PROBE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// How long an attempt may take if another one is allowed, in multiples of the
 /// route's latency target.
 const ATTEMPT_TIME_FACTOR: u32 = 2;
@@ -33,10 +35,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct PlainServices {
     services: cell::RefCell<collections::BTreeMap<Name, rc::Rc<PlainService>>>,
+    notices: pool::SharedNotices,
 }
 
 /// The hosts of one plain service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PlainService {
     pub(crate) balancer: cell::RefCell<pool::HostBalancer>,
 }
@@ -54,14 +57,23 @@
 }
 
 impl PlainServices {
+    pub(crate) fn new(notices: pool::SharedNotices) -> Self {
+        Self {
+            notices,
+            ..Self::default()
+        }
+    }
+
     /// Updates a service with its current hosts.
-    pub(crate) fn update(&self, name: &Name, host_list: &pool::HostList) {
+    pub(crate) fn update<'a>(&self, name: &Name, hosts: impl Iterator<Item = &'a seam::Member>) {
         let mut services = self.services.borrow_mut();
-        let service = services.entry(name.clone()).or_default();
-        service
-            .balancer
-            .borrow_mut()
-            .set_hosts(host_list.ready(name));
+        let service = services.entry(name.clone()).or_insert_with(|| {
+            let balancer = pool::HostBalancer::new(self.notices.clone());
+            rc::Rc::new(PlainService {
+                balancer: cell::RefCell::new(balancer),
+            })
+        });
+        service.balancer.borrow_mut().set_hosts(hosts);
     }
 
     pub(crate) fn get(&self, service: &str) -> Option<rc::Rc<PlainService>> {
@@ -115,7 +127,11 @@
             .pick(&entry.settings.zone, &tried, now);
         let target = picked.and_then(|id| entry.target(&id));
         let Some(target) = target else {
-            return no_host_response(&entry, &job, may_have_run);
+            if service.balancer.borrow().is_probing(&tried, now) {
+                tokio::time::sleep(PROBE_POLL_INTERVAL).await;
+                continue;
+            }
+            return no_host_response(&entry, &service, &job, may_have_run);
         };
         if send_count > 0 {
             let entries = entry.entry_count();
@@ -124,7 +140,7 @@
                 .borrow_mut()
                 .try_take(&job.service, entries, now);
             if !granted {
-                return no_host_response(&entry, &job, may_have_run);
+                return no_host_response(&entry, &service, &job, may_have_run);
             }
         }
         tried.push(target.id.clone());
@@ -155,7 +171,7 @@
                     .record(job.arrived_at.elapsed().as_secs_f64());
                 return forward_response(upstream, body, active_request, job);
             }
-            AttemptOutcome::NotExecuted("unconnected") => {}
+            AttemptOutcome::NotExecuted("unconnected" | "withheld") => {}
             AttemptOutcome::NotExecuted(_) => send_count += 1,
             AttemptOutcome::Unknown(_) => {
                 send_count += 1;
@@ -220,6 +236,9 @@
     let now = time::Instant::now();
     let mut upstream = match result {
         Ok(upstream) => upstream,
+        Err(error) if error.cause == seam::FailureCause::Withheld => {
+            return AttemptOutcome::NotExecuted("withheld");
+        }
         Err(error) => {
             service
                 .balancer
@@ -344,16 +363,17 @@
 /// Refuses a call for which no host or no retry is left.
 fn no_host_response<P: seam::Platform>(
     entry: &Entry<P>,
+    service: &PlainService,
     job: &Job,
     may_have_run: bool,
 ) -> hyper::Response<Body> {
-    let reply = match may_have_run {
-        true => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
-        false => job.reply(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(NO_HOST_RETRY_DELAY),
-            "no_host",
-        ),
+    let now = time::Instant::now();
+    let retry_at = service.balancer.borrow().retry_at(now);
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let reply = match (may_have_run, retry_at) {
+        (true, _) => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
+        (false, Some(at)) => job.paused_reply(at, now),
+        (false, None) => job.reply(status, Some(NO_HOST_RETRY_DELAY), "no_host"),
     };
     refusal_response(entry, job, &reply)
 }
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -89,6 +89,9 @@
                 prefill_pool.record_failure(&engine, now);
                 Err(StartError::NotExecuted("prefill_refused"))
             }
+            seam::PrefillOutcome::Failed(seam::FailureCause::Withheld) => {
+                Err(StartError::NotExecuted("withheld"))
+            }
             seam::PrefillOutcome::Failed(cause) => {
                 prefill_pool.record_failure(&engine, now);
                 self.job
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -78,6 +78,11 @@
                 self.failed_attempts = self.failed_attempts.saturating_sub(1);
                 Err(StartError::NotExecuted("full"))
             }
+            seam::ReserveOutcome::Failed(seam::FailureCause::Withheld) => {
+                // The engine was not called, and is not picked again.
+                self.failed_attempts = self.failed_attempts.saturating_sub(1);
+                Err(StartError::NotExecuted("withheld"))
+            }
             seam::ReserveOutcome::Failed(_) => {
                 decode_pool.record_failure(&target.id, now);
                 Err(StartError::NotExecuted("reserve_failed"))
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -56,6 +56,9 @@
             let Some(change) = change else {
                 continue;
             };
+            if !entry.is_accepting(&change.id) {
+                continue;
+            }
             trace::LogLine::new("shift_wanted")
                 .with("service", &service)
                 .with("engine", &change.id)
@@ -204,7 +207,9 @@
     let (decode_pool, prefill_pool) = (pool.decode_pool.borrow(), pool.prefill_pool.borrow());
     let speeds = entry.prefill_speeds(pool);
     let ready = host_list.ready(service);
+    let notices = entry.notices.borrow();
     ready
+        .filter(|m| !notices.is_leaving(&m.id))
         .filter_map(|m| {
             let listed_role = m.role?;
             let change = role_changes.get(&m.id).filter(|(_, until)| *until > now);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -67,7 +67,16 @@
     let mut runner = StreamRunner::new(entry.clone(), pool, job.clone());
     let started = match runner.start(job.request.last_event).await {
         Ok(started) => started,
-        Err(error) => return failure_response(&entry, &job, &error),
+        Err(error) => {
+            let now = time::Instant::now();
+            let retry_at = runner.pool.decode_pool.borrow().retry_at(now);
+            return match (error, retry_at) {
+                (StartError::Abandoned | StartError::NotExecuted(_), Some(at)) => {
+                    plain_service::refusal_response(&entry, &job, &job.paused_reply(at, now))
+                }
+                (error, _) => failure_response(&entry, &job, &error),
+            };
+        }
     };
     if !started.response.status.is_success() {
         return forward_failure(&entry, &job, started).await;
@@ -244,7 +253,12 @@
             queued_at: time::Instant::now(),
         };
         let zone = self.entry.settings.zone.clone();
-        let seat = self.pool.wait_for_seat(self.ticket, queued, &zone).await;
+        let seat = tokio::select! {
+            biased;
+            seat = self.pool.wait_for_seat(self.ticket, queued, &zone) => seat,
+            // A stream that may have begun can't be refused any more.
+            () = self.pool.all_paused.notified(), if !self.may_have_run => None,
+        };
         let mut seat = seat.ok_or(StartError::Abandoned)?;
         let engine = seat.engine.clone();
         let target = self
@@ -290,10 +304,10 @@
         let response = match result {
             Ok(response) => response,
             Err(error) => {
-                self.pool
-                    .decode_pool
-                    .borrow_mut()
-                    .record_failure(&engine, now);
+                if error.cause != seam::FailureCause::Withheld {
+                    let mut decode_pool = self.pool.decode_pool.borrow_mut();
+                    decode_pool.record_failure(&engine, now);
+                }
                 if error.cause == seam::FailureCause::ConnectionLost {
                     let progress = pool::Progress::Unclear;
                     let check =
@@ -307,6 +321,7 @@
                     seam::FailureCause::TimedOut => "late",
                     seam::FailureCause::ConnectionLost => "broken",
                     seam::FailureCause::WrongRequest => "crossed",
+                    seam::FailureCause::Withheld => "withheld",
                 };
                 return Err(match error.may_have_run {
                     true => StartError::Unknown(reason),
--- a/crates/fake/src/tracks/names.rs
+++ b/crates/fake/src/tracks/names.rs
@@ -33,6 +33,8 @@
 pub const PRIORITY: &str = "hornbeampitch-request-priority";
 /// Response header: the request was not executed.
 pub const NOT_EXECUTED: &str = "hornbeampitch-not-executed";
+/// Response header: the host is leaving if the value is `1`.
+pub const SERVER_LEAVING: &str = "server-leaving";
 /// Response header: seal with which the host shows that it answered the request.
 pub const RESPONSE_SEAL: &str = "hornbeampitch-response-seal";
 
--- a/crates/fake/src/tracks/worker.rs
+++ b/crates/fake/src/tracks/worker.rs
@@ -102,11 +102,12 @@
     pub fn member_record(&self, service: &str, state: &str) -> String {
         let guard = self.state();
         let (stage, advertised_address) = (guard.stage, guard.advertised_address);
+        let started_ms = guard.behaviour.started_ms;
         drop(guard);
         json!({
             "service": service, "address": advertised_address.unwrap_or(self.address()), "zone": "ruahine", "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "stage": stage, "seq": 4,
-            "born": 1_767_816_250_201_u64,
+            "born": started_ms,
         })
         .to_string()
     }
--- a/crates/fake/src/tracks/worker_behaviour.rs
+++ b/crates/fake/src/tracks/worker_behaviour.rs
@@ -28,6 +28,13 @@
     pub drop_responses: bool,
     /// Whether plain calls are refused with status 503 and marked as not executed.
     pub shed_calls: bool,
+    /// Values of the header by which all answers say that the worker is leaving.
+    pub leaving: &'static [&'static str],
+    /// Value of `Retry-After` with which all calls are refused with status 503; none if
+    /// they are answered.
+    pub retry_after: Option<&'static str>,
+    /// Start time in the worker's record; another one stands for a restart under its id.
+    pub started_ms: u64,
     /// Request body that crashes the worker; none if no request does.
     pub crash_body: Option<&'static str>,
     /// Shared part of a prompt on which the worker crashes once it has begun to answer,
@@ -51,6 +58,9 @@
             status: 200,
             drop_responses: false,
             shed_calls: false,
+            leaving: &[],
+            retry_after: None,
+            started_ms: 1_767_816_250_201,
             crash_body: None,
             crash_part: None,
             crash_delay: time::Duration::from_millis(20),
--- a/crates/fake/src/tracks/worker_handler.rs
+++ b/crates/fake/src/tracks/worker_handler.rs
@@ -51,11 +51,35 @@
             state.calls.push(call.clone());
             state.handle_internal(&call)
         };
-        match internal_response {
-            Some((status, value)) => Some(json_response(status, &value)),
-            None => self.run(&call).await,
+        let behaviour = self.state().behaviour.clone();
+        let response = match (behaviour.retry_after, internal_response) {
+            (Some(delay), _) => Some(refusal(&call, delay)),
+            (None, Some((status, value))) => Some(json_response(status, &value)),
+            (None, None) => self.run(&call).await,
+        };
+        let mut response = response?;
+        for value in behaviour.leaving {
+            let value = web::header::HeaderValue::from_static(value);
+            response.headers_mut().append(names::SERVER_LEAVING, value);
+        }
+        Some(response)
+    }
+}
+
+/// Returns an answer that refuses a call and asks for no other for a time.
+fn refusal(call: &ReceivedCall, delay: &str) -> web::Response<web::Body> {
+    let mut response = json_response(503, &Value::Null);
+    let headers = response.headers_mut();
+    for (name, value) in [
+        (names::REQUEST_ID, call.header(names::REQUEST_ID)),
+        (names::NOT_EXECUTED, "1"),
+        ("retry-after", delay),
+    ] {
+        if let Ok(value) = web::header::HeaderValue::from_str(value) {
+            headers.insert(name, value);
         }
     }
+    response
 }
 
 impl CallHandler {
--- a/crates/pool/src/decode.rs
+++ b/crates/pool/src/decode.rs
@@ -8,6 +8,7 @@
 
 use crate::failures::HostFailures;
 use crate::forecast::MemoryForecast;
+use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
 use std::ops;
@@ -67,6 +68,8 @@
     engines: collections::BTreeMap<Name, Engine>,
     /// Recent failures of the engines, as seen here and reported by peers.
     pub failures: HostFailures,
+    /// What the engines have said of themselves.
+    notices: SharedNotices,
     peer_loads: PeerLoads<EngineLoad>,
 }
 
@@ -87,12 +90,21 @@
         Self {
             engines: collections::BTreeMap::new(),
             failures: HostFailures::new(FIRST_BACKOFF),
+            notices: SharedNotices::default(),
             peer_loads: PeerLoads::new(PEER_EXPIRY),
         }
     }
 }
 
 impl DecodePool {
+    /// Creates a pool without engines, which shares what hosts say of themselves.
+    pub fn new(notices: SharedNotices) -> Self {
+        Self {
+            notices,
+            ..Self::default()
+        }
+    }
+
     /// Sets the engines of the service that are ready; those with the prefill
     /// role receive no streams. An engine that is no longer among them is
     /// removed once its last stream has ended.
@@ -151,10 +163,12 @@
     ) -> Option<Name> {
         let (peer_loads, backed_off) =
             (self.peer_loads.by_host(now), self.failures.backed_off(now));
+        let notices = self.notices.borrow();
         let usable = self
             .engines
             .iter()
             .filter(|(id, e)| e.is_usable(now) && !backed_off.contains(&***id))
+            .filter(|(id, _)| notices.allows(id, now))
             .filter_map(|(id, e)| {
                 let load = e.own_load + peer_loads.get(&**id).copied().unwrap_or_default();
                 let peak = (load.memory + need).peak();
@@ -166,6 +180,12 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// Returns when the first engine takes streams again, if all of them want no call now.
+    pub fn retry_at(&self, now: time::Instant) -> Option<time::Instant> {
+        let ready = self.engines.iter().filter(|(_, e)| e.ready);
+        self.notices.borrow().retry_at(ready.map(|(id, _)| id), now)
+    }
+
     /// Returns the zone of an engine.
     pub fn zone(&self, id: &str) -> Option<&Name> {
         self.engines.get(id)?.zone.as_ref()
--- a/crates/pool/src/host_balancer.rs
+++ b/crates/pool/src/host_balancer.rs
@@ -6,6 +6,7 @@
 //! failures receives fewer calls.
 
 use crate::failures::HostFailures;
+use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
 use std::time;
@@ -32,6 +33,8 @@
     hosts: collections::BTreeMap<Name, Host>,
     /// Recent failures of the hosts, as seen here and reported by peers.
     pub failures: HostFailures,
+    /// What the hosts have said of themselves.
+    notices: SharedNotices,
     peer_calls: PeerLoads<u32>,
 }
 
@@ -52,12 +55,21 @@
         Self {
             hosts: collections::BTreeMap::new(),
             failures: HostFailures::new(FIRST_BACKOFF),
+            notices: SharedNotices::default(),
             peer_calls: PeerLoads::new(PEER_EXPIRY),
         }
     }
 }
 
 impl HostBalancer {
+    /// Creates a pool without hosts, which shares what hosts say of themselves.
+    pub fn new(notices: SharedNotices) -> Self {
+        Self {
+            notices,
+            ..Self::default()
+        }
+    }
+
     /// Sets the hosts that are ready. A host that is no longer among them
     /// receives no new calls, and is removed once its last call has ended.
     pub fn set_hosts<'a>(&mut self, members: impl Iterator<Item = &'a seam::Member>) {
@@ -75,12 +87,14 @@
     }
 
     /// Picks the host for a call by an entry in the given zone, except those in `tried`.
-    /// Hosts that are full or backed off are picked only if no other is left.
+    /// Hosts that are full or backed off are picked only if no other is left, and hosts that
+    /// want no call never.
     pub fn pick(&self, zone: &str, tried: &[Name], now: time::Instant) -> Option<Name> {
+        let notices = self.notices.borrow();
         let candidates = self
             .hosts
             .iter()
-            .filter(|(id, h)| h.ready && !tried.contains(id));
+            .filter(|(id, h)| h.ready && !tried.contains(id) && notices.allows(id, now));
         let (peer_calls, backed_off) =
             (self.peer_calls.by_host(now), self.failures.backed_off(now));
         let cost = |id: &Name, h: &Host| {
@@ -101,6 +115,20 @@
         best.map(|(id, _)| id.clone())
     }
 
+    /// Returns when the first host takes calls again, if all of them want none now.
+    pub fn retry_at(&self, now: time::Instant) -> Option<time::Instant> {
+        let ready = self.hosts.iter().filter(|(_, h)| h.ready);
+        self.notices.borrow().retry_at(ready.map(|(id, _)| id), now)
+    }
+
+    /// Returns whether a call tests at the moment if one of the hosts, except those in
+    /// `tried`, takes calls again.
+    pub fn is_probing(&self, tried: &[Name], now: time::Instant) -> bool {
+        let ready = self.hosts.iter().filter(|(_, h)| h.ready);
+        let others = ready.map(|(id, _)| id).filter(|id| !tried.contains(id));
+        self.notices.borrow().is_probing(others, now)
+    }
+
     /// Records that a call is sent to a host.
     pub fn start_call(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
--- /dev/null
+++ b/crates/pool/src/host_notices.rs
@@ -0,0 +1,297 @@
+//! What upstream hosts have said of themselves: that they are leaving, or that they want
+//! no call for a time.
+//!
+//! A notice holds for one incarnation of a host, its process from start to end, so that a
+//! process that starts again under the same id is usable at once. No other source takes a
+//! notice back: the membership list may be older than it. At the end of the time for which
+//! a host wants no call, a single call tests whether it takes calls again, so that not all
+//! that wait return together.
+
+use std::cell;
+use std::collections;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// The longest time for which a host gets no call, whatever it asks for.
+pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(60);
+/// How long a host gets no call that asks for a time that can't be read.
+pub const DEFAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// A host refuses at once, so a call that has no answer after this time was taken.
+pub const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// How long it is remembered that a host is leaving after it was removed from the list.
+const LEAVING_EXPIRY: time::Duration = time::Duration::from_secs(600);
+/// How long peers are told that a host is leaving that is not in the list.
+const TELL_TIME: time::Duration = time::Duration::from_secs(30);
+
+/// The notices as the pools of an entry share them.
+pub type SharedNotices = rc::Rc<cell::RefCell<HostNotices>>;
+
+/// One process of an upstream host, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+pub struct Incarnation {
+    /// Id of the host.
+    pub id: Name,
+    /// Start time in Unix milliseconds.
+    pub started_ms: u64,
+}
+
+impl From<&seam::Target> for Incarnation {
+    fn from(target: &seam::Target) -> Self {
+        Self {
+            id: target.id.clone(),
+            started_ms: target.started_ms,
+        }
+    }
+}
+
+/// What a call asks of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum CallKind {
+    /// New work, which a leaving host must not get.
+    #[display("work")]
+    Work,
+    /// A report, a check, or the release of what the host holds.
+    #[display("control")]
+    Control,
+}
+
+/// Why a call must not be made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Withheld {
+    /// The host is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// The host wants no call yet.
+    #[display("paused")]
+    Paused,
+    /// Another call tests whether the host takes calls again.
+    #[display("probed")]
+    Probed,
+}
+
+/// Permission to make a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// Nothing speaks against the call.
+    Usual,
+    /// The call tests whether the host takes calls again.
+    Probe,
+}
+
+/// What a notice has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeEffect {
+    /// Whether it was not known yet that the host is leaving.
+    pub leaves: bool,
+    /// How long the host gets no call from the arrival of the notice on.
+    pub pause: Option<time::Duration>,
+}
+
+/// Notices of the upstream hosts of all services.
+#[derive(Clone, Debug, Default)]
+pub struct HostNotices {
+    /// Start times of the hosts in the membership list.
+    listed: collections::BTreeMap<Name, u64>,
+    leaving: collections::BTreeMap<Incarnation, Leaving>,
+    pauses: collections::BTreeMap<Incarnation, Pause>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    known_at: time::Instant,
+    /// Whether the host has said so to this entry itself.
+    is_own: bool,
+}
+
+/// A time for which a host wants no call, and the test after it.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: time::Instant,
+    probed_at: Option<time::Instant>,
+}
+
+impl Pause {
+    fn withheld(&self, now: time::Instant) -> Option<Withheld> {
+        if self.until > now {
+            return Some(Withheld::Paused);
+        }
+        let probed_at = self.probed_at?;
+        (probed_at + PROBE_TIMEOUT > now).then_some(Withheld::Probed)
+    }
+}
+
+impl HostNotices {
+    /// Sets the hosts in the membership list. Notices of others are dropped only after a
+    /// long time, since a host may be missing from one list and be in the next.
+    pub fn set_listed<'a>(
+        &mut self,
+        members: impl Iterator<Item = &'a seam::Member>,
+        now: time::Instant,
+    ) {
+        self.listed = members.map(|m| (m.id.clone(), m.started_ms)).collect();
+        let listed = &self.listed;
+        self.leaving.retain(|host, leaving| {
+            let age = now.saturating_duration_since(leaving.known_at);
+            listed.get(&host.id) == Some(&host.started_ms) || age < LEAVING_EXPIRY
+        });
+        self.pauses
+            .retain(|_, pause| pause.until + PROBE_TIMEOUT > now || pause.probed_at.is_none());
+        self.pauses.retain(|host, pause| {
+            listed.get(&host.id) == Some(&host.started_ms) || pause.until > now
+        });
+    }
+
+    /// Records a notice that this entry has received. A pause counts from its arrival, and
+    /// does not shorten a longer one.
+    pub fn record(&mut self, notice: &seam::HostNotice) -> NoticeEffect {
+        let host = Incarnation::from(&notice.host);
+        let mut effect = NoticeEffect::default();
+        if notice.leaving {
+            let known = self.leaving.get(&host).copied();
+            effect.leaves = known.is_none();
+            let known_at = known.map_or(notice.received_at, |l| l.known_at);
+            let leaving = Leaving {
+                known_at,
+                is_own: true,
+            };
+            self.leaving.insert(host.clone(), leaving);
+        }
+        if let Some(retry_after) = &notice.retry_after {
+            let pause = match retry_after {
+                seam::RetryAfter::Delay(delay) => (*delay).min(MAX_PAUSE),
+                seam::RetryAfter::Invalid(_) => DEFAULT_PAUSE,
+            };
+            effect.pause = Some(pause);
+            let mut until = notice.received_at + pause;
+            if let Some(known) = self.pauses.get(&host) {
+                until = until.max(known.until);
+            }
+            if !pause.is_zero() {
+                let probed_at = None;
+                self.pauses.insert(host, Pause { until, probed_at });
+            }
+        }
+        effect
+    }
+
+    /// Records the hosts that have told a peer that they are leaving, and returns those of
+    /// which this entry did not know it.
+    pub fn record_peer(&mut self, hosts: &[Incarnation], now: time::Instant) -> Vec<Incarnation> {
+        let mut new = hosts.to_vec();
+        new.retain(|h| !self.leaving.contains_key(h));
+        for host in &new {
+            let leaving = Leaving {
+                known_at: now,
+                is_own: false,
+            };
+            self.leaving.insert(host.clone(), leaving);
+        }
+        new
+    }
+
+    /// Returns the hosts that have told this entry itself that they are leaving, for its
+    /// peers.
+    pub fn own_leaving(&self, now: time::Instant) -> Vec<Incarnation> {
+        let own = self.leaving.iter().filter(|(_, l)| l.is_own);
+        let told = own.filter(|(host, leaving)| {
+            let age = now.saturating_duration_since(leaving.known_at);
+            self.listed.get(&host.id) == Some(&host.started_ms) || age < TELL_TIME
+        });
+        told.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Returns whether a host in the membership list is leaving by its own word.
+    pub fn is_leaving(&self, id: &Name) -> bool {
+        let host = self.listed_incarnation(id);
+        host.is_some_and(|h| self.leaving.contains_key(&h))
+    }
+
+    /// Returns whether a host in the membership list may be picked for new work.
+    pub fn allows(&self, id: &Name, now: time::Instant) -> bool {
+        if self.leaving.is_empty() && self.pauses.is_empty() {
+            return true;
+        }
+        let host = self.listed_incarnation(id);
+        host.is_none_or(|h| self.withheld(&h, CallKind::Work, now).is_none())
+    }
+
+    /// Returns when the first of these hosts takes calls again, if each of them that is not
+    /// leaving wants none now.
+    pub fn retry_at<'a>(
+        &self,
+        ids: impl Iterator<Item = &'a Name>,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        if self.pauses.is_empty() {
+            return None;
+        }
+        let mut earliest: Option<time::Instant> = None;
+        for id in ids.filter(|id| !self.is_leaving(id)) {
+            let host = self.listed_incarnation(id)?;
+            let until = self.pauses.get(&host)?.until;
+            if until <= now {
+                return None;
+            }
+            earliest = Some(earliest.map_or(until, |e| e.min(until)));
+        }
+        earliest
+    }
+
+    /// Returns whether a call tests at the moment whether one of these hosts takes calls
+    /// again.
+    pub fn is_probing<'a>(
+        &self,
+        mut ids: impl Iterator<Item = &'a Name>,
+        now: time::Instant,
+    ) -> bool {
+        ids.any(|id| {
+            let host = self.listed_incarnation(id);
+            host.and_then(|h| self.withheld(&h, CallKind::Work, now)) == Some(Withheld::Probed)
+        })
+    }
+
+    /// Decides whether a call may be made, and records it if so. The first call after a
+    /// pause tests whether the host takes calls again.
+    pub fn start_call(
+        &mut self,
+        host: &Incarnation,
+        kind: CallKind,
+        now: time::Instant,
+    ) -> Result<Permit, Withheld> {
+        if let Some(withheld) = self.withheld(host, kind, now) {
+            return Err(withheld);
+        }
+        let Some(pause) = self.pauses.get_mut(host) else {
+            return Ok(Permit::Usual);
+        };
+        if pause.probed_at.is_some() {
+            self.pauses.remove(host);
+            return Ok(Permit::Usual);
+        }
+        pause.probed_at = Some(now);
+        Ok(Permit::Probe)
+    }
+
+    /// Records that a call has ended, after its notice if it brought one. A test that brought
+    /// no new pause ends the old one.
+    pub fn end_call(&mut self, host: &Incarnation, permit: Permit) {
+        let pause = self.pauses.get(host);
+        if permit == Permit::Probe && pause.is_some_and(|p| p.probed_at.is_some()) {
+            self.pauses.remove(host);
+        }
+    }
+
+    fn withheld(&self, host: &Incarnation, kind: CallKind, now: time::Instant) -> Option<Withheld> {
+        if kind == CallKind::Work && self.leaving.contains_key(host) {
+            return Some(Withheld::Leaving);
+        }
+        self.pauses.get(host)?.withheld(now)
+    }
+
+    fn listed_incarnation(&self, id: &Name) -> Option<Incarnation> {
+        let started_ms = *self.listed.get(id)?;
+        let id = id.clone();
+        Some(Incarnation { id, started_ms })
+    }
+}
--- a/crates/pool/src/prefill.rs
+++ b/crates/pool/src/prefill.rs
@@ -7,6 +7,7 @@
 //! uses the others only where these are clearly faster.
 
 use crate::failures::HostFailures;
+use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
 use std::time;
@@ -41,6 +42,8 @@
     engines: collections::BTreeMap<Name, Engine>,
     /// Recent failures of the engines, as seen here and reported by peers.
     pub failures: HostFailures,
+    /// What the engines have said of themselves.
+    notices: SharedNotices,
     peer_backlogs: PeerLoads<u64>,
 }
 
@@ -60,12 +63,21 @@
         Self {
             engines: collections::BTreeMap::new(),
             failures: HostFailures::new(FIRST_BACKOFF),
+            notices: SharedNotices::default(),
             peer_backlogs: PeerLoads::new(PEER_EXPIRY),
         }
     }
 }
 
 impl PrefillPool {
+    /// Creates a pool without engines, which shares what hosts say of themselves.
+    pub fn new(notices: SharedNotices) -> Self {
+        Self {
+            notices,
+            ..Self::default()
+        }
+    }
+
     /// Sets the engines that are ready; those without the prefill role are
     /// left out. An engine that is no longer among them receives no new prompts,
     /// and is removed once its last prompt has ended.
@@ -115,10 +127,12 @@
             self.peer_backlogs.by_host(now),
             self.failures.backed_off(now),
         );
+        let notices = self.notices.borrow();
         let usable = self
             .engines
             .iter()
             .filter(|(id, e)| e.ready && !backed_off.contains(&***id))
+            .filter(|(id, _)| notices.allows(id, now))
             .map(|(id, e)| {
                 let by_peers = peer_backlogs.get(&**id).copied().unwrap_or_default();
                 let backlog = e.own_backlog + by_peers + prompt_tokens;
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod config;
 mod member;
+mod notice;
 mod request;
 mod settings;
 mod store;
@@ -16,6 +17,7 @@
 
 pub use config::{Config, EngineSpec, Limits, RetryMode, Route, Service, Tenant};
 pub use member::{Member, MemberState, Role};
+pub use notice::{HostNotice, RetryAfter};
 pub use request::{HeadError, Reply, Request};
 pub use settings::{Bounds, ResourceLimits, Settings};
 pub use store::{GetResult, Item, LeaseId, ListResult, Store, StoreError, SwapResult, WatchResult};
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! Calls to engines and plain services.
 
+use crate::HostNotice;
 use crate::Request;
 use crate::Role;
 use std::net;
@@ -14,6 +15,9 @@
     pub id: Name,
     /// Address that it listens on.
     pub address: net::SocketAddr,
+    /// Start time in Unix milliseconds; it tells the process from one that has started
+    /// again under the same id.
+    pub started_ms: u64,
 }
 
 /// A KV cache that a prefill engine holds for a decode engine to fetch.
@@ -82,6 +86,9 @@
     /// The response belongs to another request.
     #[display("crossed")]
     WrongRequest,
+    /// The call was not made, because the host wants none.
+    #[display("withheld")]
+    Withheld,
 }
 
 /// A response body that is read in chunks.
@@ -220,6 +227,9 @@
     /// Sends a role order to an engine.
     async fn send_order(&self, target: &Target, order: &RoleOrder) -> OrderOutcome;
 
+    /// Takes the notices in the answers that have arrived since the last time.
+    fn take_notices(&self) -> Vec<HostNotice>;
+
     /// Closes the connections to a host that has left the membership list.
     fn close_connections(&self, address: net::SocketAddr);
 
