--- a/crates/daemon/tests/silence_tests.rs
+++ b/crates/daemon/tests/silence_tests.rs
@@ -1,16 +1,18 @@
 //! Tests that a request is served to its end although its worker sends nothing for a while
 //! and then goes on.
 
-use fake::tracks::EntryResponse;
+use fake::tracks::CallEnd;
+use fake::tracks::CallRecord;
+use fake::tracks::CallerRequest;
+use fake::tracks::KeptCaller;
 use fake::tracks::Silence;
-use fake::tracks::SilenceGate;
 use fake::tracks::SilencePoint;
-use fake::tracks::SilentWorker;
-use fake::tracks::TracksCluster;
+use fake::tracks::SilentSite;
+use fake::tracks::body_bytes;
 use fake::tracks::event_text;
-use fake::tracks::names;
+use std::fmt;
 use std::path;
-use std::sync;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 use yare::parameterized;
@@ -19,51 +21,15 @@
 const EVENT_COUNT: u64 = 8;
 /// Answer of the workers: so many events, this many milliseconds apart.
 const EVENTS: &str = "events-8-10";
+/// Longest gap in a stream that a caller accepts: four times the route's latency target.
+const STREAM_PATIENCE: time::Duration = time::Duration::from_millis(3_600);
+/// Within this time an entry has written its log.
+const LOG_DELAY: time::Duration = time::Duration::from_millis(800);
+/// Longest wait of a caller for a plain answer; above the deadline of its request.
+const PLAIN_PATIENCE: time::Duration = time::Duration::from_secs(10);
 
-/// An entry and its workers.
-struct Site {
-    cluster: TracksCluster,
-    workers: Vec<SilentWorker>,
-    gates: Vec<sync::Arc<SilenceGate>>,
-}
-
-impl Site {
-    /// Prepares an entry with this many workers of a service, each with a gate of its own or
-    /// all with the same one.
-    fn prepare(service: &str, stage: Option<&'static str>, count: usize, together: bool) -> Self {
-        let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
-        let cluster = TracksCluster::new(program, &[], 0, 1);
-        let first = sync::Arc::new(SilenceGate::default());
-        let gates = (0..count).map(|_| match together {
-            true => first.clone(),
-            false => sync::Arc::default(),
-        });
-        let gates: Vec<sync::Arc<SilenceGate>> = gates.collect();
-        let workers = gates.iter().enumerate();
-        let workers = workers.map(|(i, g)| SilentWorker::start(&format!("silent-{i}"), stage, g));
-        let workers: Vec<SilentWorker> = workers.collect();
-        for worker in &workers {
-            let record = worker.member_record(service, "ready");
-            let key = names::member_key(&worker.id);
-            cluster.store.put(&key, record.as_bytes());
-        }
-        Self {
-            cluster,
-            workers,
-            gates,
-        }
-    }
-
-    /// Returns the log once it has the line with which the entry ends a stream.
-    fn log_of_streams(&self) -> String {
-        self.cluster
-            .wait_until(|c| c.entries[0].log().contains("event=stream_end"));
-        let log = self.cluster.entries[0].log();
-        let is_about_streams = |line: &&str| line.contains("request=") || line.contains(" id=");
-        log.lines()
-            .filter(is_about_streams)
-            .fold(String::new(), |text, line| text + line + "\n")
-    }
+fn program() -> &'static path::Path {
+    path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"))
 }
 
 /// What is left for a stream whose engine falls silent.
@@ -79,28 +45,64 @@
     NoBudget,
 }
 
-/// Requests a stream whose engine falls silent.
-fn request_stream(route: &str, fallback: Fallback, silence: Silence) -> (EntryResponse, String) {
-    let count = if fallback == Fallback::Missing { 1 } else { 2 };
-    let together = fallback == Fallback::Silent;
-    let mut site = Site::prepare("llm", Some("decode"), count, together);
+/// Starts an entry whose workers, of a service, are to fall silent.
+fn start_site(
+    service: &'static str,
+    stage: Option<&'static str>,
+    fallback: Fallback,
+    silence: Silence,
+) -> SilentSite {
+    let mut site = SilentSite::prepare(program(), 1);
+    match fallback {
+        Fallback::Missing => site.add_workers(service, stage, 1),
+        Fallback::Silent => site.add_group(service, stage, 2),
+        Fallback::Full | Fallback::NoBudget => site.add_workers(service, stage, 2),
+    }
     if fallback == Fallback::NoBudget {
         let entry = &site.cluster.entries[0];
-        entry.edit_settings("retry_budget_ratio = 0.2", "retry_budget_ratio = 0.0");
-        entry.edit_settings("budget_slack = 56", "budget_slack = 0");
+        entry.set_setting("retry_budget_ratio", "0.0");
+        entry.set_setting("budget_slack", "0");
     }
     site.cluster.start();
-    for gate in &site.gates {
+    for gate in site.gates(service) {
         gate.plan(silence);
     }
     if fallback == Fallback::Full {
         site.workers[1].refuse_reservations(true);
     }
-    let response = site
-        .cluster
-        .request_stream(0, &format!("/{route}/{EVENTS}"), &[]);
-    let log = site.log_of_streams();
-    (response, log)
+    site
+}
+
+/// Sends a request on a new connection, and waits as long as the platform's clients do.
+fn call(site: &SilentSite, method: &'static str, path: String) -> CallRecord {
+    static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+    let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+    let address = site.cluster.entries[0].caller_address;
+    let mut caller = KeptCaller::connect(address).expect("the entry listens");
+    let is_stream = path.contains(EVENTS);
+    caller.call(&CallerRequest {
+        method,
+        path,
+        id: format!("{number:016x}"),
+        patience: if is_stream {
+            STREAM_PATIENCE
+        } else {
+            PLAIN_PATIENCE
+        },
+    })
+}
+
+/// Panics unless a request was answered with this body, after printing the entry's log.
+fn assert_served(site: &SilentSite, record: &CallRecord, body: &str, case: &dyn fmt::Debug) {
+    let seen = (record.end, record.status, record.body == body);
+    if seen != (CallEnd::Whole, 200, true) {
+        // The entry writes its log a few times a second.
+        thread::sleep(LOG_DELAY);
+        let log = site.cluster.entries[0].log();
+        let lines: Vec<&str> = log.lines().filter(|l| l.contains("request=")).collect();
+        let took = record.ended_at - record.sent_at;
+        panic!("{case:?}: {seen:?} after {took:?}\n{}", lines.join("\n"));
+    }
 }
 
 /// A caller gets its whole stream although its engine was silent after the head, between
@@ -139,24 +141,111 @@
         SilencePoint::BetweenEvents(3),
         SilencePoint::InsideEvent(3),
     ];
-    let whole: String = (1..=EVENT_COUNT).map(event_text).collect();
-    let results = thread::scope(|scope| {
-        let requests = points.map(|point| {
-            let silence = Silence { point, duration };
-            scope.spawn(move || (point, request_stream(route, fallback, silence)))
-        });
-        requests.map(|r| r.join().expect("the caller thread does not panic"))
-    });
-    for (point, (response, log)) in &results {
-        let served = response.status == 200 && response.complete && response.body == whole;
-        println!("served={served} {point:?}\n{log}");
+    assert_streams_served(route, fallback, duration, &points);
+}
+
+/// A caller gets its whole stream although its engine was silent before or inside the
+/// head.
+#[parameterized(
+    once_500 = { "once", Fallback::Missing, 500 },
+    once_1600 = { "once", Fallback::Missing, 1_600 },
+    once_2500 = { "once", Fallback::Missing, 2_500 },
+    resumable_500 = { "resumable", Fallback::Missing, 500 },
+    resumable_1600 = { "resumable", Fallback::Missing, 1_600 },
+    resumable_2500 = { "resumable", Fallback::Missing, 2_500 },
+    all_silent_500 = { "resumable", Fallback::Silent, 500 },
+    all_silent_1600 = { "resumable", Fallback::Silent, 1_600 },
+    all_silent_2500 = { "resumable", Fallback::Silent, 2_500 },
+    no_budget_500 = { "once", Fallback::NoBudget, 500 },
+    no_budget_1600 = { "once", Fallback::NoBudget, 1_600 },
+    no_budget_2500 = { "once", Fallback::NoBudget, 2_500 },
+)]
+fn stream_begins_after_its_engine_was_silent(route: &str, fallback: Fallback, silent_ms: u64) {
+    let duration = time::Duration::from_millis(silent_ms);
+    let points = [SilencePoint::BeforeHead, SilencePoint::InsideHead];
+    assert_streams_served(route, fallback, duration, &points);
+}
+
+/// A stream whose engine gives no seat, or whose prompt is not processed, in time has not
+/// run: it is served later or refused.
+#[parameterized(
+    reservation_500 = { SilencePoint::Reservation, 500 },
+    reservation_1600 = { SilencePoint::Reservation, 1_600 },
+    reservation_2500 = { SilencePoint::Reservation, 2_500 },
+    prefill_500 = { SilencePoint::Prefill, 500 },
+    prefill_1600 = { SilencePoint::Prefill, 1_600 },
+    prefill_2500 = { SilencePoint::Prefill, 2_500 },
+)]
+fn stream_is_served_or_refused_after_a_silence_before_it(point: SilencePoint, silent_ms: u64) {
+    let duration = time::Duration::from_millis(silent_ms);
+    let mut site = SilentSite::prepare(program(), 1);
+    site.add_workers("llm", Some("prefill"), 1);
+    site.add_workers("llm", Some("decode"), 1);
+    site.cluster.start();
+    for gate in site.gates("llm") {
+        gate.plan(Silence { point, duration });
     }
-    for (point, (response, _)) in results {
-        assert_eq!(
-            (response.status, response.complete),
-            (200, true),
-            "{point:?}: {response:?}"
-        );
-        assert_eq!(response.body, whole, "{point:?}");
+    let record = call(&site, "POST", format!("/once/{EVENTS}"));
+    let has_run = site.workers.iter().any(|w| !w.received_ids().is_empty());
+    if has_run || (record.end, record.status) != (CallEnd::Whole, 503) {
+        let whole: String = (1..=EVENT_COUNT).map(event_text).collect();
+        assert_served(&site, &record, &whole, &point);
     }
 }
+
+/// Requests a stream for each point at which its engine falls silent.
+fn assert_streams_served(
+    route: &str,
+    fallback: Fallback,
+    duration: time::Duration,
+    points: &[SilencePoint],
+) {
+    let whole: String = (1..=EVENT_COUNT).map(event_text).collect();
+    thread::scope(|scope| {
+        for point in points {
+            let (point, whole) = (*point, &whole);
+            scope.spawn(move || {
+                let silence = Silence { point, duration };
+                let site = start_site("llm", Some("decode"), fallback, silence);
+                let record = call(&site, "POST", format!("/{route}/{EVENTS}"));
+                assert_served(&site, &record, whole, &point);
+            });
+        }
+    });
+}
+
+/// A caller gets its plain answer although its host was silent for longer than an attempt
+/// may take while another one is allowed: twice the route's latency target.
+#[parameterized(
+    order_alone = { "POST", "order", Fallback::Missing },
+    status_alone = { "GET", "status", Fallback::Missing },
+    status_all_silent = { "GET", "status", Fallback::Silent },
+    status_no_budget = { "GET", "status", Fallback::NoBudget },
+)]
+fn plain_answer_comes_after_its_host_was_silent(
+    method: &'static str,
+    route: &str,
+    fallback: Fallback,
+) {
+    let duration = time::Duration::from_millis(2_200);
+    let cases = [
+        (SilencePoint::BeforeHead, "length", 2_000),
+        (SilencePoint::InsideHead, "length", 2_000),
+        (SilencePoint::InsideBody, "length", 2_000),
+        (SilencePoint::InsideBody, "length", 200_000),
+        (SilencePoint::InsideBody, "chunked", 2_000),
+        (SilencePoint::InsideBody, "chunked", 200_000),
+        (SilencePoint::InsideBody, "unframed", 2_000),
+        (SilencePoint::InsideBody, "unframed", 200_000),
+    ];
+    thread::scope(|scope| {
+        for case in cases {
+            scope.spawn(move || {
+                let (point, framing, length) = case;
+                let site = start_site("app", None, fallback, Silence { point, duration });
+                let record = call(&site, method, format!("/{route}/{framing}-{length}"));
+                assert_served(&site, &record, &body_bytes(length), &case);
+            });
+        }
+    });
+}
--- a/crates/fake/src/tracks/entry.rs
+++ b/crates/fake/src/tracks/entry.rs
@@ -117,6 +117,20 @@
         fs::write(&self.settings, contents.replace(old, new)).expect("the folder is writable");
     }
 
+    /// Sets the value of a number in the settings file, which must contain it.
+    pub fn set_setting(&self, name: &str, value: &str) {
+        let contents = fs::read_to_string(&self.settings).expect("the settings were written");
+        let prefix = format!("{name} = ");
+        assert!(contents.contains(&prefix), "{name}");
+        let lines = contents
+            .lines()
+            .map(|line| match line.starts_with(&prefix) {
+                true => format!("{prefix}{value}\n"),
+                false => format!("{line}\n"),
+            });
+        fs::write(&self.settings, lines.collect::<String>()).expect("the folder is writable");
+    }
+
     /// Waits for the daemon to exit, kills it if it has not exited in time, and starts it
     /// again.
     pub fn restart(&mut self) {
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -3,12 +3,14 @@
 
 mod cluster;
 mod entry;
+mod kept_caller;
 pub mod names;
 mod raw_call;
 mod raw_worker;
 mod received_call;
 mod silence;
 mod silent_answer;
+mod silent_site;
 mod silent_worker;
 mod store;
 mod worker;
@@ -18,11 +20,13 @@
 
 pub use cluster::{EntryResponse, TracksCluster};
 pub use entry::EntryDaemon;
+pub use kept_caller::{CallEnd, CallRecord, CallerRequest, KeptCaller};
 pub use raw_call::RawCall;
 pub use raw_worker::{RAW_BODY, RawWorker};
 pub use received_call::ReceivedCall;
 pub use silence::{Silence, SilenceGate, SilencePoint};
 pub use silent_answer::{Framing, body_bytes, event_text};
+pub use silent_site::SilentSite;
 pub use silent_worker::SilentWorker;
 pub use store::{TracksStore, TracksStoreMode};
 pub use worker::Worker;
--- a/crates/fake/src/tracks/silence.rs
+++ b/crates/fake/src/tracks/silence.rs
@@ -62,6 +62,12 @@
         state.silent_until = state.silent_until.max(Some(end));
     }
 
+    /// Returns whether no silence is planned or under way.
+    pub fn is_idle(&self) -> bool {
+        let state = self.state();
+        state.planned.is_none() && state.silent_until.is_none_or(|t| t < time::Instant::now())
+    }
+
     /// Begins the planned silence if it is to begin here, and waits until the worker is
     /// not silent.
     pub(super) fn pass(&self, point: Option<SilencePoint>) {
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -23,6 +23,10 @@
 pub struct SilentWorker {
     /// Id in the platform's list of hosts.
     pub id: String,
+    /// Its service.
+    pub service: &'static str,
+    /// Holds back what it sends while it is silent.
+    pub gate: sync::Arc<SilenceGate>,
     address: net::SocketAddr,
     stage: Option<&'static str>,
     shared: sync::Arc<Shared>,
@@ -43,7 +47,12 @@
     /// runs until the test's process ends.
     ///
     /// Workers with the same gate fall silent together.
-    pub fn start(id: &str, stage: Option<&'static str>, gate: &sync::Arc<SilenceGate>) -> Self {
+    pub fn start(
+        id: &str,
+        service: &'static str,
+        stage: Option<&'static str>,
+        gate: &sync::Arc<SilenceGate>,
+    ) -> Self {
         let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let shared = sync::Arc::new(Shared {
@@ -66,6 +75,8 @@
         });
         Self {
             id: id.to_owned(),
+            service,
+            gate: gate.clone(),
             address,
             stage,
             shared,
@@ -84,9 +95,9 @@
     }
 
     /// Returns the worker's record for the platform's list, in JSON.
-    pub fn member_record(&self, service: &str, state: &str) -> String {
+    pub fn member_record(&self, state: &str) -> String {
         json!({
-            "service": service, "address": self.address, "zone": "ruahine", "version": "v1",
+            "service": self.service, "address": self.address, "zone": "ruahine", "version": "v1",
             "slots": 64, "state": state, "cold_left_ms": 0, "stage": self.stage, "seq": 4,
             "born": 1_767_816_250_201_u64,
         })
