Upstream hosts may acknowledge nothing for 3.5 s

What callers saw: 502 for a request whose sound host read nothing for two seconds while the request was sent to it and then went on.

Cause: TCP_USER_TIMEOUT of 1.5 s on all connections, whatever their peer. The kernel gives a connection up once sent bytes, or probes of a silent one, were unacknowledged for that long; an answer or a stream on it is cut with it. The bound stands below the silence that a sound host may have.

Change: web::Client takes the time when it is created. The client of upstream hosts has its own, with 3.5 s; the store and peers stay at 1.5 s, so that a dead one is noticed as before. Probes are as many as fit.

--- a/crates/daemon/src/app/platform.rs
+++ b/crates/daemon/src/app/platform.rs
@@ -37,7 +37,7 @@
     let result = local.block_on(&runtime, async {
         let client = web::Client::new();
         let store = ::platform::store_client(client.clone(), settings.store_address);
-        let engines = ::platform::upstream_client(client.clone());
+        let engines = ::platform::upstream_client();
         let entry =
             direct::Entry::<::platform::TracksPlatform>::new(settings, store, engines, client);
         direct::run(entry, signals).await
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -32,10 +32,9 @@
 const PROBE_DELAY: time::Duration = time::Duration::from_secs(1);
 /// The time between two keepalive probes; the kernel counts in whole seconds.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// The number of unanswered keepalive probes that break a connection.
-const MAX_PROBES: u32 = 2;
-/// How long sent bytes may stay unacknowledged before the connection breaks.
-const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// How long sent bytes may stay unacknowledged before the connection breaks, unless the
+/// client is created with another time.
+const DEFAULT_UNACKED: time::Duration = time::Duration::from_millis(1_500);
 /// The maximum number of idle connections to one peer; others are closed when
 /// their response is complete.
 const MAX_IDLE_CONNECTIONS: usize = 40;
@@ -71,9 +70,11 @@
 }
 
 /// The client, with its pool of idle connections by the address of the peer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Client {
     pool: cell::RefCell<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
+    /// How long sent bytes may stay unacknowledged before a connection breaks.
+    max_unacked: time::Duration,
     /// The number of connections opened so far.
     connection_count: cell::Cell<u64>,
 }
@@ -119,7 +120,17 @@
 impl Client {
     /// Creates a client without connections.
     pub fn new() -> rc::Rc<Self> {
-        rc::Rc::new(Self::default())
+        Self::with_unacked(DEFAULT_UNACKED)
+    }
+
+    /// Creates a client without connections, for peers that may be sound although they
+    /// acknowledge nothing for up to `max_unacked`.
+    pub fn with_unacked(max_unacked: time::Duration) -> rc::Rc<Self> {
+        rc::Rc::new(Self {
+            pool: cell::RefCell::default(),
+            max_unacked,
+            connection_count: cell::Cell::default(),
+        })
     }
 
     /// Returns the number of connections opened so far.
@@ -210,7 +221,7 @@
             }
             Ok(Err(_)) | Err(_) => return Err(CallError::ConnectFailed),
         };
-        if enable_keepalive(&stream).is_err() {
+        if enable_keepalive(&stream, self.max_unacked).is_err() {
             return Err(CallError::ConnectFailed);
         }
         let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
@@ -330,14 +341,16 @@
     }
 }
 
-/// Makes the kernel break the connection if the peer stops responding.
-fn enable_keepalive(stream: &aio::TcpStream) -> io::Result<()> {
+/// Makes the kernel break the connection if the peer acknowledges nothing for `max_unacked`,
+/// rounded up to the next keepalive probe.
+fn enable_keepalive(stream: &aio::TcpStream, max_unacked: time::Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
+    let max_probes = max_unacked.as_millis().div_ceil(PROBE_INTERVAL.as_millis());
     let probes = socket2::TcpKeepalive::new()
         .with_time(PROBE_DELAY)
         .with_interval(PROBE_INTERVAL)
-        .with_retries(MAX_PROBES);
+        .with_retries(u32::try_from(max_probes).unwrap_or(u32::MAX));
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(max_unacked))
 }
