Log connections of callers that end before their answers

What callers saw: an answer that broke off.

Change: the caller's connection has a file of its own, which keeps the request that is not answered to its end: from the head until the connection has written all bytes of the response. If the connection ends before, `connection_cut` has the request's id, the cause, its age and the bytes sent, and `connections_cut` counts it by cause. One line for each request at most; none for idle connections, so reconnecting callers flood no log. When a request counts as over is unchanged here.

Tests: caller_connection_tests, four cases.

--- /dev/null
+++ b/crates/daemon/tests/caller_connection_tests.rs
@@ -0,0 +1,104 @@
+//! Tests of how connections of callers end: each cut is logged with its cause, and
+//! connections that are not in use are closed in time.
+
+use fake::tracks::CallEnd;
+use fake::tracks::CallRecord;
+use fake::tracks::CallerRequest;
+use fake::tracks::KeptCaller;
+use fake::tracks::Silence;
+use fake::tracks::SilencePoint;
+use fake::tracks::SilentSite;
+use std::path;
+use std::thread;
+use std::time;
+use yare::parameterized;
+
+/// Id of the request whose connection is cut.
+const REQUEST_ID: &str = "00000000000000c1";
+/// How long a caller waits before it leaves.
+const SHORT_PATIENCE: time::Duration = time::Duration::from_millis(400);
+/// How long a caller waits for a whole answer.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+/// Silence of a host for longer than its caller waits.
+const SILENCE: time::Duration = time::Duration::from_millis(1_500);
+/// Within this time an entry has written its log.
+const LOG_DELAY: time::Duration = time::Duration::from_millis(800);
+
+fn start_site() -> SilentSite {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut site = SilentSite::prepare(program, 1);
+    site.add_workers("llm", Some("decode"), 1);
+    site.add_workers("app", None, 1);
+    site.cluster.start();
+    site
+}
+
+fn call(caller: &mut KeptCaller, path: &str, patience: time::Duration) -> CallRecord {
+    caller.call(&CallerRequest {
+        method: "POST",
+        path: path.to_owned(),
+        id: REQUEST_ID.to_owned(),
+        patience,
+    })
+}
+
+fn connect(site: &SilentSite) -> KeptCaller {
+    KeptCaller::connect(site.cluster.entries[0].caller_address).expect("the entry listens")
+}
+
+/// Returns the log lines on cut connections.
+fn cut_lines(site: &SilentSite) -> Vec<String> {
+    let log = site.cluster.entries[0].log();
+    let lines = log.lines().filter(|l| l.contains("event=connection_cut"));
+    lines.map(str::to_owned).collect()
+}
+
+/// A caller that leaves before its answer, or in the middle of it.
+#[parameterized(
+    before_its_head = { "app", "/order/length-100", SilencePoint::BeforeHead, CallEnd::GaveUp },
+    inside_its_body = { "app", "/order/length-200000", SilencePoint::InsideBody, CallEnd::GaveUp },
+    inside_a_stream = { "llm", "/once/events-8-10", SilencePoint::BetweenEvents(3), CallEnd::GaveUp },
+)]
+fn caller_that_leaves_its_answer_is_logged(
+    service: &str,
+    path: &str,
+    point: SilencePoint,
+    end: CallEnd,
+) {
+    let site = start_site();
+    let gate = &site.gates(service)[0];
+    gate.plan(Silence {
+        point,
+        duration: SILENCE,
+    });
+    let mut caller = connect(&site);
+    assert_eq!(call(&mut caller, path, SHORT_PATIENCE).end, end);
+    drop(caller);
+    site.cluster.wait_until(|_| !cut_lines(&site).is_empty());
+    thread::sleep(LOG_DELAY);
+    let lines = cut_lines(&site);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(
+        lines[0].contains(&format!("request={REQUEST_ID}")),
+        "{lines:?}"
+    );
+    assert!(lines[0].contains("cause=caller_left"), "{lines:?}");
+}
+
+/// Connections that end while nothing is owed write no line.
+#[test]
+fn caller_that_leaves_after_its_answer_is_not_logged() {
+    let site = start_site();
+    for path in [
+        "/order/length-100",
+        "/order/length-200000",
+        "/once/events-8-10",
+    ] {
+        let mut caller = connect(&site);
+        let answer = call(&mut caller, path, PATIENCE);
+        assert_eq!((answer.end, answer.status), (CallEnd::Whole, 200));
+    }
+    drop(connect(&site));
+    thread::sleep(LOG_DELAY);
+    assert_eq!(cut_lines(&site), Vec::<String>::new());
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -2,6 +2,7 @@
 //! service.
 
 use crate::body::Body;
+use crate::caller::Exchange;
 use crate::crashes;
 use crate::entry::Entry;
 use crate::guards::ActiveRequest;
@@ -156,8 +157,9 @@
 pub(crate) async fn handle_request<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     request: hyper::Request<Incoming>,
+    exchange: &Exchange,
 ) -> hyper::Response<Body> {
-    let arrived_at = time::Instant::now();
+    let arrived_at = exchange.arrived_at;
     let active_request = ActiveRequest::new(&entry);
     let (head, incoming) = request.into_parts();
     if P::is_readiness_probe(&head) {
@@ -179,6 +181,7 @@
         }
     };
     let id = request.id.clone();
+    exchange.set_id(&id);
     let max_bytes = entry
         .active_config()
         .map_or(seam::Limits::default(), |c| c.config.limits)
--- /dev/null
+++ b/crates/direct/src/caller.rs
@@ -0,0 +1,327 @@
+//! A caller's connection: what of its current request has been answered, and how the
+//! connection ends.
+
+use crate::admit;
+use crate::body::Body;
+use crate::body::BodyAborted;
+use crate::entry::Entry;
+use crate::telemetry;
+use bytes::Bytes;
+use http::header::CONNECTION;
+use hyper::body;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use std::cell;
+use std::convert;
+use std::error::Error as _;
+use std::io;
+use std::pin;
+use std::rc;
+use std::task;
+use std::time;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::net as aio;
+use tokio::sync::watch;
+use world::Name;
+
+/// Maximum size of a request head in bytes. It is fixed: the limit in the
+/// configuration is not applied here.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// A request that has been read from a connection, until its answer has been sent.
+pub(crate) struct Exchange {
+    /// Id of the request, once its head has been decoded.
+    id: cell::OnceCell<Name>,
+    /// When the request head arrived.
+    pub(crate) arrived_at: time::Instant,
+}
+
+impl Exchange {
+    fn new() -> Self {
+        Self {
+            id: cell::OnceCell::new(),
+            arrived_at: time::Instant::now(),
+        }
+    }
+
+    /// Records the request's id for the log.
+    pub(crate) fn set_id(&self, id: &Name) {
+        self.id.get_or_init(|| id.clone());
+    }
+}
+
+/// How much of the answer to the current request the connection has taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerStage {
+    /// The head of the response isn't ready.
+    Waiting,
+    /// The head is ready, the body has not ended.
+    Body,
+    /// The body has ended, but bytes of it may be buffered for a slow caller.
+    Buffered,
+}
+
+/// Activity of a caller's connection, which is closed once it is idle.
+struct Activity {
+    /// Requests whose response isn't ready.
+    requests: cell::Cell<u32>,
+    /// When the last request ended, or the connection was opened.
+    last_active: cell::Cell<time::Instant>,
+    /// The request whose answer has not been sent to its end.
+    unanswered: cell::RefCell<Option<rc::Rc<Exchange>>>,
+    stage: cell::Cell<AnswerStage>,
+    /// Bytes sent on this connection.
+    sent_bytes: cell::Cell<u64>,
+    /// Bytes that had been sent when the current request was read.
+    first_byte: cell::Cell<u64>,
+    /// Why the connection ended, for the log. A connection that the process leaves open
+    /// when it exits has no other cause.
+    cause: cell::Cell<&'static str>,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            requests: cell::Cell::new(0),
+            last_active: cell::Cell::new(time::Instant::now()),
+            unanswered: cell::RefCell::new(None),
+            stage: cell::Cell::new(AnswerStage::Waiting),
+            sent_bytes: cell::Cell::new(0),
+            first_byte: cell::Cell::new(0),
+            cause: cell::Cell::new("process_exit"),
+        }
+    }
+
+    fn start_answer(&self, exchange: rc::Rc<Exchange>) {
+        *self.unanswered.borrow_mut() = Some(exchange);
+        self.stage.set(AnswerStage::Waiting);
+        self.first_byte.set(self.sent_bytes.get());
+    }
+
+    fn end_answer(&self) {
+        *self.unanswered.borrow_mut() = None;
+    }
+
+    /// Returns whether the whole answer is on its way once nothing is buffered.
+    fn has_buffered_answer(&self) -> bool {
+        self.stage.get() == AnswerStage::Buffered && self.unanswered.borrow().is_some()
+    }
+}
+
+/// Logs a request whose connection has ended before its answer. At most one line is
+/// written for each request, and none for an idle connection.
+impl Drop for Activity {
+    fn drop(&mut self) {
+        let Some(exchange) = self.unanswered.take() else {
+            return;
+        };
+        let cause = self.cause.get();
+        metrics::counter!("connections_cut", "cause" => cause).increment(1);
+        trace::LogLine::new("connection_cut")
+            .with("request", exchange.id.get().map_or("", |id| id))
+            .with("age_ms", telemetry::millis(exchange.arrived_at.elapsed()))
+            .with("cause", cause)
+            .with("bytes", self.sent_bytes.get() - self.first_byte.get())
+            .info();
+    }
+}
+
+/// Returns why a connection ended, as it is written in logs.
+fn end_cause(result: &hyper::Result<()>) -> &'static str {
+    let Err(error) = result else {
+        return "closed";
+    };
+    let source = error.source();
+    if source.is_some_and(|s| s.is::<BodyAborted>()) {
+        return "answer_aborted";
+    }
+    if error.is_incomplete_message() {
+        return "caller_left";
+    }
+    let fault = source.and_then(|s| s.downcast_ref::<io::Error>());
+    match fault.map(io::Error::kind) {
+        Some(io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) => "caller_left",
+        Some(io::ErrorKind::TimedOut) => "caller_silent",
+        Some(_) => "connection_error",
+        None => "protocol_error",
+    }
+}
+
+/// Serves the requests of one connection, until it ends, is idle for too long or `closed`
+/// holds true.
+pub(crate) async fn serve<P: seam::Platform>(
+    entry: rc::Rc<Entry<P>>,
+    mut stream: aio::TcpStream,
+    mut closed: watch::Receiver<bool>,
+) {
+    let activity = rc::Rc::new(Activity::new());
+    let (service_entry, counters) = (entry.clone(), activity.clone());
+    let service = service::service_fn(move |request| {
+        let (entry, activity) = (service_entry.clone(), counters.clone());
+        async move { Ok::<_, convert::Infallible>(answer(entry, activity, request).await) }
+    });
+    let stream = CallerStream {
+        stream: &mut stream,
+        activity: activity.clone(),
+    };
+    let connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(rt::TokioIo::new(stream), service);
+    let mut connection = pin::pin!(connection);
+    loop {
+        let idle_timeout = entry
+            .active_config()
+            .map_or(seam::Limits::default(), |c| c.config.limits)
+            .idle_timeout;
+        tokio::select! {
+            result = connection.as_mut() => {
+                activity.cause.set(end_cause(&result));
+                return;
+            }
+            _ = closed.wait_for(|c| *c) => break,
+            () = tokio::time::sleep_until((activity.last_active.get() + idle_timeout).into()) => {
+                let is_idle = activity.last_active.get().elapsed() >= idle_timeout;
+                if activity.requests.get() == 0 && is_idle {
+                    break;
+                }
+                if is_idle {
+                    activity.last_active.set(time::Instant::now());
+                }
+            }
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    let result = connection.await;
+    activity.cause.set(end_cause(&result));
+}
+
+/// Handles one request, and announces the close of its connection if the process stops.
+async fn answer<P: seam::Platform>(
+    entry: rc::Rc<Entry<P>>,
+    activity: rc::Rc<Activity>,
+    request: hyper::Request<body::Incoming>,
+) -> hyper::Response<CallerBody> {
+    activity.requests.set(activity.requests.get() + 1);
+    let exchange = rc::Rc::new(Exchange::new());
+    activity.start_answer(exchange.clone());
+    let mut response = admit::handle_request(entry.clone(), request, &exchange).await;
+    if entry.stopping.get() {
+        // The caller's next request then goes to another entry.
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    activity.requests.set(activity.requests.get() - 1);
+    activity.last_active.set(time::Instant::now());
+    activity.stage.set(AnswerStage::Body);
+    response.map(|body| CallerBody { body, activity })
+}
+
+/// Body of a response, whose end is recorded.
+struct CallerBody {
+    body: Body,
+    activity: rc::Rc<Activity>,
+}
+
+impl body::Body for CallerBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<Bytes>, BodyAborted>>> {
+        pin::Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The connection drops a body once it has taken all of it that is to be sent.
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        self.activity.stage.set(AnswerStage::Buffered);
+    }
+}
+
+/// The stream of a connection, which counts the bytes sent and records the end of an answer.
+struct CallerStream<'a> {
+    stream: &'a mut aio::TcpStream,
+    activity: rc::Rc<Activity>,
+}
+
+impl CallerStream<'_> {
+    fn record_write(&self, written: &task::Poll<io::Result<usize>>) {
+        if let task::Poll::Ready(Ok(count)) = written {
+            let sent_bytes = self.activity.sent_bytes.get() + *count as u64;
+            self.activity.sent_bytes.set(sent_bytes);
+        }
+    }
+}
+
+impl AsyncRead for CallerStream<'_> {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut *self.get_mut().stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream<'_> {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let written = pin::Pin::new(&mut *this.stream).poll_write(cx, bytes);
+        this.record_write(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let written = pin::Pin::new(&mut *this.stream).poll_write_vectored(cx, slices);
+        this.record_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Is called once all bytes that were buffered have been written.
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let flushed = pin::Pin::new(&mut *this.stream).poll_flush(cx);
+        if matches!(flushed, task::Poll::Ready(Ok(()))) && this.activity.has_buffered_answer() {
+            this.activity.end_answer();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut *self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod body;
+mod caller;
 mod crashes;
 mod engine_pool;
 mod entry;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,6 +1,6 @@
 //! Listener, connections and background tasks of an entry.
 
-use crate::admit;
+use crate::caller;
 use crate::entry::Entry;
 use crate::peers;
 use crate::reload;
@@ -9,12 +9,10 @@
 use crate::shutdown::Signals;
 use crate::store_sync;
 use crate::telemetry;
-use http::header::CONNECTION;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
 use metrics_exporter_prometheus::PrometheusHandle;
-use std::cell;
 use std::convert;
 use std::io;
 use std::net;
@@ -23,9 +21,6 @@
 use tokio::net as aio;
 use tokio::sync::watch;
 
-/// Maximum size of a request head in bytes. It is fixed: the limit in the
-/// configuration is not applied here.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Interval of maintenance tasks such as closing idle connections.
 const MAINTENANCE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Pause after a failed accept, for example when no file descriptor is free.
@@ -77,15 +72,6 @@
     socket.listen(BACKLOG)
 }
 
-/// Activity of a caller's connection, which is closed once it is idle.
-#[derive(Debug)]
-struct Activity {
-    /// Requests in progress.
-    requests: cell::Cell<u32>,
-    /// When the last request ended, or the connection was opened.
-    last_active: cell::Cell<time::Instant>,
-}
-
 async fn accept<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     listener: aio::TcpListener,
@@ -103,7 +89,7 @@
                 // Disables Nagle's algorithm, which would delay small chunks of
                 // a stream.
                 let _ = stream.set_nodelay(true);
-                tokio::task::spawn_local(serve_caller(entry.clone(), stream, closed.clone()));
+                tokio::task::spawn_local(caller::serve(entry.clone(), stream, closed.clone()));
             }
             Err(error) => {
                 trace::LogLine::new("accept_failed")
@@ -115,65 +101,6 @@
     }
 }
 
-async fn serve_caller<P: seam::Platform>(
-    entry: rc::Rc<Entry<P>>,
-    stream: aio::TcpStream,
-    mut closed: watch::Receiver<bool>,
-) {
-    let activity = rc::Rc::new(Activity {
-        requests: cell::Cell::new(0),
-        last_active: cell::Cell::new(time::Instant::now()),
-    });
-    let counters = activity.clone();
-    let service_entry = entry.clone();
-    let service = service::service_fn(move |request| {
-        let (entry, counters) = (service_entry.clone(), counters.clone());
-        async move {
-            counters.requests.set(counters.requests.get() + 1);
-            let mut response = admit::handle_request(entry.clone(), request).await;
-            if entry.stopping.get() {
-                // The caller's next request then goes to another entry.
-                let headers = response.headers_mut();
-                headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
-            }
-            counters.requests.set(counters.requests.get() - 1);
-            counters.last_active.set(time::Instant::now());
-            Ok::<_, convert::Infallible>(response)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(rt::TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    loop {
-        let idle_timeout = entry
-            .active_config()
-            .map_or(seam::Limits::default(), |c| c.config.limits)
-            .idle_timeout;
-        tokio::select! {
-            // An error means that the caller disconnected or that a response
-            // was aborted.
-            _ = connection.as_mut() => return,
-            _ = closed.wait_for(|c| *c) => break,
-            () = tokio::time::sleep_until((activity.last_active.get() + idle_timeout).into()) => {
-                let is_idle = activity.last_active.get().elapsed() >= idle_timeout;
-                if activity.requests.get() == 0 && is_idle {
-                    break;
-                }
-                if is_idle {
-                    activity.last_active.set(time::Instant::now());
-                }
-            }
-        }
-    }
-    connection.as_mut().graceful_shutdown();
-    // An error means that the caller disconnected or that a response was
-    // aborted.
-    let _ = connection.await;
-}
-
 async fn run_maintenance<P: seam::Platform>(entry: rc::Rc<Entry<P>>) {
     loop {
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
