Count a connection as in use until its answer is sent

What callers saw: after a stream that took longer than idle_timeout_ms the entry closed the connection at its end, without Connection: close; the caller's next request crossed the close and got no answer.

Cause: a request counted as over once the head of its response was ready, and idle time counted from there, so the connection of a long stream was found idle in the middle of it and told to close after it.

Change: idle time counts from when all bytes of the answer have been written. Until then the connection is in use, also while a slow caller takes the last buffered bytes. A request that has already arrived is read before its connection is closed.

--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -65,9 +65,7 @@
 
 /// Activity of a caller's connection, which is closed once it is idle.
 struct Activity {
-    /// Requests whose response isn't ready.
-    requests: cell::Cell<u32>,
-    /// When the last request ended, or the connection was opened.
+    /// When the last answer ended, or the connection was opened.
     last_active: cell::Cell<time::Instant>,
     /// The request whose answer has not been sent to its end.
     unanswered: cell::RefCell<Option<rc::Rc<Exchange>>>,
@@ -84,7 +82,6 @@
 impl Activity {
     fn new() -> Self {
         Self {
-            requests: cell::Cell::new(0),
             last_active: cell::Cell::new(time::Instant::now()),
             unanswered: cell::RefCell::new(None),
             stage: cell::Cell::new(AnswerStage::Waiting),
@@ -102,6 +99,16 @@
 
     fn end_answer(&self) {
         *self.unanswered.borrow_mut() = None;
+        self.last_active.set(time::Instant::now());
+    }
+
+    /// Returns how long the connection has been idle. It isn't while an answer is on its
+    /// way, however long that takes.
+    fn idle_time(&self) -> time::Duration {
+        match self.unanswered.borrow().is_some() {
+            true => time::Duration::ZERO,
+            false => self.last_active.get().elapsed(),
+        }
     }
 
     /// Returns whether the whole answer is on its way once nothing is buffered.
@@ -178,19 +185,17 @@
             .map_or(seam::Limits::default(), |c| c.config.limits)
             .idle_timeout;
         tokio::select! {
+            // A request that has arrived is read before its connection is closed.
+            biased;
             result = connection.as_mut() => {
                 activity.cause.set(end_cause(&result));
                 return;
             }
             _ = closed.wait_for(|c| *c) => break,
-            () = tokio::time::sleep_until((activity.last_active.get() + idle_timeout).into()) => {
-                let is_idle = activity.last_active.get().elapsed() >= idle_timeout;
-                if activity.requests.get() == 0 && is_idle {
+            () = tokio::time::sleep(idle_timeout.saturating_sub(activity.idle_time())) => {
+                if activity.idle_time() >= idle_timeout {
                     break;
                 }
-                if is_idle {
-                    activity.last_active.set(time::Instant::now());
-                }
             }
         }
     }
@@ -205,7 +210,6 @@
     activity: rc::Rc<Activity>,
     request: hyper::Request<body::Incoming>,
 ) -> hyper::Response<CallerBody> {
-    activity.requests.set(activity.requests.get() + 1);
     let exchange = rc::Rc::new(Exchange::new());
     activity.start_answer(exchange.clone());
     let mut response = admit::handle_request(entry.clone(), request, &exchange).await;
@@ -214,8 +218,6 @@
         let headers = response.headers_mut();
         headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
     }
-    activity.requests.set(activity.requests.get() - 1);
-    activity.last_active.set(time::Instant::now());
     activity.stage.set(AnswerStage::Body);
     response.map(|body| CallerBody { body, activity })
 }
