Apply a changed idle limit to connections that wait

What callers saw: with idle_timeout_ms raised, a connection that was idle when the new limit came into force was still closed by the old one, and the next request of a caller that knew the new limit crossed the close.

Cause: the task of a connection looked up the limit when it armed its timer, and woke only once the old limit had passed.

Change: a watch in the entry holds the limit; its change wakes the connections that wait. A raised limit holds at once. A lowered one holds from the next answer on: a caller may use a connection again for up to four fifths of the limit that it knows, and it learns of the new one later than the entry does. Closing by the new limit at once would lose its request; keeping the wait costs a descriptor for at most the rest of the old limit.

--- a/crates/daemon/tests/kept_connection_tests.rs
+++ b/crates/daemon/tests/kept_connection_tests.rs
@@ -134,6 +134,31 @@
     panic!("the new configuration came into force too late {MAX_RAISES} times");
 }
 
+/// A lowered idle limit doesn't end a wait that has begun: the caller may not know of it yet.
+/// It is in force from the next answer on.
+#[parameterized(
+    after_a_request = { true },
+    without_a_request = { false },
+)]
+fn connection_is_kept_for_the_idle_limit_that_its_wait_began_with(has_request: bool) {
+    let mut site = start_site(3_500);
+    let mut caller = connect(&site);
+    if has_request {
+        assert_eq!(call(&mut caller, "/order/length-100").status, 200);
+    }
+    site.cluster.configure(|document| {
+        document["limits"]["idle_timeout_ms"] = json!(600);
+        document["routes"][2]["prefix"] = json!("/moved/");
+    });
+    site.cluster
+        .wait_until(|_| call(&mut connect(&site), "/moved/length-100").status == 200);
+    thread::sleep(time::Duration::from_millis(1_200));
+    let later = call(&mut caller, "/moved/length-100");
+    assert_eq!((later.end, later.status), (CallEnd::Whole, 200));
+    thread::sleep(time::Duration::from_millis(1_200));
+    assert!(caller.is_closed(), "the lowered limit is not in force");
+}
+
 /// A planned stop waits until a slow caller has the whole of its answer.
 #[parameterized(
     length = { "length" },
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -23,6 +23,7 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net as aio;
+use tokio::sync;
 use tokio::sync::watch;
 use world::Name;
 
@@ -67,6 +68,13 @@
 struct Activity {
     /// When the last answer ended, or the connection was opened.
     last_active: cell::Cell<time::Instant>,
+    /// Idle limit of the current wait: the longest that was in force during it. The caller
+    /// may not know of a shorter one yet, and its next request would cross the close.
+    wait_limit: cell::Cell<time::Duration>,
+    /// Wakes the connection's task if a wait is shorter than the one before.
+    wait_shortened: sync::Notify,
+    /// The idle limit in force.
+    idle_limit: watch::Receiver<time::Duration>,
     /// The request whose answer has not been sent to its end.
     unanswered: cell::RefCell<Option<rc::Rc<Exchange>>>,
     stage: cell::Cell<AnswerStage>,
@@ -80,8 +88,12 @@
 }
 
 impl Activity {
-    fn new() -> Self {
+    fn new(idle_limit: watch::Receiver<time::Duration>) -> Self {
+        let current_limit = *idle_limit.borrow();
         Self {
+            wait_limit: cell::Cell::new(current_limit),
+            wait_shortened: sync::Notify::new(),
+            idle_limit,
             last_active: cell::Cell::new(time::Instant::now()),
             unanswered: cell::RefCell::new(None),
             stage: cell::Cell::new(AnswerStage::Waiting),
@@ -100,15 +112,26 @@
     fn end_answer(&self) {
         *self.unanswered.borrow_mut() = None;
         self.last_active.set(time::Instant::now());
+        let limit = *self.idle_limit.borrow();
+        if self.wait_limit.replace(limit) > limit {
+            self.wait_shortened.notify_one();
+        }
+    }
+
+    /// Applies a changed idle limit to the current wait.
+    fn extend_wait(&self) {
+        let limit = *self.idle_limit.borrow();
+        self.wait_limit.set(self.wait_limit.get().max(limit));
     }
 
-    /// Returns how long the connection has been idle. It isn't while an answer is on its
-    /// way, however long that takes.
-    fn idle_time(&self) -> time::Duration {
-        match self.unanswered.borrow().is_some() {
+    /// Returns how long the connection may still be idle. An answer that is on its way
+    /// keeps it in use, however long that takes.
+    fn time_left(&self) -> time::Duration {
+        let idle_time = match self.unanswered.borrow().is_some() {
             true => time::Duration::ZERO,
             false => self.last_active.get().elapsed(),
-        }
+        };
+        self.wait_limit.get().saturating_sub(idle_time)
     }
 
     /// Returns whether the whole answer is on its way once nothing is buffered.
@@ -163,7 +186,7 @@
     mut stream: aio::TcpStream,
     mut closed: watch::Receiver<bool>,
 ) {
-    let activity = rc::Rc::new(Activity::new());
+    let activity = rc::Rc::new(Activity::new(entry.idle_limit.subscribe()));
     let (service_entry, counters) = (entry.clone(), activity.clone());
     let service = service::service_fn(move |request| {
         let (entry, activity) = (service_entry.clone(), counters.clone());
@@ -179,11 +202,8 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = pin::pin!(connection);
+    let mut idle_limit = entry.idle_limit.subscribe();
     loop {
-        let idle_timeout = entry
-            .active_config()
-            .map_or(seam::Limits::default(), |c| c.config.limits)
-            .idle_timeout;
         tokio::select! {
             // A request that has arrived is read before its connection is closed.
             biased;
@@ -192,8 +212,11 @@
                 return;
             }
             _ = closed.wait_for(|c| *c) => break,
-            () = tokio::time::sleep(idle_timeout.saturating_sub(activity.idle_time())) => {
-                if activity.idle_time() >= idle_timeout {
+            () = activity.wait_shortened.notified() => {}
+            // Fails only without an entry.
+            _ = idle_limit.changed() => activity.extend_wait(),
+            () = tokio::time::sleep(activity.time_left()) => {
+                if activity.time_left().is_zero() {
                     break;
                 }
             }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -29,6 +29,8 @@
     /// HTTP client for calls to peers.
     pub(crate) peer_client: rc::Rc<web::Client>,
     pub(crate) config: cell::RefCell<Option<rc::Rc<ActiveConfig>>>,
+    /// Idle limit of callers' connections, which wakes those that wait when it changes.
+    pub(crate) idle_limit: sync::watch::Sender<time::Duration>,
     /// The upstream hosts, decoded from the membership list.
     pub(crate) host_list: cell::RefCell<pool::HostList>,
     /// The membership list as it was read, for forwarding to peers.
@@ -126,6 +128,7 @@
             upstreams: HostGate::new(upstreams, notices.clone()),
             peer_client,
             config: cell::RefCell::default(),
+            idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
             host_list: cell::RefCell::default(),
             member_list: cell::RefCell::default(),
             pools: EnginePools::new(notices.clone()),
@@ -205,6 +208,9 @@
             .info();
         metrics::gauge!("configuration_version").set(config.version as f64);
         self.config_fetch.borrow_mut().record_applied();
+        let idle_limit = config.limits.idle_timeout;
+        self.idle_limit
+            .send_if_modified(|l| std::mem::replace(l, idle_limit) != idle_limit);
         *self.config.borrow_mut() = Some(rc::Rc::new(ActiveConfig { config, raw }));
         self.update_pools();
     }
