Wait at a stop until all answers have been sent

What callers saw: beside a planned stop, a caller that reads slowly lost the rest of its answer, half of 7.5 MB, although the grace period had seconds left.

Cause: a request was active until its last chunk was in the channel to its connection, or, with a buffered body, until its head was ready. The process exited when no request was active, with the rest in the connection's buffers.

Change: a request stays active until its connection has written all bytes of the answer, or has ended. Connections that owe nothing (idle, never used, with the start of a head) hold up no stop. A caller that doesn't read at all holds it up to the grace period.

--- a/crates/daemon/tests/caller_connection_tests.rs
+++ b/crates/daemon/tests/caller_connection_tests.rs
@@ -8,6 +8,8 @@
 use fake::tracks::Silence;
 use fake::tracks::SilencePoint;
 use fake::tracks::SilentSite;
+use std::io::Write;
+use std::net;
 use std::path;
 use std::thread;
 use std::time;
@@ -23,6 +25,9 @@
 const SILENCE: time::Duration = time::Duration::from_millis(1_500);
 /// Within this time an entry has written its log.
 const LOG_DELAY: time::Duration = time::Duration::from_millis(800);
+/// An entry with nothing to send exits within this time after the signal to stop; it is
+/// below the grace period of eight seconds.
+const QUICK_STOP: time::Duration = time::Duration::from_secs(5);
 
 fn start_site() -> SilentSite {
     let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
@@ -102,3 +107,23 @@
     thread::sleep(LOG_DELAY);
     assert_eq!(cut_lines(&site), Vec::<String>::new());
 }
+
+/// A stop does not wait for connections on which nothing is owed: those never used, used
+/// before, and with the start of a head.
+#[test]
+fn stop_does_not_wait_for_connections_without_a_request() {
+    let mut site = start_site();
+    let _unused = connect(&site);
+    let mut used = connect(&site);
+    let answer = call(&mut used, "/order/length-200000", PATIENCE);
+    assert_eq!((answer.end, answer.status), (CallEnd::Whole, 200));
+    let mut partial =
+        net::TcpStream::connect(site.cluster.entries[0].caller_address).expect("the entry listens");
+    partial
+        .write_all(b"POST /order/length-100 HTTP/1.1\r\nhost: agen")
+        .expect("the connection is open");
+    let entry = &mut site.cluster.entries[0];
+    assert!(entry.signal("TERM"));
+    assert_eq!(entry.wait_for_exit(QUICK_STOP), Some(0), "{}", entry.log());
+    assert_eq!(cut_lines(&site), Vec::<String>::new());
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -5,7 +5,6 @@
 use crate::caller::Exchange;
 use crate::crashes;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
 use crate::plain_service;
 use crate::stream;
 use crate::telemetry;
@@ -157,10 +156,9 @@
 pub(crate) async fn handle_request<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     request: hyper::Request<Incoming>,
-    exchange: &Exchange,
+    exchange: rc::Rc<Exchange<P>>,
 ) -> hyper::Response<Body> {
     let arrived_at = exchange.arrived_at;
-    let active_request = ActiveRequest::new(&entry);
     let (head, incoming) = request.into_parts();
     if P::is_readiness_probe(&head) {
         return readiness_response(&entry);
@@ -212,8 +210,8 @@
         }
     };
     match job.route.retry.is_stream() {
-        true => stream::serve(entry, rc::Rc::new(job), active_request).await,
-        false => plain_service::serve(entry, job, active_request).await,
+        true => stream::serve(entry, rc::Rc::new(job), exchange).await,
+        false => plain_service::serve(entry, job, exchange).await,
     }
 }
 
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -5,6 +5,7 @@
 use crate::body::Body;
 use crate::body::BodyAborted;
 use crate::entry::Entry;
+use crate::guards::ActiveRequest;
 use crate::telemetry;
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -32,16 +33,19 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// A request that has been read from a connection, until its answer has been sent.
-pub(crate) struct Exchange {
+pub(crate) struct Exchange<P: seam::Platform> {
+    /// Keeps a process that stops from exiting.
+    _active: ActiveRequest<P>,
     /// Id of the request, once its head has been decoded.
     id: cell::OnceCell<Name>,
     /// When the request head arrived.
     pub(crate) arrived_at: time::Instant,
 }
 
-impl Exchange {
-    fn new() -> Self {
+impl<P: seam::Platform> Exchange<P> {
+    fn new(entry: &rc::Rc<Entry<P>>) -> Self {
         Self {
+            _active: ActiveRequest::new(entry),
             id: cell::OnceCell::new(),
             arrived_at: time::Instant::now(),
         }
@@ -65,7 +69,7 @@
 }
 
 /// Activity of a caller's connection, which is closed once it is idle.
-struct Activity {
+struct Activity<P: seam::Platform> {
     /// When the last answer ended, or the connection was opened.
     last_active: cell::Cell<time::Instant>,
     /// Idle limit of the current wait: the longest that was in force during it. The caller
@@ -76,7 +80,7 @@
     /// The idle limit in force.
     idle_limit: watch::Receiver<time::Duration>,
     /// The request whose answer has not been sent to its end.
-    unanswered: cell::RefCell<Option<rc::Rc<Exchange>>>,
+    unanswered: cell::RefCell<Option<rc::Rc<Exchange<P>>>>,
     stage: cell::Cell<AnswerStage>,
     /// Bytes sent on this connection.
     sent_bytes: cell::Cell<u64>,
@@ -87,7 +91,7 @@
     cause: cell::Cell<&'static str>,
 }
 
-impl Activity {
+impl<P: seam::Platform> Activity<P> {
     fn new(idle_limit: watch::Receiver<time::Duration>) -> Self {
         let current_limit = *idle_limit.borrow();
         Self {
@@ -103,7 +107,7 @@
         }
     }
 
-    fn start_answer(&self, exchange: rc::Rc<Exchange>) {
+    fn start_answer(&self, exchange: rc::Rc<Exchange<P>>) {
         *self.unanswered.borrow_mut() = Some(exchange);
         self.stage.set(AnswerStage::Waiting);
         self.first_byte.set(self.sent_bytes.get());
@@ -142,7 +146,7 @@
 
 /// Logs a request whose connection has ended before its answer. At most one line is
 /// written for each request, and none for an idle connection.
-impl Drop for Activity {
+impl<P: seam::Platform> Drop for Activity<P> {
     fn drop(&mut self) {
         let Some(exchange) = self.unanswered.take() else {
             return;
@@ -230,12 +234,12 @@
 /// Handles one request, and announces the close of its connection if the process stops.
 async fn answer<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
-    activity: rc::Rc<Activity>,
+    activity: rc::Rc<Activity<P>>,
     request: hyper::Request<body::Incoming>,
-) -> hyper::Response<CallerBody> {
-    let exchange = rc::Rc::new(Exchange::new());
+) -> hyper::Response<CallerBody<P>> {
+    let exchange = rc::Rc::new(Exchange::new(&entry));
     activity.start_answer(exchange.clone());
-    let mut response = admit::handle_request(entry.clone(), request, &exchange).await;
+    let mut response = admit::handle_request(entry.clone(), request, exchange).await;
     if entry.stopping.get() {
         // The caller's next request then goes to another entry.
         let headers = response.headers_mut();
@@ -246,12 +250,12 @@
 }
 
 /// Body of a response, whose end is recorded.
-struct CallerBody {
+struct CallerBody<P: seam::Platform> {
     body: Body,
-    activity: rc::Rc<Activity>,
+    activity: rc::Rc<Activity<P>>,
 }
 
-impl body::Body for CallerBody {
+impl<P: seam::Platform> body::Body for CallerBody<P> {
     type Data = Bytes;
     type Error = BodyAborted;
 
@@ -272,19 +276,19 @@
 }
 
 /// The connection drops a body once it has taken all of it that is to be sent.
-impl Drop for CallerBody {
+impl<P: seam::Platform> Drop for CallerBody<P> {
     fn drop(&mut self) {
         self.activity.stage.set(AnswerStage::Buffered);
     }
 }
 
 /// The stream of a connection, which counts the bytes sent and records the end of an answer.
-struct CallerStream<'a> {
+struct CallerStream<'a, P: seam::Platform> {
     stream: &'a mut aio::TcpStream,
-    activity: rc::Rc<Activity>,
+    activity: rc::Rc<Activity<P>>,
 }
 
-impl CallerStream<'_> {
+impl<P: seam::Platform> CallerStream<'_, P> {
     fn record_write(&self, written: &task::Poll<io::Result<usize>>) {
         if let task::Poll::Ready(Ok(count)) = written {
             let sent_bytes = self.activity.sent_bytes.get() + *count as u64;
@@ -293,7 +297,7 @@
     }
 }
 
-impl AsyncRead for CallerStream<'_> {
+impl<P: seam::Platform> AsyncRead for CallerStream<'_, P> {
     fn poll_read(
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -303,7 +307,7 @@
     }
 }
 
-impl AsyncWrite for CallerStream<'_> {
+impl<P: seam::Platform> AsyncWrite for CallerStream<'_, P> {
     fn poll_write(
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -4,8 +4,8 @@
 use crate::admit::Job;
 use crate::body::Body;
 use crate::body::Chunk;
+use crate::caller::Exchange;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
 use crate::telemetry;
 use http::StatusCode;
 use seam::ByteStream;
@@ -106,7 +106,7 @@
 pub(crate) async fn serve<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     job: Job,
-    active_request: ActiveRequest<P>,
+    exchange: rc::Rc<Exchange<P>>,
 ) -> hyper::Response<Body> {
     let Some(service) = entry.plain_services.get(&job.service) else {
         let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
@@ -169,7 +169,7 @@
                 }
                 metrics::histogram!("answer_seconds", "kind" => "plain")
                     .record(job.arrived_at.elapsed().as_secs_f64());
-                return forward_response(upstream, body, active_request, job);
+                return forward_response(upstream, body, exchange, job);
             }
             AttemptOutcome::NotExecuted("unconnected" | "withheld") => {}
             AttemptOutcome::NotExecuted(_) => send_count += 1,
@@ -326,7 +326,7 @@
 fn forward_response<P: seam::Platform, S: ByteStream + 'static>(
     upstream: seam::Response<S>,
     body: Option<bytes::Bytes>,
-    active_request: ActiveRequest<P>,
+    exchange: rc::Rc<Exchange<P>>,
     job: Job,
 ) -> hyper::Response<Body> {
     let body = match body {
@@ -335,7 +335,7 @@
             let (sender, body) = Body::channel(upstream.body.content_length());
             let mut stream = upstream.body;
             tokio::task::spawn_local(async move {
-                let _guard = active_request;
+                let _guard = exchange;
                 loop {
                     let next = tokio::time::timeout_at(job.deadline.into(), stream.next_chunk());
                     let chunk = match next.await {
--- a/crates/direct/src/shutdown.rs
+++ b/crates/direct/src/shutdown.rs
@@ -15,8 +15,8 @@
 /// Interval at which to check whether requests are still active.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Checks in a row without an active request after which the process exits. A request may
-/// be read just as its connection is told to close, and the last bytes of a response need
-/// time to be sent.
+/// be read just as its connection is told to close. A request is active until all bytes of
+/// its response have been written.
 const MIN_IDLE_CHECKS: u32 = 4;
 /// Part of the grace period that is reserved for the process to exit.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(250);
@@ -43,7 +43,7 @@
 }
 
 /// Reloads the settings on SIGHUP until the signal to stop arrives, and then waits
-/// until all requests are answered, at most for the grace period.
+/// until all answers have been sent, at most for the grace period.
 pub(crate) async fn run_until_stopped<P: seam::Platform>(
     entry: &rc::Rc<Entry<P>>,
     mut signals: Signals,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,11 +4,11 @@
 use crate::admit;
 use crate::admit::Job;
 use crate::body::Body;
+use crate::caller::Exchange;
 use crate::crashes;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
 use crate::trials;
@@ -59,7 +59,7 @@
 pub(crate) async fn serve<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     job: rc::Rc<Job>,
-    active_request: ActiveRequest<P>,
+    exchange: rc::Rc<Exchange<P>>,
 ) -> hyper::Response<Body> {
     let Some(pool) = entry.pools.get(&job.service) else {
         let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
@@ -88,7 +88,7 @@
     *response.status_mut() = started.response.status;
     *response.headers_mut() = started.response.headers.clone();
     tokio::task::spawn_local(async move {
-        let _guard = active_request;
+        let _guard = exchange;
         runner.forward_events(started, sender).await;
     });
     response
