--- a/crates/daemon/tests/caller_connection_tests.rs
+++ b/crates/daemon/tests/caller_connection_tests.rs
@@ -30,10 +30,16 @@
 const QUICK_STOP: time::Duration = time::Duration::from_secs(5);
 
 fn start_site() -> SilentSite {
+    start_site_with_grace(8)
+}
+
+/// Starts an entry with one engine and one plain host.
+fn start_site_with_grace(grace_seconds: u32) -> SilentSite {
     let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
     let mut site = SilentSite::prepare(program, 1);
     site.add_workers("llm", Some("decode"), 1);
     site.add_workers("app", None, 1);
+    site.cluster.entries[0].set_setting("grace_s", &grace_seconds.to_string());
     site.cluster.start();
     site
 }
@@ -90,6 +96,40 @@
     assert!(lines[0].contains("cause=caller_left"), "{lines:?}");
 }
 
+/// An answer whose host doesn't send it to its end in time is cut off by the entry.
+#[test]
+fn answer_that_the_entry_aborts_is_logged() {
+    let site = start_site();
+    site.gates("app")[0].plan(Silence {
+        point: SilencePoint::InsideBody,
+        duration: PATIENCE,
+    });
+    let answer = call(&mut connect(&site), "/order/length-200000", PATIENCE);
+    assert_eq!((answer.end, answer.status), (CallEnd::Cut, 200));
+    site.cluster.wait_until(|_| !cut_lines(&site).is_empty());
+    let lines = cut_lines(&site);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("cause=answer_aborted"), "{lines:?}");
+}
+
+/// A caller that doesn't read its answer holds up a stop for the grace period at most.
+#[test]
+fn answer_that_is_unsent_at_the_exit_is_logged() {
+    let mut site = start_site_with_grace(4);
+    let mut caller = KeptCaller::connect_slow(site.cluster.entries[0].caller_address, PATIENCE)
+        .expect("the entry listens");
+    thread::scope(|scope| {
+        scope.spawn(|| call(&mut caller, "/order/length-7500000", PATIENCE));
+        site.cluster.wait_until(|_| site.has_received(REQUEST_ID));
+        let entry = &mut site.cluster.entries[0];
+        assert!(entry.signal("TERM"));
+        assert_eq!(entry.wait_for_exit(PATIENCE), Some(0), "{}", entry.log());
+        let lines = cut_lines(&site);
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        assert!(lines[0].contains("cause=process_exit"), "{lines:?}");
+    });
+}
+
 /// Connections that end while nothing is owed write no line.
 #[test]
 fn caller_that_leaves_after_its_answer_is_not_logged() {
