Let a caller finish its body when it is refused early

What callers saw: a request whose body is too long was refused with 413 before its end; the caller, which was still sending, got a reset instead of the answer.

Cause: the connection was closed with unread bytes, which resets it, and the kernel then drops the answer as well.

Change: an answer to a request whose body was not read to its end announces `Connection: close`, and what the caller still sends is read and discarded for at most 2 s. Connections that are closed as idle or by a stop don't do this: a request that crosses their close stays unread, which tells the caller that it may send it again.

Test: caller_of_a_body_that_is_too_long_gets_its_refusal failed before (broken pipe in the middle of the body), also with the discarding alone taken out, and passes now.

--- a/crates/daemon/tests/caller_connection_tests.rs
+++ b/crates/daemon/tests/caller_connection_tests.rs
@@ -8,6 +8,8 @@
 use fake::tracks::Silence;
 use fake::tracks::SilencePoint;
 use fake::tracks::SilentSite;
+use fake::tracks::names;
+use std::io::Read;
 use std::io::Write;
 use std::net;
 use std::path;
@@ -28,6 +30,10 @@
 /// An entry with nothing to send exits within this time after the signal to stop; it is
 /// below the grace period of eight seconds.
 const QUICK_STOP: time::Duration = time::Duration::from_secs(5);
+/// Length of a body above the limit of 100 kB that the buffers of a connection do not hold.
+const LONG_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Number of requests that are refused for their bodies.
+const REFUSED_CALLS: u32 = 4;
 
 fn start_site() -> SilentSite {
     start_site_with_grace(8)
@@ -167,3 +173,34 @@
     assert_eq!(entry.wait_for_exit(QUICK_STOP), Some(0), "{}", entry.log());
     assert_eq!(cut_lines(&site), Vec::<String>::new());
 }
+
+/// A body that is too long is refused before it has been read. The caller, which goes on
+/// sending, still gets the refusal: closing at once would reset the connection.
+#[test]
+fn caller_of_a_body_that_is_too_long_gets_its_refusal() {
+    let site = start_site();
+    for _ in 0..REFUSED_CALLS {
+        let mut stream = net::TcpStream::connect(site.cluster.entries[0].caller_address)
+            .expect("the entry listens");
+        let head = format!(
+            "POST /order/length-100 HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n\
+            {}: {REQUEST_ID}\r\n{}: 8000\r\ncontent-length: {LONG_BODY_BYTES}\r\n\r\n",
+            names::REQUEST_ID,
+            names::DEADLINE_MS,
+        );
+        stream
+            .write_all(head.as_bytes())
+            .expect("the connection is open");
+        let part = vec![b'x'; 64 * 1024];
+        for _ in 0..LONG_BODY_BYTES / part.len() {
+            stream.write_all(&part).expect("the connection is open");
+        }
+        let mut answer = Vec::new();
+        stream
+            .read_to_end(&mut answer)
+            .expect("the connection is not reset");
+        let answer = String::from_utf8_lossy(&answer).to_lowercase();
+        assert!(answer.starts_with("http/1.1 413"), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    }
+}
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -9,6 +9,7 @@
 use crate::stream;
 use crate::telemetry;
 use http::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use rand::Rng;
 use std::cell;
@@ -169,6 +170,9 @@
             trace::LogLine::new("head_refused")
                 .with("fault", error)
                 .info();
+            if !incoming.is_end_stream() {
+                exchange.leave_body();
+            }
             let reply = seam::Reply {
                 status: StatusCode::BAD_REQUEST,
                 id: None,
@@ -187,6 +191,7 @@
     let body = match read_body(incoming, max_bytes).await {
         Ok(body) => body,
         Err(status) => {
+            exchange.leave_body();
             trace::LogLine::new("body_refused")
                 .with("request", &id)
                 .with("status", status.as_u16())
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -31,6 +31,8 @@
 /// Maximum size of a request head in bytes. It is fixed: the limit in the
 /// configuration is not applied here.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// How long a caller may go on sending a body after its request was answered.
+const LINGER_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// A request that has been read from a connection, until its answer has been sent.
 pub(crate) struct Exchange<P: seam::Platform> {
@@ -40,6 +42,8 @@
     id: cell::OnceCell<Name>,
     /// When the request head arrived.
     pub(crate) arrived_at: time::Instant,
+    /// Whether the request is answered without its body having been read to its end.
+    body_unread: cell::Cell<bool>,
 }
 
 impl<P: seam::Platform> Exchange<P> {
@@ -48,6 +52,7 @@
             _active: ActiveRequest::new(entry),
             id: cell::OnceCell::new(),
             arrived_at: time::Instant::now(),
+            body_unread: cell::Cell::new(false),
         }
     }
 
@@ -55,6 +60,11 @@
     pub(crate) fn set_id(&self, id: &Name) {
         self.id.get_or_init(|| id.clone());
     }
+
+    /// Records that the request is answered without its body having been read to its end.
+    pub(crate) fn leave_body(&self) {
+        self.body_unread.set(true);
+    }
 }
 
 /// How much of the answer to the current request the connection has taken.
@@ -82,6 +92,8 @@
     /// The request whose answer has not been sent to its end.
     unanswered: cell::RefCell<Option<rc::Rc<Exchange<P>>>>,
     stage: cell::Cell<AnswerStage>,
+    /// Whether the body of the last request was left unread.
+    body_unread: cell::Cell<bool>,
     /// Bytes sent on this connection.
     sent_bytes: cell::Cell<u64>,
     /// Bytes that had been sent when the current request was read.
@@ -101,6 +113,7 @@
             last_active: cell::Cell::new(time::Instant::now()),
             unanswered: cell::RefCell::new(None),
             stage: cell::Cell::new(AnswerStage::Waiting),
+            body_unread: cell::Cell::new(false),
             sent_bytes: cell::Cell::new(0),
             first_byte: cell::Cell::new(0),
             cause: cell::Cell::new("process_exit"),
@@ -188,16 +201,32 @@
 pub(crate) async fn serve<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     mut stream: aio::TcpStream,
-    mut closed: watch::Receiver<bool>,
+    closed: watch::Receiver<bool>,
 ) {
     let activity = rc::Rc::new(Activity::new(entry.idle_limit.subscribe()));
+    serve_requests(&entry, &mut stream, &activity, closed).await;
+    if activity.body_unread.get() {
+        // A socket that is closed with unread bytes resets its connection, and the caller
+        // loses the answer. Errors and the timeout end the connection all the same.
+        let mut unread = tokio::io::sink();
+        let discarded = tokio::io::copy(&mut stream, &mut unread);
+        let _ = tokio::time::timeout(LINGER_TIME, discarded).await;
+    }
+}
+
+async fn serve_requests<P: seam::Platform>(
+    entry: &rc::Rc<Entry<P>>,
+    stream: &mut aio::TcpStream,
+    activity: &rc::Rc<Activity<P>>,
+    mut closed: watch::Receiver<bool>,
+) {
     let (service_entry, counters) = (entry.clone(), activity.clone());
     let service = service::service_fn(move |request| {
         let (entry, activity) = (service_entry.clone(), counters.clone());
         async move { Ok::<_, convert::Infallible>(answer(entry, activity, request).await) }
     });
     let stream = CallerStream {
-        stream: &mut stream,
+        stream,
         activity: activity.clone(),
     };
     let connection = http1::Builder::new()
@@ -239,8 +268,9 @@
 ) -> hyper::Response<CallerBody<P>> {
     let exchange = rc::Rc::new(Exchange::new(&entry));
     activity.start_answer(exchange.clone());
-    let mut response = admit::handle_request(entry.clone(), request, exchange).await;
-    if entry.stopping.get() {
+    let mut response = admit::handle_request(entry.clone(), request, exchange.clone()).await;
+    activity.body_unread.set(exchange.body_unread.get());
+    if entry.stopping.get() || exchange.body_unread.get() {
         // The caller's next request then goes to another entry.
         let headers = response.headers_mut();
         headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
