--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -2,13 +2,14 @@
 //! service.
 
 use crate::body::Body;
+use crate::caller::Exchange;
 use crate::crashes;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
 use crate::plain_service;
 use crate::stream;
 use crate::telemetry;
 use http::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use rand::Rng;
 use std::cell;
@@ -156,9 +157,9 @@
 pub(crate) async fn handle_request<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     request: hyper::Request<Incoming>,
+    exchange: rc::Rc<Exchange<P>>,
 ) -> hyper::Response<Body> {
-    let arrived_at = time::Instant::now();
-    let active_request = ActiveRequest::new(&entry);
+    let arrived_at = exchange.arrived_at;
     let (head, incoming) = request.into_parts();
     if P::is_readiness_probe(&head) {
         return readiness_response(&entry);
@@ -169,6 +170,9 @@
             trace::LogLine::new("head_refused")
                 .with("fault", error)
                 .info();
+            if !incoming.is_end_stream() {
+                exchange.leave_body();
+            }
             let reply = seam::Reply {
                 status: StatusCode::BAD_REQUEST,
                 id: None,
@@ -179,6 +183,7 @@
         }
     };
     let id = request.id.clone();
+    exchange.set_id(&id);
     let max_bytes = entry
         .active_config()
         .map_or(seam::Limits::default(), |c| c.config.limits)
@@ -186,6 +191,7 @@
     let body = match read_body(incoming, max_bytes).await {
         Ok(body) => body,
         Err(status) => {
+            exchange.leave_body();
             trace::LogLine::new("body_refused")
                 .with("request", &id)
                 .with("status", status.as_u16())
@@ -209,8 +215,8 @@
         }
     };
     match job.route.retry.is_stream() {
-        true => stream::serve(entry, rc::Rc::new(job), active_request).await,
-        false => plain_service::serve(entry, job, active_request).await,
+        true => stream::serve(entry, rc::Rc::new(job), exchange).await,
+        false => plain_service::serve(entry, job, exchange).await,
     }
 }
 
