--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -3,34 +3,23 @@
 use crate::admit;
 use crate::admit::Job;
 use crate::body::Body;
-use crate::body::Chunk;
 use crate::entry::Entry;
+use crate::forward;
 use crate::guards::ActiveRequest;
+use crate::plain_attempt;
+use crate::plain_attempt::AttemptOutcome;
 use crate::telemetry;
 use http::StatusCode;
-use seam::ByteStream;
-use seam::Upstreams;
 use std::cell;
 use std::collections;
 use std::rc;
 use std::time;
 use world::Name;
 
-/// Bodies up to this size, and those without an announced length, are read
-/// completely before the response head is sent, so that the call can still be
-/// retried or get an error response if the body is cut off.
-const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// Longest response body that is read before it is passed on; a host in
-/// trouble may send bytes without end.
-const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
 /// Delay after which a caller should retry if no host can take its call.
 const NO_HOST_RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
 /// Time between two looks whether a host takes calls again.
 const PROBE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
-/// How long an attempt may take if another one is allowed, in multiples of the
-/// route's latency target.
-const ATTEMPT_TIME_FACTOR: u32 = 2;
-
 /// The hosts of all plain services.
 #[derive(Debug, Default)]
 pub(crate) struct PlainServices {
@@ -44,18 +33,6 @@
     pub(crate) balancer: cell::RefCell<pool::HostBalancer>,
 }
 
-/// A call in progress; the host's load includes it until it is dropped.
-struct CallGuard {
-    service: rc::Rc<PlainService>,
-    host: Name,
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        self.service.balancer.borrow_mut().end_call(&self.host);
-    }
-}
-
 impl PlainServices {
     pub(crate) fn new(notices: pool::SharedNotices) -> Self {
         Self {
@@ -90,17 +67,6 @@
     }
 }
 
-/// Result of one attempt.
-enum AttemptOutcome<S> {
-    /// The host's response, with its body if that was buffered.
-    Response(seam::Response<S>, Option<bytes::Bytes>),
-    /// The host stated that it has not executed the call, or it could not be
-    /// reached.
-    NotExecuted(&'static str),
-    /// The call may have been executed.
-    Unknown(&'static str),
-}
-
 /// Serves a call to a plain service, and retries it at other hosts where the route
 /// and the retry budget allow it.
 pub(crate) async fn serve<P: seam::Platform>(
@@ -145,7 +111,7 @@
         }
         tried.push(target.id.clone());
         let is_last = !repeatable || send_count + 1 >= job.route.max_attempts;
-        let outcome = attempt(&entry, &service, &job, &target, is_last).await;
+        let outcome = plain_attempt::attempt(&entry, &service, &job, &target, is_last).await;
         let label = match &outcome {
             AttemptOutcome::Response(upstream, _) => upstream.status.as_u16().to_string(),
             AttemptOutcome::NotExecuted(reason) | AttemptOutcome::Unknown(reason) => {
@@ -169,7 +135,7 @@
                 }
                 metrics::histogram!("answer_seconds", "kind" => "plain")
                     .record(job.arrived_at.elapsed().as_secs_f64());
-                return forward_response(upstream, body, active_request, job);
+                return forward::forward_response(upstream, body, active_request, job);
             }
             AttemptOutcome::NotExecuted("unconnected" | "withheld") => {}
             AttemptOutcome::NotExecuted(_) => send_count += 1,
@@ -199,167 +165,11 @@
     other.is_some() && job.time_left() > job.route.latency_target / 4
 }
 
-/// Sends the call to one host, and reads the response if it is buffered.
-async fn attempt<P: seam::Platform>(
-    entry: &rc::Rc<Entry<P>>,
-    service: &rc::Rc<PlainService>,
-    job: &Job,
-    target: &seam::Target,
-    is_last: bool,
-) -> AttemptOutcome<<P::Upstreams as Upstreams>::Body> {
-    let is_suspect = !entry
-        .quarantine
-        .borrow()
-        .suspected(&job.elements)
-        .is_empty();
-    service.balancer.borrow_mut().start_call(&target.id);
-    let _guard = CallGuard {
-        service: service.clone(),
-        host: target.id.clone(),
-    };
-    let deadline = match is_last {
-        true => job.deadline,
-        false => {
-            let timeout = job.route.latency_target * ATTEMPT_TIME_FACTOR;
-            job.deadline.min(time::Instant::now() + timeout)
-        }
-    };
-    let options = seam::SendOptions {
-        tenant: job.tenant.clone(),
-        timeout: Some(job.time_left()),
-        ..seam::SendOptions::default()
-    };
-    let result = entry
-        .upstreams
-        .send(target, &job.request, &options, deadline)
-        .await;
-    let now = time::Instant::now();
-    let mut upstream = match result {
-        Ok(upstream) => upstream,
-        Err(error) if error.cause == seam::FailureCause::Withheld => {
-            return AttemptOutcome::NotExecuted("withheld");
-        }
-        Err(error) => {
-            service
-                .balancer
-                .borrow_mut()
-                .record_failure(&target.id, now);
-            if error.cause == seam::FailureCause::ConnectionLost {
-                // Whether the host had begun the call is not known: it answers at once.
-                entry.check_for_crash(job, target, pool::Progress::Begun, is_suspect);
-            }
-            return match (error.may_have_run, error.cause) {
-                (false, _) => AttemptOutcome::NotExecuted("unconnected"),
-                (true, seam::FailureCause::TimedOut) => AttemptOutcome::Unknown("late"),
-                (true, seam::FailureCause::WrongRequest) => AttemptOutcome::Unknown("crossed"),
-                (true, _) => AttemptOutcome::Unknown("broken"),
-            };
-        }
-    };
-    if upstream.not_executed {
-        service
-            .balancer
-            .borrow_mut()
-            .record_refusal(&target.id, now);
-        return AttemptOutcome::NotExecuted("refused");
-    }
-    let failed = upstream.status.is_server_error();
-    service
-        .balancer
-        .borrow_mut()
-        .record_response(&target.id, failed);
-    if implies_not_executed(upstream.status) {
-        // Such a status would tell the caller that the call was not executed,
-        // but the host did not state that.
-        return AttemptOutcome::Unknown("status_ambiguous");
-    }
-    let is_buffered = upstream
-        .body
-        .content_length()
-        .is_none_or(|l| l <= MAX_BUFFERED_BYTES as u64);
-    if !is_buffered {
-        return AttemptOutcome::Response(upstream, None);
-    }
-    match collect_body(job, &target.id, &mut upstream.body, deadline).await {
-        Some(bytes) => {
-            if !failed {
-                entry.record_answer(&job.elements);
-            }
-            AttemptOutcome::Response(upstream, Some(bytes))
-        }
-        None => {
-            service
-                .balancer
-                .borrow_mut()
-                .record_failure(&target.id, now);
-            AttemptOutcome::Unknown("body_incomplete")
-        }
-    }
-}
-
-/// Reads a body to its end; returns `None` if that does not come by `deadline`, the
-/// connection breaks or the body is too long, which is logged.
-pub(crate) async fn collect_body<S: ByteStream>(
-    job: &Job,
-    host: &str,
-    body: &mut S,
-    deadline: time::Instant,
-) -> Option<bytes::Bytes> {
-    let next_chunk = async || body.next_chunk().await;
-    let collected = web::collect_chunks(next_chunk, MAX_UNSIZED_BYTES, deadline).await;
-    if let Err(web::ReadError::Oversized(bytes)) = collected {
-        job.log_line("body_oversized")
-            .with("upstream", host)
-            .with("bytes", bytes)
-            .with("bound", MAX_UNSIZED_BYTES)
-            .warn();
-    }
-    collected.ok()
-}
-
 /// Returns whether a status tells the caller that the request was not executed.
 pub(crate) fn implies_not_executed(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Builds the response to the caller from the host's response.
-fn forward_response<P: seam::Platform, S: ByteStream + 'static>(
-    upstream: seam::Response<S>,
-    body: Option<bytes::Bytes>,
-    active_request: ActiveRequest<P>,
-    job: Job,
-) -> hyper::Response<Body> {
-    let body = match body {
-        Some(bytes) => Body::from(bytes),
-        None => {
-            let (sender, body) = Body::channel(upstream.body.content_length());
-            let mut stream = upstream.body;
-            tokio::task::spawn_local(async move {
-                let _guard = active_request;
-                loop {
-                    let next = tokio::time::timeout_at(job.deadline.into(), stream.next_chunk());
-                    let chunk = match next.await {
-                        Ok(Some(Ok(bytes))) => Chunk::Data(bytes),
-                        Ok(None) => Chunk::End,
-                        // Dropping the sender before the end aborts the
-                        // response.
-                        Ok(Some(Err(_))) | Err(_) => return,
-                    };
-                    let ended = matches!(chunk, Chunk::End);
-                    if sender.send(chunk).await.is_err() || ended {
-                        return;
-                    }
-                }
-            });
-            body
-        }
-    };
-    let mut response = hyper::Response::new(body);
-    *response.status_mut() = upstream.status;
-    *response.headers_mut() = upstream.headers;
-    response
-}
-
 /// Refuses a call for which no host or no retry is left.
 fn no_host_response<P: seam::Platform>(
     entry: &Entry<P>,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -8,6 +8,7 @@
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
+use crate::forward;
 use crate::guards::ActiveRequest;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
@@ -105,7 +106,7 @@
         engine,
         ..
     } = started;
-    let body = plain_service::collect_body(job, &engine, &mut response.body, job.deadline).await;
+    let body = forward::collect_body(job, &engine, &mut response.body, job.deadline).await;
     let Some(bytes) = body else {
         return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
     };
