A late host's answer is not lost to a retry

Without another host or a retry in the budget nothing was left; and a second host that refused, failed or broke off decided the answer alone. Likewise a host's own 500 was discarded before the budget had allowed the retry.

A late attempt stays pending, and another is made beside it: one extra at a time, within the retry budget and the route's max_attempts, with the time that is left. max_attempts counts the hosts that may have executed the call; a refused attempt, which counted before if the next one broke off, no longer does. The first success is the answer, and the other attempt's connection is closed. A host's own failure is passed on if nothing better comes. No refusal is given while an attempt may have run; a call that may run only once is never sent to a second host after one that may have run it. Each plain answer that is cut off has a line (answer_cut) with the request's id, cause and age.

Price: if both hosts are of no help the caller waits until its deadline, where it was told 502 sooner and could try again itself.

--- a/crates/daemon/tests/silence_tests.rs
+++ b/crates/daemon/tests/silence_tests.rs
@@ -2,6 +2,7 @@
 //! and then goes on.
 
 use fake::tracks::CallEnd;
+use fake::tracks::CallFault;
 use fake::tracks::CallRecord;
 use fake::tracks::CallerRequest;
 use fake::tracks::KeptCaller;
@@ -249,3 +250,156 @@
         }
     });
 }
+
+/// What the second host of a service does when the first one is silent.
+#[derive(Clone, Copy, Debug)]
+enum SecondHost {
+    /// It has a fault.
+    Faulty(CallFault),
+    /// It falls silent for as long, once it is asked.
+    Silent,
+}
+
+/// Prepares two hosts: the one that is asked first falls silent, and the other is of no help.
+fn start_pair(second: SecondHost, silence: Silence) -> SilentSite {
+    let mut site = SilentSite::prepare(program(), 1);
+    site.add_workers("app", None, 2);
+    site.cluster.start();
+    site.workers[0].gate.plan(silence);
+    match second {
+        SecondHost::Faulty(fault) => site.workers[1].set_call_fault(fault),
+        SecondHost::Silent => site.workers[1].gate.plan(silence),
+    }
+    site
+}
+
+/// A caller gets the answer of the host that was asked first although the call was sent to
+/// another one meanwhile, which refused it, failed it, ended the connection or fell silent.
+#[parameterized(
+    refuses_500 = { SecondHost::Faulty(CallFault::Refuses), 500 },
+    refuses_1600 = { SecondHost::Faulty(CallFault::Refuses), 1_600 },
+    refuses_2200 = { SecondHost::Faulty(CallFault::Refuses), 2_200 },
+    refuses_2500 = { SecondHost::Faulty(CallFault::Refuses), 2_500 },
+    fails_500 = { SecondHost::Faulty(CallFault::Fails), 500 },
+    fails_1600 = { SecondHost::Faulty(CallFault::Fails), 1_600 },
+    fails_2200 = { SecondHost::Faulty(CallFault::Fails), 2_200 },
+    fails_2500 = { SecondHost::Faulty(CallFault::Fails), 2_500 },
+    closes_500 = { SecondHost::Faulty(CallFault::Closes), 500 },
+    closes_1600 = { SecondHost::Faulty(CallFault::Closes), 1_600 },
+    closes_2200 = { SecondHost::Faulty(CallFault::Closes), 2_200 },
+    closes_2500 = { SecondHost::Faulty(CallFault::Closes), 2_500 },
+    silent_500 = { SecondHost::Silent, 500 },
+    silent_1600 = { SecondHost::Silent, 1_600 },
+    silent_2200 = { SecondHost::Silent, 2_200 },
+    silent_2500 = { SecondHost::Silent, 2_500 },
+)]
+fn plain_answer_comes_from_the_first_host(second: SecondHost, silent_ms: u64) {
+    let duration = time::Duration::from_millis(silent_ms);
+    let cases = [
+        (SilencePoint::BeforeHead, "length", 2_000),
+        (SilencePoint::InsideHead, "length", 2_000),
+        (SilencePoint::InsideBody, "length", 2_000),
+        (SilencePoint::InsideBody, "chunked", 2_000),
+    ];
+    thread::scope(|scope| {
+        for case in cases {
+            scope.spawn(move || {
+                let (point, framing, length) = case;
+                let site = start_pair(second, Silence { point, duration });
+                let record = call(&site, "GET", format!("/status/{framing}-{length}"));
+                assert_served(&site, &record, &body_bytes(length), &case);
+                assert_eq!(site.workers[0].received_ids().len(), 1, "{case:?}");
+            });
+        }
+    });
+}
+
+/// A caller gets its answer although all hosts of the service fall silent together.
+#[parameterized(
+    order_500 = { "POST", "order", 500 },
+    order_1600 = { "POST", "order", 1_600 },
+    order_2500 = { "POST", "order", 2_500 },
+    status_500 = { "GET", "status", 500 },
+    status_1600 = { "GET", "status", 1_600 },
+    status_2500 = { "GET", "status", 2_500 },
+)]
+fn plain_answer_comes_after_all_hosts_were_silent(
+    method: &'static str,
+    route: &str,
+    silent_ms: u64,
+) {
+    let duration = time::Duration::from_millis(silent_ms);
+    let points = [
+        SilencePoint::BeforeHead,
+        SilencePoint::InsideHead,
+        SilencePoint::InsideBody,
+    ];
+    thread::scope(|scope| {
+        for point in points {
+            scope.spawn(move || {
+                let mut site = SilentSite::prepare(program(), 1);
+                site.add_group("app", None, 3);
+                site.cluster.start();
+                site.workers[0].gate.plan(Silence { point, duration });
+                let record = call(&site, method, format!("/{route}/length-2000"));
+                assert_served(&site, &record, &body_bytes(2_000), &point);
+            });
+        }
+    });
+}
+
+/// An order is sent once, however long its host is silent and although there is another.
+#[test]
+fn order_is_sent_to_no_second_host() {
+    let point = SilencePoint::BeforeHead;
+    let duration = time::Duration::from_millis(2_500);
+    let site = start_pair(
+        SecondHost::Faulty(CallFault::Refuses),
+        Silence { point, duration },
+    );
+    let record = call(&site, "POST", "/order/length-2000".to_owned());
+    assert_served(&site, &record, &body_bytes(2_000), &point);
+    assert_eq!(site.workers[0].received_ids().len(), 1);
+    assert!(site.workers[1].received_ids().is_empty());
+}
+
+/// A caller is not told that its call has not run while a silent host may have run it, and
+/// the second host is told the time that is left.
+#[test]
+fn silent_host_and_refusal_are_no_promise() {
+    let point = SilencePoint::BeforeHead;
+    let duration = time::Duration::from_secs(12);
+    let site = start_pair(
+        SecondHost::Faulty(CallFault::Refuses),
+        Silence { point, duration },
+    );
+    let record = call(&site, "GET", "/status/length-2000".to_owned());
+    assert_eq!((record.end, record.status), (CallEnd::Whole, 504));
+    let timeouts: Vec<u64> = site
+        .workers
+        .iter()
+        .flat_map(|w| w.received_timeouts())
+        .collect();
+    let [first, second] = timeouts[..] else {
+        panic!("both hosts are asked once: {timeouts:?}");
+    };
+    // An attempt is late after 1.8 s.
+    assert!(second + 1_800 <= first, "{timeouts:?}");
+}
+
+/// The second host's answer is passed on at once, and the connection to the silent host is
+/// closed, so that it need not go on.
+#[test]
+fn late_host_is_given_up_for_the_answer_of_another() {
+    let point = SilencePoint::BeforeHead;
+    let duration = time::Duration::from_secs(4);
+    let mut site = SilentSite::prepare(program(), 1);
+    site.add_workers("app", None, 2);
+    site.cluster.start();
+    site.workers[0].gate.plan(Silence { point, duration });
+    let record = call(&site, "GET", "/status/length-2000".to_owned());
+    assert_served(&site, &record, &body_bytes(2_000), &point);
+    assert!(!site.workers[0].gate.is_idle(), "the first host is silent");
+    site.cluster
+        .wait_until(|_| site.workers[0].gate.is_idle() && site.workers[0].abandoned_count() == 1);
+}
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -6,11 +6,22 @@
 use crate::guards::ActiveRequest;
 use seam::ByteStream;
 use std::time;
+use tokio::sync::mpsc;
+use world::Name;
 
 /// Longest response body that is read before it is passed on; a host in
 /// trouble may send bytes without end.
 const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
 
+/// A host's response to a call.
+pub(crate) struct Answer<S> {
+    pub(crate) host: Name,
+    /// The response, with its body unless that was buffered.
+    pub(crate) response: seam::Response<S>,
+    /// The whole body, if it was buffered.
+    pub(crate) body: Option<bytes::Bytes>,
+}
+
 /// Reads a body to its end; returns `None` if that does not come by `deadline`, the
 /// connection breaks or the body is too long, which is logged.
 pub(crate) async fn collect_body<S: ByteStream>(
@@ -31,13 +42,41 @@
     collected.ok()
 }
 
-/// Builds the response to the caller from the host's response.
+/// Forwards a body to the caller in chunks; fails with the cause if that ends early.
+async fn forward_chunks<S: ByteStream>(
+    job: &Job,
+    body: &mut S,
+    sender: &mpsc::Sender<Chunk>,
+) -> Result<(), &'static str> {
+    loop {
+        let next = tokio::time::timeout_at(job.deadline.into(), body.next_chunk());
+        let chunk = match next.await {
+            Ok(Some(Ok(bytes))) => Chunk::Data(bytes),
+            Ok(None) => Chunk::End,
+            Ok(Some(Err(_))) => return Err("broken"),
+            Err(_) => return Err("overdue"),
+        };
+        let ended = matches!(chunk, Chunk::End);
+        if sender.send(chunk).await.is_err() {
+            return Err("caller_left");
+        }
+        if ended {
+            return Ok(());
+        }
+    }
+}
+
+/// Builds the response to the caller from a host's answer.
 pub(crate) fn forward_response<P: seam::Platform, S: ByteStream + 'static>(
-    upstream: seam::Response<S>,
-    body: Option<bytes::Bytes>,
+    answer: Answer<S>,
     active_request: ActiveRequest<P>,
     job: Job,
 ) -> hyper::Response<Body> {
+    let Answer {
+        host,
+        response: upstream,
+        body,
+    } = answer;
     let body = match body {
         Some(bytes) => Body::from(bytes),
         None => {
@@ -45,19 +84,9 @@
             let mut stream = upstream.body;
             tokio::task::spawn_local(async move {
                 let _guard = active_request;
-                loop {
-                    let next = tokio::time::timeout_at(job.deadline.into(), stream.next_chunk());
-                    let chunk = match next.await {
-                        Ok(Some(Ok(bytes))) => Chunk::Data(bytes),
-                        Ok(None) => Chunk::End,
-                        // Dropping the sender before the end aborts the
-                        // response.
-                        Ok(Some(Err(_))) | Err(_) => return,
-                    };
-                    let ended = matches!(chunk, Chunk::End);
-                    if sender.send(chunk).await.is_err() || ended {
-                        return;
-                    }
+                // Dropping the sender before the end aborts the response.
+                if let Err(cause) = forward_chunks(&job, &mut stream, &sender).await {
+                    job.log_cut(cause, &host).info();
                 }
             });
             body
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod guards;
 mod peers;
 mod plain_attempt;
+mod plain_call;
 mod plain_service;
 mod prefill;
 mod relay;
--- a/crates/direct/src/plain_attempt.rs
+++ b/crates/direct/src/plain_attempt.rs
@@ -3,6 +3,7 @@
 use crate::admit::Job;
 use crate::entry::Entry;
 use crate::forward;
+use crate::forward::Answer;
 use crate::plain_service;
 use crate::plain_service::PlainService;
 use seam::ByteStream;
@@ -15,9 +16,6 @@
 /// completely before the response head is sent, so that the call can still be
 /// retried or get an error response if the body is cut off.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
-/// How long an attempt may take if another one is allowed, in multiples of the
-/// route's latency target.
-const ATTEMPT_TIME_FACTOR: u32 = 2;
 
 /// A call in progress; the host's load includes it until it is dropped.
 struct CallGuard {
@@ -33,8 +31,8 @@
 
 /// Result of one attempt.
 pub(crate) enum AttemptOutcome<S> {
-    /// The host's response, with its body if that was buffered.
-    Response(seam::Response<S>, Option<bytes::Bytes>),
+    /// The host's response.
+    Response(Answer<S>),
     /// The host stated that it has not executed the call, or it could not be
     /// reached.
     NotExecuted(&'static str),
@@ -42,13 +40,22 @@
     Unknown(&'static str),
 }
 
+impl<S> AttemptOutcome<S> {
+    /// Returns the outcome as it is written in logs.
+    pub(crate) fn label(&self) -> &str {
+        match self {
+            AttemptOutcome::Response(answer) => answer.response.status.as_str(),
+            AttemptOutcome::NotExecuted(reason) | AttemptOutcome::Unknown(reason) => reason,
+        }
+    }
+}
+
 /// Sends the call to one host, and reads the response if it is buffered.
 pub(crate) async fn attempt<P: seam::Platform>(
     entry: &rc::Rc<Entry<P>>,
     service: &rc::Rc<PlainService>,
     job: &Job,
-    target: &seam::Target,
-    is_last: bool,
+    target: seam::Target,
 ) -> AttemptOutcome<<P::Upstreams as Upstreams>::Body> {
     let is_suspect = !entry
         .quarantine
@@ -60,13 +67,6 @@
         service: service.clone(),
         host: target.id.clone(),
     };
-    let deadline = match is_last {
-        true => job.deadline,
-        false => {
-            let timeout = job.route.latency_target * ATTEMPT_TIME_FACTOR;
-            job.deadline.min(time::Instant::now() + timeout)
-        }
-    };
     let options = seam::SendOptions {
         tenant: job.tenant.clone(),
         timeout: Some(job.time_left()),
@@ -74,7 +74,7 @@
     };
     let result = entry
         .upstreams
-        .send(target, &job.request, &options, deadline)
+        .send(&target, &job.request, &options, job.deadline)
         .await;
     let now = time::Instant::now();
     let mut upstream = match result {
@@ -89,7 +89,7 @@
                 .record_failure(&target.id, now);
             if error.cause == seam::FailureCause::ConnectionLost {
                 // Whether the host had begun the call is not known: it answers at once.
-                entry.check_for_crash(job, target, pool::Progress::Begun, is_suspect);
+                entry.check_for_crash(job, &target, pool::Progress::Begun, is_suspect);
             }
             return match (error.may_have_run, error.cause) {
                 (false, _) => AttemptOutcome::NotExecuted("unconnected"),
@@ -121,14 +121,22 @@
         .content_length()
         .is_none_or(|l| l <= MAX_BUFFERED_BYTES as u64);
     if !is_buffered {
-        return AttemptOutcome::Response(upstream, None);
+        return AttemptOutcome::Response(Answer {
+            host: target.id,
+            response: upstream,
+            body: None,
+        });
     }
-    match forward::collect_body(job, &target.id, &mut upstream.body, deadline).await {
+    match forward::collect_body(job, &target.id, &mut upstream.body, job.deadline).await {
         Some(bytes) => {
             if !failed {
                 entry.record_answer(&job.elements);
             }
-            AttemptOutcome::Response(upstream, Some(bytes))
+            AttemptOutcome::Response(Answer {
+                host: target.id,
+                response: upstream,
+                body: Some(bytes),
+            })
         }
         None => {
             service
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -6,8 +6,7 @@
 use crate::entry::Entry;
 use crate::forward;
 use crate::guards::ActiveRequest;
-use crate::plain_attempt;
-use crate::plain_attempt::AttemptOutcome;
+use crate::plain_call::PlainCall;
 use crate::telemetry;
 use http::StatusCode;
 use std::cell;
@@ -18,8 +17,6 @@
 
 /// Delay after which a caller should retry if no host can take its call.
 const NO_HOST_RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
-/// Time between two looks whether a host takes calls again.
-const PROBE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 /// The hosts of all plain services.
 #[derive(Debug, Default)]
 pub(crate) struct PlainServices {
@@ -78,128 +75,46 @@
         let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
         return refusal_response(&entry, &job, &reply);
     };
-    let repeatable = job.route.retry.is_repeatable();
-    let mut tried: Vec<Name> = Vec::new();
-    let mut may_have_run = false;
-    let mut send_count = 0;
-    loop {
-        if job.time_left().is_zero() {
-            return timeout_response(&entry, &job, may_have_run);
-        }
-        let now = time::Instant::now();
-        let picked = service
-            .balancer
-            .borrow()
-            .pick(&entry.settings.zone, &tried, now);
-        let target = picked.and_then(|id| entry.target(&id));
-        let Some(target) = target else {
-            if service.balancer.borrow().is_probing(&tried, now) {
-                tokio::time::sleep(PROBE_POLL_INTERVAL).await;
-                continue;
-            }
-            return no_host_response(&entry, &service, &job, may_have_run);
-        };
-        if send_count > 0 {
-            let entries = entry.entry_count();
-            let granted = entry
-                .retry_budget
-                .borrow_mut()
-                .try_take(&job.service, entries, now);
-            if !granted {
-                return no_host_response(&entry, &service, &job, may_have_run);
-            }
-        }
-        tried.push(target.id.clone());
-        let is_last = !repeatable || send_count + 1 >= job.route.max_attempts;
-        let outcome = plain_attempt::attempt(&entry, &service, &job, &target, is_last).await;
-        let label = match &outcome {
-            AttemptOutcome::Response(upstream, _) => upstream.status.as_u16().to_string(),
-            AttemptOutcome::NotExecuted(reason) | AttemptOutcome::Unknown(reason) => {
-                (*reason).to_owned()
-            }
-        };
-        job.log_line("call")
-            .with("upstream", &target.id)
-            .with("outcome", &label)
-            .with("try", tried.len())
-            .info();
-        match outcome {
-            AttemptOutcome::Response(upstream, body) => {
-                let failed = upstream.status.is_server_error();
-                if failed && !is_last && tried.len() < 3 {
-                    send_count += 1;
-                    may_have_run = true;
-                    if can_retry(&entry, &service, &job, &tried) {
-                        continue;
-                    }
-                }
-                metrics::histogram!("answer_seconds", "kind" => "plain")
-                    .record(job.arrived_at.elapsed().as_secs_f64());
-                return forward::forward_response(upstream, body, active_request, job);
-            }
-            AttemptOutcome::NotExecuted("unconnected" | "withheld") => {}
-            AttemptOutcome::NotExecuted(_) => send_count += 1,
-            AttemptOutcome::Unknown(_) => {
-                send_count += 1;
-                may_have_run = true;
-                if is_last || entry.is_condemned(&job) {
-                    return timeout_response(&entry, &job, true);
-                }
-            }
+    let call = PlainCall {
+        entry: &entry,
+        service: &service,
+        job: &job,
+    };
+    match call.run().await {
+        Ok(answer) => {
+            metrics::histogram!("answer_seconds", "kind" => "plain")
+                .record(job.arrived_at.elapsed().as_secs_f64());
+            forward::forward_response(answer, active_request, job)
         }
+        Err(reply) => refusal_response(&entry, &job, &reply),
     }
 }
 
-/// Returns whether another host is left and there is enough time for a retry.
-fn can_retry<P: seam::Platform>(
-    entry: &Entry<P>,
-    service: &PlainService,
-    job: &Job,
-    tried: &[Name],
-) -> bool {
-    let now = time::Instant::now();
-    let other = service
-        .balancer
-        .borrow()
-        .pick(&entry.settings.zone, tried, now);
-    other.is_some() && job.time_left() > job.route.latency_target / 4
-}
-
 /// Returns whether a status tells the caller that the request was not executed.
 pub(crate) fn implies_not_executed(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Refuses a call for which no host or no retry is left.
-fn no_host_response<P: seam::Platform>(
-    entry: &Entry<P>,
-    service: &PlainService,
-    job: &Job,
-    may_have_run: bool,
-) -> hyper::Response<Body> {
+/// Builds the reply to a call for which no host or no retry is left.
+pub(crate) fn no_host_reply(service: &PlainService, job: &Job, may_have_run: bool) -> seam::Reply {
     let now = time::Instant::now();
     let retry_at = service.balancer.borrow().retry_at(now);
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    let reply = match (may_have_run, retry_at) {
+    match (may_have_run, retry_at) {
         (true, _) => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
         (false, Some(at)) => job.paused_reply(at, now),
         (false, None) => job.reply(status, Some(NO_HOST_RETRY_DELAY), "no_host"),
-    };
-    refusal_response(entry, job, &reply)
+    }
 }
 
-/// Refuses a call whose time is over, or whose last attempt got no usable response.
-fn timeout_response<P: seam::Platform>(
-    entry: &Entry<P>,
-    job: &Job,
-    may_have_run: bool,
-) -> hyper::Response<Body> {
+/// Builds the reply to a call whose time is over, or whose last attempt got no usable
+/// response.
+pub(crate) fn timeout_reply(job: &Job, may_have_run: bool) -> seam::Reply {
     let status = match may_have_run {
         true => StatusCode::GATEWAY_TIMEOUT,
         false => StatusCode::SERVICE_UNAVAILABLE,
     };
-    let reply = job.reply(status, None, "timeout");
-    refusal_response(entry, job, &reply)
+    job.reply(status, None, "timeout")
 }
 
 /// Logs and counts a refusal, and builds its response.
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -32,14 +32,30 @@
     shared: sync::Arc<Shared>,
 }
 
+/// What a worker does with callers' requests instead of answering them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// It refuses them without executing them.
+    Refuses,
+    /// It answers that it has failed.
+    Fails,
+    /// It closes the connection.
+    Closes,
+}
+
 /// State that the threads of a worker's connections share.
 #[derive(Debug)]
 struct Shared {
     gate: sync::Arc<SilenceGate>,
     refuses_reservations: atomic::AtomicBool,
+    call_fault: sync::Mutex<Option<CallFault>>,
     last_id: atomic::AtomicU64,
     /// Ids of the callers' requests, in order of arrival.
     received: sync::Mutex<Vec<String>>,
+    /// The time that each of them left to the worker, in milliseconds.
+    timeouts: sync::Mutex<Vec<u64>>,
+    /// Number of callers' requests whose connection was closed before their answer began.
+    abandoned_count: atomic::AtomicUsize,
 }
 
 impl SilentWorker {
@@ -58,8 +74,11 @@
         let shared = sync::Arc::new(Shared {
             gate: gate.clone(),
             refuses_reservations: atomic::AtomicBool::new(false),
+            call_fault: sync::Mutex::default(),
             last_id: atomic::AtomicU64::new(0),
             received: sync::Mutex::default(),
+            timeouts: sync::Mutex::default(),
+            abandoned_count: atomic::AtomicUsize::new(0),
         });
         let for_connections = shared.clone();
         thread::spawn(move || {
@@ -89,6 +108,23 @@
         flag.store(refuse, atomic::Ordering::Relaxed);
     }
 
+    /// Sets a fault of all answers to callers from now on.
+    pub fn set_call_fault(&self, fault: CallFault) {
+        *self.shared.call_fault() = Some(fault);
+    }
+
+    /// Returns the number of callers' requests whose connection was closed before their
+    /// answer began.
+    pub fn abandoned_count(&self) -> usize {
+        self.shared.abandoned_count.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the time that each caller's request left to the worker, in milliseconds and
+    /// in order of arrival.
+    pub fn received_timeouts(&self) -> Vec<u64> {
+        self.shared.timeouts().clone()
+    }
+
     /// Returns the ids of the callers' requests, in order of arrival.
     pub fn received_ids(&self) -> Vec<String> {
         self.shared.received().clone()
@@ -109,6 +145,14 @@
     fn received(&self) -> sync::MutexGuard<'_, Vec<String>> {
         self.received.lock().expect("the mutex is not poisoned")
     }
+
+    fn timeouts(&self) -> sync::MutexGuard<'_, Vec<u64>> {
+        self.timeouts.lock().expect("the mutex is not poisoned")
+    }
+
+    fn call_fault(&self) -> sync::MutexGuard<'_, Option<CallFault>> {
+        self.call_fault.lock().expect("the mutex is not poisoned")
+    }
 }
 
 /// One connection to a worker.
@@ -158,6 +202,12 @@
     /// used again.
     fn answer_caller(&mut self, call: &RawCall) -> io::Result<bool> {
         self.shared.received().push(call.id.clone());
+        let timeout = call.header(names::DEADLINE_MS).parse().unwrap_or(u64::MAX);
+        self.shared.timeouts().push(timeout);
+        let fault = *self.shared.call_fault();
+        if let Some(fault) = fault {
+            return self.send_fault(fault, &call.id);
+        }
         let answer = Answer::from_path(&call.path);
         let framing = match answer {
             Answer::Stream { .. } => {
@@ -175,11 +225,13 @@
             names::RESPONSE_SEAL,
             id = call.id,
         );
-        self.send(
-            head.as_bytes(),
-            Some(SilencePoint::BeforeHead),
-            Some(SilencePoint::InsideHead),
-        )?;
+        self.shared.gate.pass(Some(SilencePoint::BeforeHead));
+        if self.is_closed()? {
+            let count = &self.shared.abandoned_count;
+            count.fetch_add(1, atomic::Ordering::Relaxed);
+            return Ok(false);
+        }
+        self.send(head.as_bytes(), None, Some(SilencePoint::InsideHead))?;
         match answer {
             Answer::Stream {
                 event_count,
@@ -208,6 +260,33 @@
         }
     }
 
+    /// Answers a caller's request with a fault. Returns whether the connection can be used
+    /// again.
+    fn send_fault(&mut self, fault: CallFault, id: &str) -> io::Result<bool> {
+        let (status, mark) = match fault {
+            CallFault::Refuses => (503, format!("{}: 1", names::NOT_EXECUTED)),
+            CallFault::Fails => (500, format!("{}: seal-{id}", names::RESPONSE_SEAL)),
+            CallFault::Closes => return Ok(false),
+        };
+        let head = format!(
+            "HTTP/1.1 {status} Any\r\n{}: {id}\r\n{mark}\r\ncontent-length: 0\r\n\r\n",
+            names::REQUEST_ID,
+        );
+        self.send(head.as_bytes(), None, None)?;
+        Ok(true)
+    }
+
+    /// Returns whether the other end has closed the connection, as far as it is known here.
+    fn is_closed(&self) -> io::Result<bool> {
+        self.stream.set_nonblocking(true)?;
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false)?;
+        match peeked {
+            Ok(count) => Ok(count == 0),
+            Err(error) => Ok(error.kind() != io::ErrorKind::WouldBlock),
+        }
+    }
+
     /// Sends the events after `last_event`.
     fn send_events(
         &mut self,
