--- a/crates/pool/tests/notice_tests.rs
+++ b/crates/pool/tests/notice_tests.rs
@@ -317,3 +317,48 @@
         }
     }
 }
+
+/// The first call after a pause may come long after its end. A list that is read while that
+/// call tests the host doesn't let other calls through.
+#[parameterized(
+    at_the_end = { time::Duration::ZERO },
+    much_later = { time::Duration::from_secs(9) },
+)]
+fn list_does_not_end_a_test(idle: time::Duration) {
+    let now = time::Instant::now();
+    let mut notices = listed(&["a"], now);
+    notices.record(&pause("a", SECOND, now));
+    let at = now + SECOND + idle;
+    let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
+    assert_eq!(work(&mut notices, at), Ok(Permit::Probe));
+    let read_at = at + time::Duration::from_millis(1);
+    notices.set_listed([member("a", 1)].iter(), read_at);
+    assert_eq!(work(&mut notices, read_at), Err(Withheld::Probed));
+}
+
+/// A host that asks for ten minutes means ten minutes: a test call a minute would be nine
+/// calls in that time.
+#[parameterized(
+    two_minutes = { 120 },
+    ten_minutes = { 600 },
+    an_hour = { 3_600 },
+)]
+fn long_pause_is_kept_to_its_end(seconds: u64) {
+    let now = time::Instant::now();
+    let mut notices = listed(&["a"], now);
+    let delay = time::Duration::from_secs(seconds);
+    assert_eq!(notices.record(&pause("a", delay, now)).pause, Some(delay));
+    let calls = (1..seconds).filter(|second| {
+        let at = now + time::Duration::from_secs(*second);
+        notices.set_listed([member("a", 1)].iter(), at);
+        let called = notices.start_call(&host("a", 1), CallKind::Control, at);
+        if let Ok(permit) = called {
+            // The host still refuses, and tells how much is left.
+            notices.record(&pause("a", delay - time::Duration::from_secs(*second), at));
+            notices.end_call(&host("a", 1), permit);
+        }
+        called.is_ok()
+    });
+    assert_eq!(calls.count(), 0);
+    assert!(notices.allows(&"a".into(), now + delay));
+}
