A list read during the test of a host no longer ends that test

Cause: HostNotices::set_listed dropped each pause that ended 300 ms ago or more and had been tested, by the end of the pause instead of the start of the test. If the first call came later than that, the next list let all calls that wait through beside it.

Change: a pause is kept while it withholds calls, and in a listed host until its test.

Ran: pool notice_tests: list_does_not_end_a_test::much_later failed before, passes now; 17 passed, the 3 of long pauses are still red.

--- a/crates/pool/src/host_notices.rs
+++ b/crates/pool/src/host_notices.rs
@@ -135,10 +135,9 @@
             let age = now.saturating_duration_since(leaving.known_at);
             listed.get(&host.id) == Some(&host.started_ms) || age < LEAVING_EXPIRY
         });
-        self.pauses
-            .retain(|_, pause| pause.until + PROBE_TIMEOUT > now || pause.probed_at.is_none());
         self.pauses.retain(|host, pause| {
-            listed.get(&host.id) == Some(&host.started_ms) || pause.until > now
+            let is_listed = listed.get(&host.id) == Some(&host.started_ms);
+            pause.withheld(now).is_some() || (is_listed && pause.probed_at.is_none())
         });
     }
 
