A host that asks for a long pause gets no call in all of it, up to an hour

Cause: pauses were bounded at 60 s. A host that asks for 10 min got a test call a minute; BUDGET allows two requests in the whole time for which it wants none.

Ruled out: tests within that time. A test that is answered would not end it either, since the rule counts to its end, so two tests gain nothing.

Change: MAX_PAUSE is an hour; pauses over a minute are logged as warnings, since a host that asks for too much by mistake is lost to this entry until it starts again.

--- a/crates/direct/src/gate.rs
+++ b/crates/direct/src/gate.rs
@@ -5,6 +5,9 @@
 
 /// The number of characters of an unreadable value that are logged.
 const MAX_LOGGED_CHARS: usize = 60;
+/// The longest pause that is logged without a warning. A host that asks for more by mistake
+/// is lost until it starts again.
+const USUAL_PAUSE: time::Duration = time::Duration::from_secs(60);
 
 /// A client of upstream hosts that heeds what they say of themselves in their answers. All
 /// calls of an entry go through it, so that none reaches a host against its notice.
@@ -81,7 +84,7 @@
         .with("pause_ms", pause.as_millis())
         .with("bound_ms", pool::MAX_PAUSE.as_millis());
     match asked {
-        seam::RetryAfter::Delay(delay) if !delay.is_zero() && *delay <= pool::MAX_PAUSE => {
+        seam::RetryAfter::Delay(delay) if !delay.is_zero() && *delay <= USUAL_PAUSE => {
             line.info();
         }
         seam::RetryAfter::Delay(delay) => line.with("asked_ms", delay.as_millis()).warn(),
--- a/crates/pool/src/host_notices.rs
+++ b/crates/pool/src/host_notices.rs
@@ -13,8 +13,10 @@
 use std::time;
 use world::Name;
 
-/// The longest time for which a host gets no call, whatever it asks for.
-pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(60);
+/// The longest time for which a host gets no call, whatever it asks for. Up to it, a host
+/// gets none for all the time that it asks for: even a test call a minute would be more
+/// than it wants.
+pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(3_600);
 /// How long a host gets no call that asks for a time that can't be read.
 pub const DEFAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// A host refuses at once, so a call that has no answer after this time was taken.
