--- a/crates/fake/src/tracks/worker_behaviour.rs
+++ b/crates/fake/src/tracks/worker_behaviour.rs
@@ -28,6 +28,8 @@
     pub drop_responses: bool,
     /// Whether plain calls are refused with status 503 and marked as not executed.
     pub shed_calls: bool,
+    /// Whether an engine refuses prefills in the same way.
+    pub shed_prefills: bool,
     /// Values of the header by which all answers say that the worker is leaving.
     pub leaving: &'static [&'static str],
     /// Value of `Retry-After` with which all calls are refused with status 503; none if
@@ -58,6 +60,7 @@
             status: 200,
             drop_responses: false,
             shed_calls: false,
+            shed_prefills: false,
             leaving: &[],
             retry_after: None,
             started_ms: 1_767_816_250_201,
--- a/crates/fake/src/tracks/worker_handler.rs
+++ b/crates/fake/src/tracks/worker_handler.rs
@@ -115,6 +115,10 @@
             let body = web::full_body(format!("{} {}", call.method, call.body));
             return head.body(body).ok();
         }
+        if is_prefill && behaviour.shed_prefills {
+            let head = head.status(503).header(names::NOT_EXECUTED, "1");
+            return head.body(web::full_body(String::new())).ok();
+        }
         if is_prefill {
             tokio::time::sleep(behaviour.prefill_time).await;
             while self.state().behaviour.prefill_paused {
