Sends to decode engines after a refused prompt count against the retry budget

Cause: prompts and sends were counted apart, and the first of each was free. Only the first prompt that an engine accepts is: if prompts were refused and none accepted, the send after them was one extra arrival that no entry took from its budget. While hosts shed load and budgets are used up, that was each request.

Ruled out: budgets of restarted entries.

Change: pool::Arrivals counts the arrivals of a request and the retries taken for them. A call that was withheld or found no connection takes none any more.

--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -30,7 +30,7 @@
             let Some((prefill, expected)) = assignment else {
                 return Ok(None);
             };
-            if self.prefill_count > 0 && !self.take_retry() {
+            if !self.take_needed_retry() {
                 return Ok(None);
             }
             match self.prefill_once(prefill, expected).await {
@@ -50,7 +50,6 @@
         prefill: PendingPrefill,
         expected: time::Duration,
     ) -> Result<KvCacheGuard<P>, StartError> {
-        self.prefill_count += 1;
         let engine = prefill.engine.clone();
         let target = self
             .entry
@@ -64,6 +63,7 @@
             timeout: Some(self.job.time_left()),
             ..seam::SendOptions::default()
         };
+        self.arrivals.record_send();
         let outcome = self
             .entry
             .upstreams
@@ -79,6 +79,13 @@
             .with("took_ms", telemetry::millis(took))
             .with("ready", matches!(outcome, seam::PrefillOutcome::Ready(_)))
             .info();
+        match &outcome {
+            seam::PrefillOutcome::Ready(_) => self.arrivals.record_prefill(),
+            seam::PrefillOutcome::Failed(cause) if !cause.may_have_arrived() => {
+                self.arrivals.withdraw()
+            }
+            seam::PrefillOutcome::Refused | seam::PrefillOutcome::Failed(_) => {}
+        }
         let mut prefill_pool = self.pool.prefill_pool.borrow_mut();
         match outcome {
             seam::PrefillOutcome::Ready(source) => {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -147,10 +147,7 @@
     ticket: pool::Ticket,
     /// Attempts that have failed, without those at engines that were full.
     pub(crate) failed_attempts: u32,
-    /// Prompts sent to prefill engines.
-    pub(crate) prefill_count: u32,
-    /// Requests sent to decode engines.
-    send_count: u32,
+    pub(crate) arrivals: pool::Arrivals,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -174,8 +171,7 @@
             job,
             ticket,
             failed_attempts: 0,
-            prefill_count: 0,
-            send_count: 0,
+            arrivals: pool::Arrivals::default(),
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
@@ -280,10 +276,10 @@
         if !self.entry.is_accepting(&engine) {
             return Err(StartError::NotExecuted("draining"));
         }
-        if self.send_count > 0 && !self.take_retry() {
+        if !self.take_needed_retry() {
             return Err(StartError::Abandoned);
         }
-        self.send_count += 1;
+        self.arrivals.record_send();
         let options = seam::SendOptions {
             tenant: job.tenant.clone(),
             timeout: Some(job.time_left()),
@@ -307,6 +303,9 @@
         let response = match result {
             Ok(response) => response,
             Err(error) => {
+                if !error.cause.may_have_arrived() {
+                    self.arrivals.withdraw();
+                }
                 if error.cause != seam::FailureCause::Withheld {
                     let mut decode_pool = self.pool.decode_pool.borrow_mut();
                     decode_pool.record_failure(&engine, now);
@@ -397,11 +396,19 @@
         (from + timeout).min(self.job.deadline)
     }
 
-    /// Takes one retry from the service's budget; returns false if none is left.
-    pub(crate) fn take_retry(&self) -> bool {
+    /// Takes a retry from the service's budget if the next send needs one; returns false if
+    /// none is left.
+    pub(crate) fn take_needed_retry(&mut self) -> bool {
+        if !self.arrivals.needs_retry() {
+            return true;
+        }
         let now = time::Instant::now();
         let entries = self.entry.entry_count();
         let mut retry_budget = self.entry.retry_budget.borrow_mut();
-        retry_budget.try_take(&self.job.service, entries, now)
+        let granted = retry_budget.try_take(&self.job.service, entries, now);
+        if granted {
+            self.arrivals.record_retry();
+        }
+        granted
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -4,6 +4,7 @@
 //! method calls, which pass in the current time where it is needed.
 //! docs/PLATFORM.md lists the rule that each module implements.
 
+mod arrivals;
 mod charge;
 mod config_fetch;
 mod crashes;
@@ -31,6 +32,7 @@
 mod usage_report;
 mod window;
 
+pub use arrivals::Arrivals;
 pub use charge::{Charge, ExcessUse, Tolerance};
 pub use config_fetch::ConfigFetch;
 pub use crashes::{CrashId, CrashQuarantine, CrashReport, CrashedRun, Element, ElementSet};
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -91,6 +91,13 @@
     Withheld,
 }
 
+impl FailureCause {
+    /// Returns whether the call may have arrived at the host.
+    pub fn may_have_arrived(self) -> bool {
+        !matches!(self, FailureCause::ConnectFailed | FailureCause::Withheld)
+    }
+}
+
 /// A response body that is read in chunks.
 pub trait ByteStream {
     /// Returns the next chunk: `None` after the complete body, an error where the
