Entries return to a host after its pause each at another time

Cause: streams that wait at their entries went to a host as soon as its pause was over. Of thirty entries that a host had refused at the same time, all came in the same 25 ms.

Change: an entry returns up to a quarter of the pause later, 300 ms at most, by a hash of its name and the host, so that entries are in another order at each host.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -120,7 +120,8 @@
         if !settings.first_start {
             rate_limiter.record_restart(time::Instant::now());
         }
-        let notices = pool::SharedNotices::default();
+        let notices = pool::HostNotices::new(settings.host.clone());
+        let notices = pool::SharedNotices::new(notices.into());
         rc::Rc::new(Self {
             store,
             upstreams: HostGate::new(upstreams, notices.clone()),
--- a/crates/pool/src/host_notices.rs
+++ b/crates/pool/src/host_notices.rs
@@ -9,6 +9,9 @@
 
 use std::cell;
 use std::collections;
+use std::hash;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc;
 use std::time;
 use world::Name;
@@ -21,6 +24,10 @@
 pub const DEFAULT_PAUSE: time::Duration = time::Duration::from_secs(1);
 /// A host refuses at once, so a call that has no answer after this time was taken.
 pub const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// The part of a pause by which entries return later than its end, each at another time.
+const RETURN_SPREAD: f64 = 0.25;
+/// The longest time by which entries return later.
+const MAX_RETURN_SPREAD: time::Duration = time::Duration::from_millis(300);
 /// How long it is remembered that a host is leaving after it was removed from the list.
 const LEAVING_EXPIRY: time::Duration = time::Duration::from_secs(600);
 /// How long peers are told that a host is leaving that is not in the list.
@@ -30,7 +37,9 @@
 pub type SharedNotices = rc::Rc<cell::RefCell<HostNotices>>;
 
 /// One process of an upstream host, from its start to its end.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct Incarnation {
     /// Id of the host.
     pub id: Name,
@@ -93,6 +102,8 @@
 /// Notices of the upstream hosts of all services.
 #[derive(Clone, Debug, Default)]
 pub struct HostNotices {
+    /// Name of this entry; without one, it returns to hosts at the end of their pauses.
+    entry: Option<Name>,
     /// Start times of the hosts in the membership list.
     listed: collections::BTreeMap<Name, u64>,
     leaving: collections::BTreeMap<Incarnation, Leaving>,
@@ -124,6 +135,14 @@
 }
 
 impl HostNotices {
+    /// Creates notices of an entry that shares its hosts with others.
+    pub fn new(entry: Name) -> Self {
+        Self {
+            entry: Some(entry),
+            ..Self::default()
+        }
+    }
+
     /// Sets the hosts in the membership list. Notices of others are dropped only after a
     /// long time, since a host may be missing from one list and be in the next.
     pub fn set_listed<'a>(
@@ -164,7 +183,7 @@
                 seam::RetryAfter::Invalid(_) => DEFAULT_PAUSE,
             };
             effect.pause = Some(pause);
-            let mut until = notice.received_at + pause;
+            let mut until = notice.received_at + pause + self.return_delay(&host, pause);
             if let Some(known) = self.pauses.get(&host) {
                 until = until.max(known.until);
             }
@@ -283,6 +302,21 @@
         }
     }
 
+    /// Returns how long after a pause this entry returns to the host. Entries are in another
+    /// order at each host.
+    fn return_delay(&self, host: &Incarnation, pause: time::Duration) -> time::Duration {
+        let Some(entry) = &self.entry else {
+            return time::Duration::ZERO;
+        };
+        let mut hasher = hash::DefaultHasher::new();
+        (entry, host).hash(&mut hasher);
+        let share = hasher.finish() as f64 / u64::MAX as f64;
+        pause
+            .mul_f64(RETURN_SPREAD)
+            .min(MAX_RETURN_SPREAD)
+            .mul_f64(share)
+    }
+
     fn withheld(&self, host: &Incarnation, kind: CallKind, now: time::Instant) -> Option<Withheld> {
         if kind == CallKind::Work && self.leaving.contains_key(host) {
             return Some(Withheld::Leaving);
