--- a/crates/fake/src/tracks/kept_caller.rs
+++ b/crates/fake/src/tracks/kept_caller.rs
@@ -101,9 +101,14 @@
 
     /// Sends a request, and reads its answer as far as it comes.
     pub fn call(&mut self, request: &CallerRequest) -> CallRecord {
-        let head = format!(
+        self.call_with_body(request, "a prompt")
+    }
+
+    /// Sends a request with this body, and reads its answer as far as it comes.
+    pub fn call_with_body(&mut self, request: &CallerRequest, body: &str) -> CallRecord {
+        let call = format!(
             "{} {} HTTP/1.1\r\nhost: agency.example\r\napi-key: key-a\r\n{}: {}\r\n\
-            {}: 8000\r\n{}: m\r\n{}: 1000,100\r\ncontent-length: 8\r\n\r\na prompt",
+            {}: 8000\r\n{}: m\r\n{}: 1000,100\r\ncontent-length: {}\r\n\r\n{body}",
             request.method,
             request.path,
             names::REQUEST_ID,
@@ -111,8 +116,9 @@
             names::DEADLINE_MS,
             names::MODEL,
             names::TOKEN_COUNTS,
+            body.len(),
         );
-        let written = self.stream.write_all(head.as_bytes());
+        let written = self.stream.write_all(call.as_bytes());
         let sent_at = time::Instant::now();
         let mut received = Vec::new();
         let end = match written.and_then(|()| self.read_answer(request.patience, &mut received)) {
--- a/crates/fake/src/tracks/raw_call.rs
+++ b/crates/fake/src/tracks/raw_call.rs
@@ -20,6 +20,12 @@
     /// Reads one call with its body, which needs a length; `None` if the caller has closed
     /// the connection.
     pub fn read(stream: &mut net::TcpStream) -> io::Result<Option<Self>> {
+        let call = Self::read_head(stream)?;
+        call.map(|c| c.read_body(stream)).transpose()
+    }
+
+    /// Reads the head of a call; `None` if the caller has closed the connection.
+    pub(super) fn read_head(stream: &mut net::TcpStream) -> io::Result<Option<Self>> {
         let mut head = Vec::new();
         let mut byte = [0];
         while !head.ends_with(b"\r\n\r\n") {
@@ -35,11 +41,16 @@
             head,
         };
         call.id = call.header(names::REQUEST_ID).to_owned();
-        let length = call.header("content-length").parse().unwrap_or(0);
-        stream.read_exact(&mut vec![0; length])?;
         Ok(Some(call))
     }
 
+    /// Reads the body that follows the head.
+    pub(super) fn read_body(self, stream: &mut net::TcpStream) -> io::Result<Self> {
+        let length = self.header("content-length").parse().unwrap_or(0);
+        stream.read_exact(&mut vec![0; length])?;
+        Ok(self)
+    }
+
     /// Returns the value of a header in lower case; empty if the call has none.
     pub fn header(&self, name: &str) -> &str {
         let line = self.head.lines().find_map(|l| l.strip_prefix(name));
--- a/crates/fake/src/tracks/silence.rs
+++ b/crates/fake/src/tracks/silence.rs
@@ -15,6 +15,8 @@
     Report,
     /// Before the answer to an order to change its stage.
     Order,
+    /// Between the head and the body of a caller's request, which the worker leaves unread.
+    InsideRequest,
     /// Before the head of an answer to a caller.
     BeforeHead,
     /// In the middle of that head.
--- a/crates/fake/src/tracks/silent_answer.rs
+++ b/crates/fake/src/tracks/silent_answer.rs
@@ -49,6 +49,14 @@
             length: first as usize,
         }
     }
+
+    /// Returns the whole body, without its framing.
+    pub(super) fn body(self) -> String {
+        match self {
+            Self::Stream { event_count, .. } => (1..=event_count).map(event_text).collect(),
+            Self::Plain { length, .. } => body_bytes(length),
+        }
+    }
 }
 
 /// Returns the text of an event.
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -122,7 +122,11 @@
     /// Answers calls until an answer ends the connection, or the caller closes it.
     fn serve(mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        while let Some(call) = RawCall::read(&mut self.stream)? {
+        while let Some(call) = RawCall::read_head(&mut self.stream)? {
+            if !call.id.is_empty() {
+                self.shared.gate.pass(Some(SilencePoint::InsideRequest));
+            }
+            let call = call.read_body(&mut self.stream)?;
             if call.path.starts_with(names::INTERNAL_PREFIX) {
                 self.answer_internal(&call)?;
             } else if call.header(names::SERVING_STAGE) == "prefill" {
