Soak: silent workers, and an account of cut requests

A worker, or all of a service, falls silent for .5 to 2.5 s and goes on, beside the other faults. Each request that an entry had read and whose connection ended before its answer was whole is now a violation, unless its worker broke off, its time limit passed or the entry was killed.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -10,7 +10,7 @@
 use std::time;
 
 /// Longest wait of a caller for a response.
-const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(6);
+pub(crate) const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(6);
 /// Pause between two requests of one caller.
 const REQUEST_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -69,22 +69,29 @@
     /// Index of the entry and how often it had been restarted before the request; none if
     /// it was restarted during the request.
     pub entry_run: Option<(usize, u32)>,
+    /// Whether the entry was killed during the request.
+    pub entry_killed: bool,
+    /// Time from the request to the end of the response.
+    pub duration: time::Duration,
 }
 
 /// Address of an entry and the number of its restarts.
 pub(crate) struct EntryTarget<'a> {
     address: net::SocketAddr,
     restart_count: &'a atomic::AtomicU32,
+    kill_count: &'a atomic::AtomicU32,
 }
 
 /// Returns an [`EntryTarget`] for each entry.
 pub(crate) fn entry_targets(targets: &FaultTargets) -> Vec<EntryTarget<'_>> {
     let cluster = targets.cluster.lock().expect("the mutex is not poisoned");
-    let entry_targets = cluster.entries.iter().zip(&targets.restart_counts);
+    let counts = targets.restart_counts.iter().zip(&targets.kill_counts);
+    let entry_targets = cluster.entries.iter().zip(counts);
     entry_targets
-        .map(|(e, restart_count)| EntryTarget {
+        .map(|(e, (restart_count, kill_count))| EntryTarget {
             address: e.caller_address,
             restart_count,
+            kill_count,
         })
         .collect()
 }
@@ -110,14 +117,15 @@
         let kind = kinds[rng.random_range(0..kinds.len())];
         let entry = rng.random_range(0..entry_targets.len());
         let id = format!("{seed:04x}{caller:04x}{:08x}", responses.len());
-        let restart_count = || {
-            entry_targets[entry]
-                .restart_count
-                .load(atomic::Ordering::SeqCst)
-        };
-        let restarts_before = restart_count();
-        let mut response = send_request(&agents[entry], entry_targets[entry].address, kind, id);
+        let target = &entry_targets[entry];
+        let restart_count = || target.restart_count.load(atomic::Ordering::SeqCst);
+        let kill_count = || target.kill_count.load(atomic::Ordering::SeqCst);
+        let (restarts_before, kills_before) = (restart_count(), kill_count());
+        let sent_at = time::Instant::now();
+        let mut response = send_request(&agents[entry], target.address, kind, id);
         response.caller = caller;
+        response.duration = sent_at.elapsed();
+        response.entry_killed = kill_count() != kills_before;
         // If the entry was restarted meanwhile, either process may have served the request.
         response.entry_run =
             (restart_count() == restarts_before).then_some((entry, restarts_before));
@@ -151,6 +159,8 @@
         seal: String::new(),
         caller: 0,
         entry_run: None,
+        entry_killed: false,
+        duration: time::Duration::ZERO,
     };
     let request = ureq::http::Request::builder()
         .method("POST")
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,8 +1,10 @@
 //! Checks the system's guarantees against what callers and upstream hosts observed.
 
+use crate::callers;
 use crate::callers::ObservedResponse;
 use crate::faults::FaultTargets;
 use fake::tracks::ReceivedCall;
+use fake::tracks::RequestLog;
 use fake::tracks::TracksCluster;
 use fake::tracks::names;
 use std::collections;
@@ -15,6 +17,8 @@
 const RELEASE_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Number of log lines of an entry that a violation contains, newest first.
 const LOG_LINES: usize = 12;
+/// An entry ends its answers this much earlier than the time limit of their request.
+const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(100);
 /// Time between two checks of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -67,11 +71,29 @@
         }
         violations.extend(check_response(response));
     }
+    violations.extend(check_cuts(cluster, responses));
     violations.extend(check_configuration_order(cluster, responses));
     violations.extend(check_released(cluster));
     violations
 }
 
+/// Returns a violation for each request that an entry had read and whose connection ended
+/// before the answer was whole, unless its worker broke off, its time limit passed or the
+/// entry was killed.
+fn check_cuts(cluster: &TracksCluster, responses: &[ObservedResponse]) -> Vec<String> {
+    let execution_counts = execution_counts(cluster);
+    let log = RequestLog::read(cluster);
+    let is_cut = |r: &&ObservedResponse| {
+        let is_read = execution_counts.contains_key(&r.id) || !log.lines(&r.id).is_empty();
+        let is_overdue = r.duration + DEADLINE_MARGIN >= callers::REQUEST_TIMEOUT;
+        let is_excused = r.entry_killed || is_overdue || log.cause(&r.id) == "broken";
+        !r.complete && is_read && !is_excused
+    };
+    let cut = responses.iter().filter(is_cut);
+    cut.map(|r| format!("{r:?} was cut off; its log lines: {:#?}", log.lines(&r.id)))
+        .collect()
+}
+
 /// Returns a violation for each request that was handled with an older configuration than
 /// an earlier one of the same caller to the same process of an entry. Upstream hosts see
 /// the version in the organisation's name.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -27,6 +27,11 @@
 enum Fault {
     /// The proxy in front of a worker changes its mode.
     WorkerLink(usize, LinkMode),
+    /// A worker falls silent and goes on later.
+    Silence(usize),
+    /// All workers of a service, the engines or the plain hosts, fall silent and go on
+    /// later.
+    SilenceAll(&'static str),
     /// The proxy between an entry and the store changes its mode.
     StoreLink(usize, LinkMode),
     /// An entry is stopped by SIGSTOP and continued later.
@@ -59,6 +64,8 @@
     pub store_proxies: Vec<Proxy>,
     /// How often each entry was restarted.
     pub restart_counts: Vec<atomic::AtomicU32>,
+    /// How often each entry was killed.
+    pub kill_counts: Vec<atomic::AtomicU32>,
 }
 
 impl FaultTargets {
@@ -67,9 +74,10 @@
         let worker_proxies = proxy_workers(&cluster);
         let store_proxies = proxy_store(&cluster);
         cluster.start();
-        let restart_counts = cluster.entries.iter().map(|_| atomic::AtomicU32::new(0));
+        let counts = || cluster.entries.iter().map(|_| atomic::AtomicU32::new(0));
         Self {
-            restart_counts: restart_counts.collect(),
+            restart_counts: counts().collect(),
+            kill_counts: counts().collect(),
             cluster: sync::Mutex::new(cluster),
             worker_proxies,
             store_proxies,
@@ -121,7 +129,7 @@
     let mut active: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
         let fault = random_fault(&mut rng, targets.worker_proxies.len());
-        let duration = time::Duration::from_millis(rng.random_range(200..1_500));
+        let duration = random_duration(&mut rng, fault);
         record("inject", fault);
         inject(targets, fault);
         active.push((time::Instant::now() + duration, fault));
@@ -141,11 +149,20 @@
     log
 }
 
+/// Returns how long a fault lasts. A sound worker may be silent for 2.5 s.
+fn random_duration(rng: &mut impl Rng, fault: Fault) -> time::Duration {
+    let range_ms = match fault {
+        Fault::Silence(_) | Fault::SilenceAll(_) => 500..2_500,
+        _ => 200..1_500,
+    };
+    time::Duration::from_millis(rng.random_range(range_ms))
+}
+
 fn random_fault(rng: &mut impl Rng, worker_count: usize) -> Fault {
     let worker = rng.random_range(0..worker_count);
     let entry = rng.random_range(0..crate::ENTRY_COUNT);
     let delay = time::Duration::from_millis(rng.random_range(5..150));
-    match rng.random_range(0..20) {
+    match rng.random_range(0..24) {
         0 | 1 => Fault::WorkerLink(worker, LinkMode::Delay(delay)),
         2 => Fault::WorkerLink(worker, LinkMode::StallReplies),
         3 => Fault::WorkerLink(worker, LinkMode::StallAll),
@@ -164,6 +181,8 @@
         16 => Fault::StoreLink(entry, LinkMode::StallReplies),
         17 => Fault::StoreLink(entry, LinkMode::StallAll),
         18 => Fault::StoreLink(entry, LinkMode::Reset),
+        19..22 => Fault::Silence(worker),
+        22 => Fault::SilenceAll(["llm", "app"][worker % 2]),
         _ => Fault::Hangup(entry),
     }
 }
@@ -184,6 +203,15 @@
     }
 }
 
+/// Sets how the links of all workers of a service forward bytes.
+fn set_modes(targets: &FaultTargets, cluster: &TracksCluster, service: &str, mode: LinkMode) {
+    for (index, proxy) in targets.worker_proxies.iter().enumerate() {
+        if worker(cluster, index).1 == service {
+            proxy.set_mode(mode);
+        }
+    }
+}
+
 /// Sends a signal to an entry, unless its process has exited.
 fn send_signal(cluster: &TracksCluster, entry: usize, signal: &str) {
     let _exited = !cluster.entries[entry].signal(signal);
@@ -203,9 +231,16 @@
     let mut cluster = targets.cluster.lock().expect("the mutex is not poisoned");
     match fault {
         Fault::WorkerLink(index, mode) => targets.worker_proxies[index].set_mode(mode),
+        Fault::Silence(index) => targets.worker_proxies[index].set_mode(LinkMode::StallReplies),
+        Fault::SilenceAll(service) => {
+            set_modes(targets, &cluster, service, LinkMode::StallReplies);
+        }
         Fault::StoreLink(entry, mode) => targets.store_proxies[entry].set_mode(mode),
         Fault::Pause(entry) => send_signal(&cluster, entry, "STOP"),
-        Fault::Kill(entry) => cluster.entries[entry].kill(),
+        Fault::Kill(entry) => {
+            targets.kill_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
+            cluster.entries[entry].kill();
+        }
         Fault::Terminate(entry) => send_signal(&cluster, entry, "TERM"),
         Fault::Hangup(entry) => send_signal(&cluster, entry, "HUP"),
         Fault::Store(mode) => cluster.store.set_mode(mode),
@@ -225,7 +260,10 @@
 fn revert(targets: &FaultTargets, fault: Fault) {
     let mut cluster = targets.cluster.lock().expect("the mutex is not poisoned");
     match fault {
-        Fault::WorkerLink(index, _) => targets.worker_proxies[index].set_mode(LinkMode::Pass),
+        Fault::WorkerLink(index, _) | Fault::Silence(index) => {
+            targets.worker_proxies[index].set_mode(LinkMode::Pass);
+        }
+        Fault::SilenceAll(service) => set_modes(targets, &cluster, service, LinkMode::Pass),
         Fault::StoreLink(entry, _) => targets.store_proxies[entry].set_mode(LinkMode::Pass),
         Fault::Pause(entry) => send_signal(&cluster, entry, "CONT"),
         // Restarts the entry as the platform restarts an exited process. It is continued first, as
