A long body outlasts the silence of its worker

What callers saw: 502 or 504 at 1.8 to 2.8 s for bodies of 1 MB and 8 MB whose worker read nothing for 2.5 s and then went on, with most of their time left.

Cause: a silent worker's kernel acknowledges what fits into its buffers, then announces a window of zero. The kernel here counts that time against TCP_USER_TIMEOUT as it counts unacknowledged bytes, and breaks the connection after 1.5 s. The log said call outcome=broken, or stream_missed why=broken.

A body over 32 KB now goes on a connection whose bytes may wait for 4 s, longer than a sound worker is silent.

--- a/crates/daemon/tests/long_body_tests.rs
+++ b/crates/daemon/tests/long_body_tests.rs
@@ -21,7 +21,7 @@
 use yare::parameterized;
 
 /// Lengths of bodies in bytes: within the buffers between an entry and a worker, and above.
-const BODY_BYTES: [usize; 3] = [50_000, 1_000_000, 8_000_000];
+const BODY_BYTES: [usize; 4] = [32_000, 50_000, 1_000_000, 8_000_000];
 /// Longest length of a body that the entries accept in bytes.
 const MAX_BODY_BYTES: usize = 9_000_000;
 /// Longest wait of a caller for the next bytes; above the time limit of its request.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -36,6 +36,11 @@
 const MAX_PROBES: u32 = 2;
 /// How long sent bytes may stay unacknowledged before the connection breaks.
 const UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// The same on a connection for long bodies. The kernel also counts the time in which the
+/// peer's buffer is full, and a sound peer may leave a body unread for 2.5 s.
+const LONG_UNACKED_TIMEOUT: time::Duration = time::Duration::from_millis(4_000);
+/// A body of this many bytes fits into the buffers of a peer that reads nothing.
+const MAX_SHORT_BODY_BYTES: u64 = 32 * 1024;
 /// The maximum number of idle connections to one peer; others are closed when
 /// their response is complete.
 const MAX_IDLE_CONNECTIONS: usize = 40;
@@ -87,6 +92,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: http1::SendRequest<FullBody>,
+    unacked_timeout: time::Duration,
     /// The task that does the connection's I/O.
     driver: task::AbortHandle,
 }
@@ -138,12 +144,13 @@
         deadline: time::Instant,
     ) -> Result<ClientResponse, CallError> {
         let mut request = request;
+        let unacked_timeout = unacked_timeout(request.body());
         loop {
-            let pooled = self.take_idle(peer);
+            let pooled = self.take_idle(peer, unacked_timeout);
             let is_new = pooled.is_none();
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => self.connect(peer, deadline).await?,
+                None => self.connect(peer, unacked_timeout, deadline).await?,
             };
             let sent = tokio::time::timeout_at(
                 deadline.into(),
@@ -175,8 +182,13 @@
         });
     }
 
-    /// Removes an idle connection to a peer that is ready for a request from the pool.
-    fn take_idle(&self, peer: net::SocketAddr) -> Option<Connection> {
+    /// Removes an idle connection to a peer from the pool that is ready for a request and
+    /// lets bytes stay unacknowledged for so long at least.
+    fn take_idle(
+        &self,
+        peer: net::SocketAddr,
+        unacked_timeout: time::Duration,
+    ) -> Option<Connection> {
         let now = time::Instant::now();
         let mut pool = self.pool.borrow_mut();
         let idle = pool.get_mut(&peer)?;
@@ -186,7 +198,8 @@
             if candidate.expires <= now || candidate.connection.sender.is_closed() {
                 continue;
             }
-            if candidate.connection.sender.is_ready() {
+            let connection = &candidate.connection;
+            if connection.sender.is_ready() && connection.unacked_timeout >= unacked_timeout {
                 found = Some(candidate.connection);
                 break;
             }
@@ -199,6 +212,7 @@
     async fn connect(
         &self,
         peer: net::SocketAddr,
+        unacked_timeout: time::Duration,
         deadline: time::Instant,
     ) -> Result<Connection, CallError> {
         let deadline = deadline.min(time::Instant::now() + CONNECT_TIMEOUT);
@@ -210,7 +224,7 @@
             }
             Ok(Err(_)) | Err(_) => return Err(CallError::ConnectFailed),
         };
-        if enable_keepalive(&stream).is_err() {
+        if enable_keepalive(&stream, unacked_timeout).is_err() {
             return Err(CallError::ConnectFailed);
         }
         let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
@@ -226,6 +240,7 @@
         }
         Ok(Connection {
             sender,
+            unacked_timeout,
             driver: abort_handle,
         })
     }
@@ -330,8 +345,16 @@
     }
 }
 
+/// Returns how long the bytes of a request with this body may stay unacknowledged.
+fn unacked_timeout(body: &FullBody) -> time::Duration {
+    match body::Body::size_hint(body).exact() {
+        Some(0..=MAX_SHORT_BODY_BYTES) => UNACKED_TIMEOUT,
+        _ => LONG_UNACKED_TIMEOUT,
+    }
+}
+
 /// Makes the kernel break the connection if the peer stops responding.
-fn enable_keepalive(stream: &aio::TcpStream) -> io::Result<()> {
+fn enable_keepalive(stream: &aio::TcpStream, unacked_timeout: time::Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
@@ -339,5 +362,5 @@
         .with_interval(PROBE_INTERVAL)
         .with_retries(MAX_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(unacked_timeout))
 }
