Pools of dropped services follow the list of hosts

What callers saw: 503 for a stream that waited for a seat when its service was dropped from the configuration, although an engine with room came 6 s before its time limit. What hosts saw: a second attempt of a call, 3 s after the entry had learnt that the host drained.

Cause: update_pools walked the services of the configuration in force. The pools of a dropped service stayed as they were, and requests that had been admitted before went on to use them.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -245,24 +245,48 @@
     }
 
     /// Updates the pools of all services from the configuration and the
-    /// membership list.
+    /// membership list. Requests of a service that the configuration no longer has may
+    /// still run, wait or be retried, so its pools are updated too.
     pub(crate) fn update_pools(&self) {
         let Some(active) = self.active_config() else {
             return;
         };
-        let host_list = self.host_list.borrow();
         for service in &active.config.services {
-            let ready = host_list.ready(&service.name);
-            let ready = ready.filter(|m| !self.notices.borrow().is_leaving(&m.id));
             match &service.engine {
-                Some(spec) => {
-                    let available = ready.filter(|m| !self.is_changing_role(m));
-                    self.pools
-                        .update(&service.name, spec, available, self.position());
-                }
-                None => self.plain_services.update(&service.name, ready),
+                Some(spec) => self.update_engines(&service.name, spec),
+                None => self.update_hosts(&service.name),
+            }
+        }
+        let has_engines =
+            |name: &Name| active.config.find_service(name).map(|s| s.engine.is_some());
+        for (name, pool) in self.pools.all() {
+            if has_engines(&name) != Some(true) {
+                let spec = pool.spec.borrow().clone();
+                self.update_engines(&name, &spec);
             }
         }
+        for (name, _) in self.plain_services.all() {
+            if has_engines(&name) != Some(false) {
+                self.update_hosts(&name);
+            }
+        }
+    }
+
+    /// Updates the pool of a model service with the engines that accept requests.
+    fn update_engines(&self, service: &Name, spec: &seam::EngineSpec) {
+        let host_list = self.host_list.borrow();
+        let accepting = host_list
+            .ready(service)
+            .filter(|m| !self.notices.borrow().is_leaving(&m.id) && !self.is_changing_role(m));
+        self.pools.update(service, spec, accepting, self.position());
+    }
+
+    /// Updates a plain service with the hosts that accept requests.
+    fn update_hosts(&self, service: &Name) {
+        let host_list = self.host_list.borrow();
+        let ready = host_list.ready(service);
+        let accepting = ready.filter(|m| !self.notices.borrow().is_leaving(&m.id));
+        self.plain_services.update(service, accepting);
     }
 
     /// Records a requested stream with its number of prompt tokens.
