Soak: count each kill of an entry

Two faults may end the same entry. The revert of the second one waited 20 s for a process that the first revert had started, and that nothing had told to stop, and killed it.

--- a/crates/fake/src/tracks/entry.rs
+++ b/crates/fake/src/tracks/entry.rs
@@ -7,10 +7,6 @@
 use std::net;
 use std::path;
 use std::process;
-use std::time;
-
-/// Longest wait for a daemon to exit after SIGTERM; longer than `grace_s` in its settings.
-const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
 
 /// A daemon process with the settings file and the log of its host.
 #[derive(derive_more::Deref, derive_more::DerefMut)]
@@ -130,13 +126,4 @@
             });
         fs::write(&self.settings, lines.collect::<String>()).expect("the folder is writable");
     }
-
-    /// Waits for the daemon to exit, kills it if it has not exited in time, and starts it
-    /// again.
-    pub fn restart(&mut self) {
-        // Its exit code does not matter here, and a daemon that is still running is killed.
-        let _ = self.wait_for_exit(STOP_LIMIT);
-        self.kill();
-        self.start();
-    }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for an entry to listen after its start, also on a machine under load.
 const START_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Longest wait for an entry to exit after SIGTERM; longer than its grace period.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Time between two checks whether an entry listens.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -64,7 +66,7 @@
     pub store_proxies: Vec<Proxy>,
     /// How often each entry was restarted.
     pub restart_counts: Vec<atomic::AtomicU32>,
-    /// How often each entry was killed.
+    /// A number for each entry that changes before and after it is killed.
     pub kill_counts: Vec<atomic::AtomicU32>,
 }
 
@@ -83,6 +85,14 @@
             store_proxies,
         }
     }
+
+    /// Kills an entry, so that the requests that it has then are known.
+    fn kill(&self, cluster: &mut TracksCluster, entry: usize) {
+        let count = || self.kill_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
+        count();
+        cluster.entries[entry].kill();
+        count();
+    }
 }
 
 /// Starts a proxy between each entry and the store and writes it to the entry's settings.
@@ -237,10 +247,7 @@
         }
         Fault::StoreLink(entry, mode) => targets.store_proxies[entry].set_mode(mode),
         Fault::Pause(entry) => send_signal(&cluster, entry, "STOP"),
-        Fault::Kill(entry) => {
-            targets.kill_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
-            cluster.entries[entry].kill();
-        }
+        Fault::Kill(entry) => targets.kill(&mut cluster, entry),
         Fault::Terminate(entry) => send_signal(&cluster, entry, "TERM"),
         Fault::Hangup(entry) => send_signal(&cluster, entry, "HUP"),
         Fault::Store(mode) => cluster.store.set_mode(mode),
@@ -270,7 +277,14 @@
         // another fault may have paused it.
         Fault::Kill(entry) | Fault::Terminate(entry) => {
             send_signal(&cluster, entry, "CONT");
-            cluster.entries[entry].restart();
+            // Its exit code does not matter here.
+            let _ = cluster.entries[entry].wait_for_exit(STOP_LIMIT);
+            // The revert of another fault may have started it again, and nothing has told
+            // that process to stop.
+            if cluster.entries[entry].id().is_some() {
+                targets.kill(&mut cluster, entry);
+            }
+            cluster.entries[entry].start();
             targets.restart_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
             wait_until_listening(&cluster.entries[entry]);
         }
