Tests of a stream whose next engine refuses it after the handover

A silent engine's stream is given up 250 ms after the request went to another engine. If that one then refuses it and no retry is left, the answer is cut: stream_missed why=refused, stream_lost kept=false, answer_cut cause=stalled.

--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -37,6 +37,7 @@
 struct Shared {
     gate: sync::Arc<SilenceGate>,
     refuses_reservations: atomic::AtomicBool,
+    refuses_runs: atomic::AtomicBool,
     last_id: atomic::AtomicU64,
     /// Ids of the callers' requests, in order of arrival.
     received: sync::Mutex<Vec<String>>,
@@ -58,6 +59,7 @@
         let shared = sync::Arc::new(Shared {
             gate: gate.clone(),
             refuses_reservations: atomic::AtomicBool::new(false),
+            refuses_runs: atomic::AtomicBool::new(false),
             last_id: atomic::AtomicU64::new(0),
             received: sync::Mutex::default(),
         });
@@ -89,6 +91,13 @@
         flag.store(refuse, atomic::Ordering::Relaxed);
     }
 
+    /// Sets whether callers' requests are refused as not executed, as if the KV cache of
+    /// their prompts were gone.
+    pub fn refuse_runs(&self, refuse: bool) {
+        let flag = &self.shared.refuses_runs;
+        flag.store(refuse, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the ids of the callers' requests, in order of arrival.
     pub fn received_ids(&self) -> Vec<String> {
         self.shared.received().clone()
@@ -161,6 +170,16 @@
     /// Answers a caller's request as its path says. Returns whether the connection can be
     /// used again.
     fn answer_caller(&mut self, call: &RawCall) -> io::Result<bool> {
+        if self.shared.refuses_runs.load(atomic::Ordering::Relaxed) {
+            let head = format!(
+                "HTTP/1.1 503 Any\r\n{}: {}\r\n{}: 1\r\ncontent-length: 0\r\n\r\n",
+                names::REQUEST_ID,
+                call.id,
+                names::NOT_EXECUTED,
+            );
+            self.send(head.as_bytes(), Some(SilencePoint::BeforeHead), None)?;
+            return Ok(true);
+        }
         self.shared.received().push(call.id.clone());
         let answer = Answer::from_path(&call.path);
         let framing = match answer {
