--- a/crates/daemon/tests/shared_host_tests.rs
+++ b/crates/daemon/tests/shared_host_tests.rs
@@ -5,8 +5,11 @@
 use fake::tracks::names;
 use std::path;
 use std::thread;
+use std::time;
 use yare::parameterized;
 
+/// Longest wait for an entry to exit after SIGTERM; longer than its grace period.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
 const ENTRIES: usize = 8;
 /// Calls that practically always reach each of two equal hosts.
 const MANY_CALLS: usize = 16;
@@ -81,8 +84,10 @@
         assert_eq!(call(c, 0).status, 200);
         knows_leaving(c, 1)
     });
-    cluster.entries[1].signal("TERM");
-    cluster.entries[1].restart();
+    let entry = &mut cluster.entries[1];
+    entry.signal("TERM");
+    assert_eq!(entry.wait_for_exit(STOP_LIMIT), Some(0));
+    entry.start();
     // The log goes on in the same file.
     let told = |c: &TracksCluster| {
         let log = c.entries[1].log();
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -49,6 +49,7 @@
     gate: sync::Arc<SilenceGate>,
     refuses_reservations: atomic::AtomicBool,
     call_fault: sync::Mutex<Option<CallFault>>,
+    refuses_runs: atomic::AtomicBool,
     last_id: atomic::AtomicU64,
     /// Ids of the callers' requests, in order of arrival.
     received: sync::Mutex<Vec<String>>,
@@ -75,6 +76,7 @@
             gate: gate.clone(),
             refuses_reservations: atomic::AtomicBool::new(false),
             call_fault: sync::Mutex::default(),
+            refuses_runs: atomic::AtomicBool::new(false),
             last_id: atomic::AtomicU64::new(0),
             received: sync::Mutex::default(),
             timeouts: sync::Mutex::default(),
@@ -125,6 +127,13 @@
         self.shared.timeouts().clone()
     }
 
+    /// Sets whether callers' requests are refused as not executed, as if the KV cache of
+    /// their prompts were gone.
+    pub fn refuse_runs(&self, refuse: bool) {
+        let flag = &self.shared.refuses_runs;
+        flag.store(refuse, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the ids of the callers' requests, in order of arrival.
     pub fn received_ids(&self) -> Vec<String> {
         self.shared.received().clone()
@@ -166,7 +175,11 @@
     /// Answers calls until an answer ends the connection, or the caller closes it.
     fn serve(mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        while let Some(call) = RawCall::read(&mut self.stream)? {
+        while let Some(call) = RawCall::read_head(&mut self.stream)? {
+            if !call.id.is_empty() {
+                self.shared.gate.pass(Some(SilencePoint::InsideRequest));
+            }
+            let call = call.read_body(&mut self.stream)?;
             if call.path.starts_with(names::INTERNAL_PREFIX) {
                 self.answer_internal(&call)?;
             } else if call.header(names::SERVING_STAGE) == "prefill" {
@@ -201,6 +214,16 @@
     /// Answers a caller's request as its path says. Returns whether the connection can be
     /// used again.
     fn answer_caller(&mut self, call: &RawCall) -> io::Result<bool> {
+        if self.shared.refuses_runs.load(atomic::Ordering::Relaxed) {
+            let head = format!(
+                "HTTP/1.1 503 Any\r\n{}: {}\r\n{}: 1\r\ncontent-length: 0\r\n\r\n",
+                names::REQUEST_ID,
+                call.id,
+                names::NOT_EXECUTED,
+            );
+            self.send(head.as_bytes(), Some(SilencePoint::BeforeHead), None)?;
+            return Ok(true);
+        }
         self.shared.received().push(call.id.clone());
         let timeout = call.header(names::DEADLINE_MS).parse().unwrap_or(u64::MAX);
         self.shared.timeouts().push(timeout);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for an entry to listen after its start, also on a machine under load.
 const START_LIMIT: time::Duration = time::Duration::from_secs(10);
+/// Longest wait for an entry to exit after SIGTERM; longer than its grace period.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Time between two checks whether an entry listens.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -27,6 +29,11 @@
 enum Fault {
     /// The proxy in front of a worker changes its mode.
     WorkerLink(usize, LinkMode),
+    /// A worker falls silent and goes on later.
+    Silence(usize),
+    /// All workers of a service, the engines or the plain hosts, fall silent and go on
+    /// later.
+    SilenceAll(&'static str),
     /// The proxy between an entry and the store changes its mode.
     StoreLink(usize, LinkMode),
     /// An entry is stopped by SIGSTOP and continued later.
@@ -59,6 +66,8 @@
     pub store_proxies: Vec<Proxy>,
     /// How often each entry was restarted.
     pub restart_counts: Vec<atomic::AtomicU32>,
+    /// A number for each entry that changes before and after it is killed.
+    pub kill_counts: Vec<atomic::AtomicU32>,
 }
 
 impl FaultTargets {
@@ -67,14 +76,23 @@
         let worker_proxies = proxy_workers(&cluster);
         let store_proxies = proxy_store(&cluster);
         cluster.start();
-        let restart_counts = cluster.entries.iter().map(|_| atomic::AtomicU32::new(0));
+        let counts = || cluster.entries.iter().map(|_| atomic::AtomicU32::new(0));
         Self {
-            restart_counts: restart_counts.collect(),
+            restart_counts: counts().collect(),
+            kill_counts: counts().collect(),
             cluster: sync::Mutex::new(cluster),
             worker_proxies,
             store_proxies,
         }
     }
+
+    /// Kills an entry, so that the requests that it has then are known.
+    fn kill(&self, cluster: &mut TracksCluster, entry: usize) {
+        let count = || self.kill_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
+        count();
+        cluster.entries[entry].kill();
+        count();
+    }
 }
 
 /// Starts a proxy between each entry and the store and writes it to the entry's settings.
@@ -121,7 +139,7 @@
     let mut active: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
         let fault = random_fault(&mut rng, targets.worker_proxies.len());
-        let duration = time::Duration::from_millis(rng.random_range(200..1_500));
+        let duration = random_duration(&mut rng, fault);
         record("inject", fault);
         inject(targets, fault);
         active.push((time::Instant::now() + duration, fault));
@@ -141,11 +159,20 @@
     log
 }
 
+/// Returns how long a fault lasts. A sound worker may be silent for 2.5 s.
+fn random_duration(rng: &mut impl Rng, fault: Fault) -> time::Duration {
+    let range_ms = match fault {
+        Fault::Silence(_) | Fault::SilenceAll(_) => 500..2_500,
+        _ => 200..1_500,
+    };
+    time::Duration::from_millis(rng.random_range(range_ms))
+}
+
 fn random_fault(rng: &mut impl Rng, worker_count: usize) -> Fault {
     let worker = rng.random_range(0..worker_count);
     let entry = rng.random_range(0..crate::ENTRY_COUNT);
     let delay = time::Duration::from_millis(rng.random_range(5..150));
-    match rng.random_range(0..20) {
+    match rng.random_range(0..24) {
         0 | 1 => Fault::WorkerLink(worker, LinkMode::Delay(delay)),
         2 => Fault::WorkerLink(worker, LinkMode::StallReplies),
         3 => Fault::WorkerLink(worker, LinkMode::StallAll),
@@ -164,6 +191,8 @@
         16 => Fault::StoreLink(entry, LinkMode::StallReplies),
         17 => Fault::StoreLink(entry, LinkMode::StallAll),
         18 => Fault::StoreLink(entry, LinkMode::Reset),
+        19..22 => Fault::Silence(worker),
+        22 => Fault::SilenceAll(["llm", "app"][worker % 2]),
         _ => Fault::Hangup(entry),
     }
 }
@@ -184,6 +213,15 @@
     }
 }
 
+/// Sets how the links of all workers of a service forward bytes.
+fn set_modes(targets: &FaultTargets, cluster: &TracksCluster, service: &str, mode: LinkMode) {
+    for (index, proxy) in targets.worker_proxies.iter().enumerate() {
+        if worker(cluster, index).1 == service {
+            proxy.set_mode(mode);
+        }
+    }
+}
+
 /// Sends a signal to an entry, unless its process has exited.
 fn send_signal(cluster: &TracksCluster, entry: usize, signal: &str) {
     let _exited = !cluster.entries[entry].signal(signal);
@@ -203,9 +241,13 @@
     let mut cluster = targets.cluster.lock().expect("the mutex is not poisoned");
     match fault {
         Fault::WorkerLink(index, mode) => targets.worker_proxies[index].set_mode(mode),
+        Fault::Silence(index) => targets.worker_proxies[index].set_mode(LinkMode::StallReplies),
+        Fault::SilenceAll(service) => {
+            set_modes(targets, &cluster, service, LinkMode::StallReplies);
+        }
         Fault::StoreLink(entry, mode) => targets.store_proxies[entry].set_mode(mode),
         Fault::Pause(entry) => send_signal(&cluster, entry, "STOP"),
-        Fault::Kill(entry) => cluster.entries[entry].kill(),
+        Fault::Kill(entry) => targets.kill(&mut cluster, entry),
         Fault::Terminate(entry) => send_signal(&cluster, entry, "TERM"),
         Fault::Hangup(entry) => send_signal(&cluster, entry, "HUP"),
         Fault::Store(mode) => cluster.store.set_mode(mode),
@@ -225,14 +267,24 @@
 fn revert(targets: &FaultTargets, fault: Fault) {
     let mut cluster = targets.cluster.lock().expect("the mutex is not poisoned");
     match fault {
-        Fault::WorkerLink(index, _) => targets.worker_proxies[index].set_mode(LinkMode::Pass),
+        Fault::WorkerLink(index, _) | Fault::Silence(index) => {
+            targets.worker_proxies[index].set_mode(LinkMode::Pass);
+        }
+        Fault::SilenceAll(service) => set_modes(targets, &cluster, service, LinkMode::Pass),
         Fault::StoreLink(entry, _) => targets.store_proxies[entry].set_mode(LinkMode::Pass),
         Fault::Pause(entry) => send_signal(&cluster, entry, "CONT"),
         // Restarts the entry as the platform restarts an exited process. It is continued first, as
         // another fault may have paused it.
         Fault::Kill(entry) | Fault::Terminate(entry) => {
             send_signal(&cluster, entry, "CONT");
-            cluster.entries[entry].restart();
+            // Its exit code does not matter here.
+            let _ = cluster.entries[entry].wait_for_exit(STOP_LIMIT);
+            // The revert of another fault may have started it again, and nothing has told
+            // that process to stop.
+            if cluster.entries[entry].id().is_some() {
+                targets.kill(&mut cluster, entry);
+            }
+            cluster.entries[entry].start();
             targets.restart_counts[entry].fetch_add(1, atomic::Ordering::SeqCst);
             wait_until_listening(&cluster.entries[entry]);
         }
