A silent stream is given up only if a second start elsewhere is allowed

What callers saw: a stream on a route that may be resumed was cut at 2.6 s, though its engine was silent for 2.2 s only and then went on.

Cause: the entry resumes a stream elsewhere after 1.5 s of silence, and gives the silent engine up 250 ms after it has sent the request, since both must not work on it. If the other engine was silent as well and then refused the request, another start needed another retry. With none left the log said stream_missed why=refused, stream_lost kept=false, answer_cut cause=stalled. An entry of a large fleet has only few retries, and engines of one service that fall silent together use them up.

Before it resumes a stream whose engine is only silent, the entry now keeps a second retry back, and gives it back if it isn't needed. If there is none, the stream stays with its engine. A stream whose engine broke off is resumed with one retry as before.

Evidence: handover_tests, one_retry, red before and green after; two_retries uses the one kept back.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -20,6 +20,7 @@
 mod reload;
 mod reserve;
 mod resume;
+mod retries;
 mod role_orders;
 mod serve;
 mod shutdown;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -51,7 +51,9 @@
             }
             let engine = started.engine.clone();
             let silent = (end == StreamEnd::Stalled).then_some(started);
-            match self.resume(silent, &mut events, &sender).await {
+            let resumption = self.resume(silent, &mut events, &sender).await;
+            self.spare = None;
+            match resumption {
                 Resumption::Moved(next) => started = next,
                 Resumption::WentOn(first, bytes) => {
                     self.pool
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -4,8 +4,10 @@
 //! An engine that is only silent may go on. Its stream is kept open while the start
 //! elsewhere is prepared, and given up only once the other engine has taken over.
 
+use crate::admit::Job;
 use crate::body::Chunk;
 use crate::events::EventSplitter;
+use crate::retries::SpareRetry;
 use crate::stream::StartedStream;
 use crate::stream::StreamRunner;
 use http::StatusCode;
@@ -57,6 +59,14 @@
         let job = self.job.clone();
         let sent_at = self.sent_at.clone();
         self.may_have_run = true;
+        self.sends_before = self.send_count;
+        if silent.is_some() {
+            // The other engine may refuse the stream once the silent one is given up.
+            self.spare = SpareRetry::reserve(&self.entry, &job.service);
+            if self.spare.is_none() {
+                return refused(&job, silent);
+            }
+        }
         let mut start = pin::pin!(self.start(events.last_id));
         let moved = loop {
             let sign = tokio::select! {
@@ -93,17 +103,20 @@
                 events.discard_partial();
                 Resumption::Moved(next)
             }
-            Ok(_) | Err(_) => {
-                job.log_line("stream_lost")
-                    .with("upstream", silent.as_ref().map_or("", |s| &s.engine))
-                    .with("kept", silent.is_some())
-                    .info();
-                Resumption::Refused(silent)
-            }
+            Ok(_) | Err(_) => refused(&job, silent),
         }
     }
 }
 
+/// Logs that no other engine takes a stream.
+fn refused<S>(job: &Job, silent: Option<StartedStream<S>>) -> Resumption<S> {
+    job.log_line("stream_lost")
+        .with("upstream", silent.as_ref().map_or("", |s| &s.engine))
+        .with("kept", silent.is_some())
+        .info();
+    Resumption::Refused(silent)
+}
+
 /// Returns the next bytes of the silent engine. It isn't read while the request is under
 /// way to another engine, which then has the stream; `HandedOver` is returned once that has
 /// lasted for the handover time. Without a silent engine, waits for ever.
--- /dev/null
+++ b/crates/direct/src/retries.rs
@@ -0,0 +1,68 @@
+//! Retries of streams, from the budget of their service.
+
+use crate::entry::Entry;
+use crate::stream::StreamRunner;
+use std::rc;
+use std::time;
+use world::Name;
+
+/// A retry of a service's budget that is kept back for a request; dropping it gives it
+/// back.
+pub(crate) struct SpareRetry<P: seam::Platform> {
+    entry: rc::Rc<Entry<P>>,
+    /// None once it is taken.
+    service: Option<Name>,
+}
+
+impl<P: seam::Platform> SpareRetry<P> {
+    /// Keeps a retry back; none if the budget has none left.
+    pub(crate) fn reserve(entry: &rc::Rc<Entry<P>>, service: &Name) -> Option<Self> {
+        let (entries, now) = (entry.entry_count(), time::Instant::now());
+        let mut retry_budget = entry.retry_budget.borrow_mut();
+        retry_budget
+            .try_reserve(service, entries, now)
+            .then(|| Self {
+                entry: entry.clone(),
+                service: Some(service.clone()),
+            })
+    }
+
+    /// Takes the retry.
+    pub(crate) fn take(mut self) {
+        if let Some(service) = self.service.take() {
+            let mut retry_budget = self.entry.retry_budget.borrow_mut();
+            retry_budget.take_reserved(&service, time::Instant::now());
+        }
+    }
+}
+
+impl<P: seam::Platform> Drop for SpareRetry<P> {
+    fn drop(&mut self) {
+        if let Some(service) = self.service.take() {
+            self.entry.retry_budget.borrow_mut().release(&service);
+        }
+    }
+}
+
+impl<P: seam::Platform> StreamRunner<P> {
+    /// Takes one retry from the service's budget; returns false if none is left.
+    pub(crate) fn take_retry(&self) -> bool {
+        let now = time::Instant::now();
+        let entries = self.entry.entry_count();
+        let mut retry_budget = self.entry.retry_budget.borrow_mut();
+        retry_budget.try_take(&self.job.service, entries, now)
+    }
+
+    /// Takes one retry from the service's budget, or else the one that was kept back,
+    /// which is not meant for the first engine that the stream is to go on at.
+    pub(crate) fn take_retry_or_spare(&mut self) -> bool {
+        if self.take_retry() {
+            return true;
+        }
+        let spare = match self.send_count > self.sends_before {
+            true => self.spare.take(),
+            false => None,
+        };
+        spare.map(SpareRetry::take).is_some()
+    }
+}
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -11,6 +11,7 @@
 use crate::guards::ActiveRequest;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
+use crate::retries::SpareRetry;
 use crate::trials;
 use crate::trials::TrialGuard;
 use http::StatusCode;
@@ -150,7 +151,9 @@
     /// Prompts sent to prefill engines.
     pub(crate) prefill_count: u32,
     /// Requests sent to decode engines.
-    send_count: u32,
+    pub(crate) send_count: u32,
+    /// How many of them were sent before the stream was last to be resumed.
+    pub(crate) sends_before: u32,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -159,6 +162,8 @@
     is_retry: bool,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
+    /// Retry for the case that an engine refuses the stream after another was given up.
+    pub(crate) spare: Option<SpareRetry<P>>,
 }
 
 impl<P: seam::Platform> StreamRunner<P> {
@@ -176,10 +181,12 @@
             failed_attempts: 0,
             prefill_count: 0,
             send_count: 0,
+            sends_before: 0,
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
             trial: None,
+            spare: None,
         }
     }
 
@@ -280,7 +287,7 @@
         if !self.entry.is_accepting(&engine) {
             return Err(StartError::NotExecuted("draining"));
         }
-        if self.send_count > 0 && !self.take_retry() {
+        if self.send_count > 0 && !self.take_retry_or_spare() {
             return Err(StartError::Abandoned);
         }
         self.send_count += 1;
@@ -396,12 +403,4 @@
         };
         (from + timeout).min(self.job.deadline)
     }
-
-    /// Takes one retry from the service's budget; returns false if none is left.
-    pub(crate) fn take_retry(&self) -> bool {
-        let now = time::Instant::now();
-        let entries = self.entry.entry_count();
-        let mut retry_budget = self.entry.retry_budget.borrow_mut();
-        retry_budget.try_take(&self.job.service, entries, now)
-    }
 }
--- a/crates/pool/src/retry_budget.rs
+++ b/crates/pool/src/retry_budget.rs
@@ -26,6 +26,8 @@
 struct Counts {
     requests: SlidingWindow,
     retries: SlidingWindow,
+    /// Retries that are kept back for requests under way.
+    reserved: f64,
 }
 
 impl RetryBudget {
@@ -55,14 +57,40 @@
     /// Takes one retry from a service's budget, and returns whether the budget
     /// allowed it. This entry is one of `entries` that share the slack.
     pub fn try_take(&mut self, service: &Name, entries: usize, now: time::Instant) -> bool {
+        let is_left = self.is_left(service, entries, now);
+        if is_left {
+            self.counts(service).retries.add(1.0, now);
+        }
+        is_left
+    }
+
+    /// Keeps one retry of a service's budget back, and returns whether the budget
+    /// allowed it.
+    pub fn try_reserve(&mut self, service: &Name, entries: usize, now: time::Instant) -> bool {
+        let is_left = self.is_left(service, entries, now);
+        if is_left {
+            self.counts(service).reserved += 1.0;
+        }
+        is_left
+    }
+
+    /// Takes a retry that was kept back.
+    pub fn take_reserved(&mut self, service: &Name, now: time::Instant) {
+        self.release(service);
+        self.counts(service).retries.add(1.0, now);
+    }
+
+    /// Gives a retry back that was kept back and is not needed.
+    pub fn release(&mut self, service: &Name) {
+        self.counts(service).reserved -= 1.0;
+    }
+
+    /// Returns whether one more retry is allowed.
+    fn is_left(&mut self, service: &Name, entries: usize, now: time::Instant) -> bool {
         let (ratio, slack) = (self.ratio, self.slack / entries.max(1) as f64);
         let counts = self.counts(service);
         let allowed = (ratio * counts.requests.sum(now) + slack) * USED_FRACTION;
-        if counts.retries.sum(now) + 1.0 > allowed {
-            return false;
-        }
-        counts.retries.add(1.0, now);
-        true
+        counts.retries.sum(now) + counts.reserved + 1.0 <= allowed
     }
 
     fn counts(&mut self, service: &Name) -> &mut Counts {
@@ -71,6 +99,7 @@
             .or_insert_with(|| Counts {
                 requests: SlidingWindow::new(self.window),
                 retries: SlidingWindow::new(self.window),
+                reserved: 0.0,
             })
     }
 }
