--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod reload;
 mod reserve;
 mod resume;
+mod retries;
 mod role_orders;
 mod serve;
 mod shutdown;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::forward;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
+use crate::retries::SpareRetry;
 use crate::trials;
 use crate::trials::TrialGuard;
 use http::StatusCode;
@@ -149,6 +150,10 @@
     /// Attempts that have failed, without those at engines that were full.
     pub(crate) failed_attempts: u32,
     pub(crate) arrivals: pool::Arrivals,
+    /// Requests sent to decode engines.
+    pub(crate) send_count: u32,
+    /// How many of them were sent before the stream was last to be resumed.
+    pub(crate) sends_before: u32,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -157,6 +162,8 @@
     is_retry: bool,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
+    /// Retry for the case that an engine refuses the stream after another was given up.
+    pub(crate) spare: Option<SpareRetry<P>>,
 }
 
 impl<P: seam::Platform> StreamRunner<P> {
@@ -173,10 +180,13 @@
             ticket,
             failed_attempts: 0,
             arrivals: pool::Arrivals::default(),
+            send_count: 0,
+            sends_before: 0,
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
             trial: None,
+            spare: None,
         }
     }
 
@@ -281,6 +291,7 @@
             return Err(StartError::Abandoned);
         }
         self.arrivals.record_send();
+        self.send_count += 1;
         let options = seam::SendOptions {
             tenant: job.tenant.clone(),
             timeout: Some(job.time_left()),
@@ -396,20 +407,4 @@
         };
         (from + timeout).min(self.job.deadline)
     }
-
-    /// Takes a retry from the service's budget if the next send needs one; returns false if
-    /// none is left.
-    pub(crate) fn take_needed_retry(&mut self) -> bool {
-        if !self.arrivals.needs_retry() {
-            return true;
-        }
-        let now = time::Instant::now();
-        let entries = self.entry.entry_count();
-        let mut retry_budget = self.entry.retry_budget.borrow_mut();
-        let granted = retry_budget.try_take(&self.job.service, entries, now);
-        if granted {
-            self.arrivals.record_retry();
-        }
-        granted
-    }
 }
