A stream whose send failed counts as run before its engine is checked

What callers saw: 503 with reason quarantined, which promises that a request has not run, for a stream on a route that may run once, under which its engine had ended.

Cause: after a send that may have run the entry waits up to 100 ms for the check of the engine. The verdict that this check brings wakes the request itself, before it was marked as one that may have run.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -311,6 +311,8 @@
             .send(&target, &job.request, &options, deadline)
             .await;
         self.sent_at.set(None);
+        // A verdict may come while the crash of the engine is checked.
+        self.may_have_run |= result.as_ref().is_err_and(|e| e.may_have_run);
         let now = time::Instant::now();
         let response = match result {
             Ok(response) => response,
