An offered seat that nobody takes is given back

Cause: a seat was offered by its engine's name, and counted at the engine. If the wait ended between the offer and its receipt (the silent engine goes on, a verdict comes, the caller leaves), nothing took it back, and the engine's account kept a stream and its memory for ever, also with peers. The start beside a silent stream made this likelier.

Change: the offer carries the seat itself, which gives its room back when it is dropped, wherever that happens.

The tests of direct's streams pass as before.

--- a/crates/direct/src/engine_pool.rs
+++ b/crates/direct/src/engine_pool.rs
@@ -54,15 +54,15 @@
 /// Message that ends a stream's wait.
 #[derive(Debug)]
 pub(crate) enum Offer {
-    /// The stream should reserve a seat at this engine; its memory is already
-    /// counted there.
-    Seat(Name),
+    /// The stream should reserve this seat at its engine.
+    Seat(Seat),
     /// The stream waited too long to be served.
     Expired,
 }
 
 /// Room for one stream at a decode engine. The engine's load includes it until
 /// it is dropped.
+#[derive(Debug)]
 pub(crate) struct Seat {
     pool: rc::Rc<EnginePool>,
     pub(crate) engine: Name,
@@ -247,15 +247,7 @@
         let offered = receiver.await;
         drop(queue_guard);
         match offered {
-            Ok(Offer::Seat(engine)) => Some(Seat {
-                pool: self.clone(),
-                engine,
-                memory: stream.memory,
-                has_run: false,
-                is_paused: false,
-                assigned_at: time::Instant::now(),
-                updated_at: time::Instant::now(),
-            }),
+            Ok(Offer::Seat(seat)) => Some(seat),
             Ok(Offer::Expired) | Err(_) => None,
         }
     }
@@ -282,7 +274,7 @@
 
     /// Assigns free seats to waiting streams in queue order, and drops expired
     /// streams from the queue.
-    pub(crate) fn assign_seats(&self, now: time::Instant) {
+    pub(crate) fn assign_seats(self: &rc::Rc<Self>, now: time::Instant) {
         if self.decode_pool.borrow().retry_at(now).is_some() {
             self.all_paused.notify_waiters();
         }
@@ -293,6 +285,10 @@
         let order = self.queue.borrow().ordered(now);
         let zone = self.zone.borrow().clone();
         for (ticket, stream) in order {
+            // A seat that nobody took assigns seats too when it is dropped.
+            if !self.waiters.borrow().contains_key(&ticket) {
+                continue;
+            }
             if self.prefill_is_backlogged(now) {
                 return;
             }
@@ -314,14 +310,29 @@
                 None if stream.allows_overtaking(now) => continue,
                 None => return,
             };
-            self.decode_pool
-                .borrow_mut()
-                .start_stream(&engine, stream.memory, now);
-            if !self.offer(ticket, Offer::Seat(engine.clone())) {
-                self.decode_pool
-                    .borrow_mut()
-                    .end_stream(&engine, stream.memory, false);
-            }
+            let seat = self.take_seat(engine, stream.memory, now);
+            self.offer(ticket, Offer::Seat(seat));
+        }
+    }
+
+    /// Counts a stream at an engine until its seat is dropped.
+    fn take_seat(
+        self: &rc::Rc<Self>,
+        engine: Name,
+        memory: pool::MemoryForecast,
+        now: time::Instant,
+    ) -> Seat {
+        let mut decode_pool = self.decode_pool.borrow_mut();
+        decode_pool.start_stream(&engine, memory, now);
+        drop(decode_pool);
+        Seat {
+            pool: self.clone(),
+            engine,
+            memory,
+            has_run: false,
+            is_paused: false,
+            assigned_at: now,
+            updated_at: now,
         }
     }
 
@@ -333,12 +344,14 @@
         soonest.is_some_and(|(_, time)| time > MAX_PREFILL_DELAY)
     }
 
-    /// Removes a stream from the queue and sends it an offer. Returns whether the
-    /// stream was still waiting.
-    fn offer(&self, ticket: pool::Ticket, offer: Offer) -> bool {
+    /// Removes a stream from the queue and sends it an offer. One that nobody takes is
+    /// dropped, also later, when the stream no longer waits.
+    fn offer(&self, ticket: pool::Ticket, offer: Offer) {
         self.queue.borrow_mut().remove(ticket);
         let waiter = self.waiters.borrow_mut().remove(&ticket);
-        waiter.is_some_and(|w| w.send(offer).is_ok())
+        if let Some(waiter) = waiter {
+            let _untaken = waiter.send(offer);
+        }
     }
 
     /// Starts a task that tries to assign seats while streams wait, because streams
