--- /dev/null
+++ b/crates/daemon/tests/cut_answer_tests.rs
@@ -0,0 +1,92 @@
+//! Tests what a caller gets whose worker stops at any byte of its answer and closes the
+//! connection: nothing that looks complete, and no status which tells that the request has
+//! not run. A request that may run twice is served by another worker.
+
+use fake::tracks::BreakingSite;
+use fake::tracks::EntryResponse;
+use fake::tracks::StreamScript;
+use fake::tracks::chunk;
+use fake::tracks::event_text;
+use fake::tracks::names;
+use fake::tracks::stream_head;
+use std::path;
+use yare::parameterized;
+
+/// Body of the plain answers.
+const BODY: &str = "the body";
+
+/// Returns a plain answer in chunks or with a length.
+fn plain_answer(status: u16, is_chunked: bool) -> String {
+    let (framing, body) = match is_chunked {
+        true => {
+            let body = chunk(&BODY[..4]) + &chunk(&BODY[4..]) + "0\r\n\r\n";
+            ("transfer-encoding: chunked".to_owned(), body)
+        }
+        false => (format!("content-length: {}", BODY.len()), BODY.to_owned()),
+    };
+    format!(
+        "HTTP/1.1 {status} Any\r\n{}: {{id}}\r\n{}: seal\r\n{framing}\r\n\r\n{body}",
+        names::REQUEST_ID,
+        names::RESPONSE_SEAL,
+    )
+}
+
+/// Returns the answer to each request whose first worker stops at another byte, with the
+/// number of workers that it was sent to.
+fn request_cut(service: &str, route: &str, answer: &str) -> Vec<(EntryResponse, usize)> {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let scripts = (0..answer.len()).map(|length| StreamScript {
+        first: answer[..length].to_owned(),
+        second: answer.to_owned(),
+    });
+    let scripts: Vec<_> = scripts.collect();
+    let site = BreakingSite::start(program, service, &scripts, Vec::new());
+    site.request_all(route)
+}
+
+#[parameterized(
+    length = { 200, false },
+    chunked = { 200, true },
+    failure = { 500, true },
+)]
+fn order_with_a_cut_answer_has_an_unknown_outcome(status: u16, is_chunked: bool) {
+    let answers = request_cut("app", "order", &plain_answer(status, is_chunked));
+    for (length, (response, call_count)) in answers.iter().enumerate() {
+        let is_unknown = matches!(response.status, 502 | 504) && response.body.is_empty();
+        assert!(is_unknown, "after {length} bytes: {response:?}");
+        assert_eq!(*call_count, 1, "after {length} bytes");
+    }
+}
+
+#[parameterized(
+    length = { false },
+    chunked = { true },
+)]
+fn idempotent_request_with_a_cut_answer_is_served_elsewhere(is_chunked: bool) {
+    let answers = request_cut("app", "status", &plain_answer(200, is_chunked));
+    for (length, (response, call_count)) in answers.iter().enumerate() {
+        let is_served = (response.status, response.body.as_str()) == (200, BODY);
+        assert!(
+            is_served && response.complete,
+            "after {length} bytes: {response:?}"
+        );
+        assert_eq!(*call_count, 2, "after {length} bytes");
+    }
+}
+
+#[test]
+fn stream_with_a_cut_answer_is_not_complete() {
+    let events = event_text(1) + &event_text(2);
+    let answer = stream_head() + &chunk(&events) + "0\r\n\r\n";
+    let answers = request_cut("llm", "once", &answer);
+    for (length, (response, call_count)) in answers.iter().enumerate() {
+        let is_unknown = matches!(response.status, 502 | 504) && response.body.is_empty();
+        let is_cut = response.status == 200 && !response.complete;
+        let is_right = match length < stream_head().len() {
+            true => is_unknown,
+            false => is_cut && events.starts_with(&response.body),
+        };
+        assert!(is_right, "after {length} bytes: {response:?}");
+        assert_eq!(*call_count, 1, "after {length} bytes");
+    }
+}
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -1,6 +1,8 @@
 //! Fakes of the Tracks Unit's platform: its store, engines and plain services, and a test cluster
 //! that runs real daemons on them.
 
+mod breaking_engine;
+mod breaking_site;
 mod cluster;
 mod entry;
 mod kept_caller;
@@ -18,6 +20,8 @@
 mod worker_handler;
 mod worker_state;
 
+pub use breaking_engine::{BreakingEngine, StreamScript, chunk, stream_head};
+pub use breaking_site::BreakingSite;
 pub use cluster::{EntryResponse, TracksCluster};
 pub use entry::EntryDaemon;
 pub use kept_caller::{CallEnd, CallRecord, CallerRequest, KeptCaller};
--- a/crates/fake/src/tracks/raw_worker.rs
+++ b/crates/fake/src/tracks/raw_worker.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::io::Write;
 use std::net;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -56,12 +57,16 @@
 
 /// Answers the calls on one connection until an answer ends it.
 fn serve(mut stream: net::TcpStream) -> io::Result<()> {
+    static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
     while let Some(call) = RawCall::read(&mut stream)? {
         if !call.path.starts_with(names::INTERNAL_PREFIX) {
             return answer(stream, &call);
         }
         let value = match call.path.as_str() {
-            names::RESERVE_PATH => json!({"hold": "d1"}),
+            names::RESERVE_PATH => {
+                let number = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
+                json!({"hold": format!("d{number}")})
+            }
             names::REPORT_PATH => json!({"stage": "decode", "busy": false, "seq": 0}),
             _ => Value::Null,
         };
