A repeated answer on a kept connection is never that of a later request

Cause: an answer without the id of its request was accepted on any connection. Answers to control calls have no id, and shared connections with requests. So the second copy of a 503, of a reservation or of a report was taken for the answer to the next request: not run, or a success with another body. And a request that goes to the same engine again, after its refusal there, has the same id as the refusal's second copy.

- A request that goes to the same host again takes a new connection.

Tried first: an id for control calls too.

--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -62,6 +62,7 @@
         let options = seam::SendOptions {
             tenant: self.job.tenant.clone(),
             timeout: Some(self.job.time_left()),
+            is_repeat: self.record_sending(&target),
             ..seam::SendOptions::default()
         };
         let outcome = self
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -151,6 +151,8 @@
     pub(crate) prefill_count: u32,
     /// Requests sent to decode engines.
     send_count: u32,
+    /// Engines that were sent the request, or its prompt.
+    sent_to: Vec<Name>,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -176,6 +178,7 @@
             failed_attempts: 0,
             prefill_count: 0,
             send_count: 0,
+            sent_to: Vec::new(),
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
@@ -291,6 +294,7 @@
             kv_source: cache.as_ref().and_then(KvCacheGuard::source),
             last_event,
             priority: None,
+            is_repeat: self.record_sending(&target),
         };
         let deadline = match job.route.retry.is_repeatable() {
             true => job.deadline.min(time::Instant::now() + HEAD_TIMEOUT),
@@ -365,6 +369,16 @@
         })
     }
 
+    /// Records that an engine is sent the request or its prompt, and returns whether it
+    /// was before.
+    pub(crate) fn record_sending(&mut self, target: &seam::Target) -> bool {
+        let is_repeat = self.sent_to.contains(&target.id);
+        if !is_repeat {
+            self.sent_to.push(target.id.clone());
+        }
+        is_repeat
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -44,6 +44,8 @@
     pub last_event: Option<u64>,
     /// Priority at the engine, from 0 (served first) to 9.
     pub priority: Option<u8>,
+    /// Whether the host has been sent this request before, and may still respond to that.
+    pub is_repeat: bool,
 }
 
 /// Response of an upstream host: its head, and the body still to be read.
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -104,6 +104,7 @@
     pub head: hyper::http::response::Parts,
     body: body::Incoming,
     lease: PoolLease,
+    is_reused: bool,
 }
 
 /// Returns a connection to the pool once its response is complete. Dropped
@@ -138,27 +139,40 @@
         deadline: time::Instant,
     ) -> Result<ClientResponse, CallError> {
         let mut request = request;
-        loop {
-            let pooled = self.take_idle(peer);
-            let is_new = pooled.is_none();
-            let mut connection = match pooled {
-                Some(connection) => connection,
-                None => self.connect(peer, deadline).await?,
-            };
-            let sent = tokio::time::timeout_at(
-                deadline.into(),
-                connection.sender.try_send_request(request),
-            );
-            match sent.await {
+        while let Some(mut connection) = self.take_idle(peer) {
+            let sent = connection.sender.try_send_request(request);
+            match tokio::time::timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(CallError::Timeout),
-                Ok(Ok(response)) => return Ok(self.client_response(peer, connection, response)),
+                Ok(Ok(response)) => {
+                    return Ok(self.client_response(peer, connection, response, true));
+                }
                 Ok(Err(mut error)) => match error.take_message() {
-                    Some(unsent) if !is_new => request = unsent,
-                    Some(_) => return Err(CallError::NotSent),
+                    Some(unsent) => request = unsent,
                     None => return Err(CallError::ConnectionLost),
                 },
             }
         }
+        self.call_on_new_connection(peer, request, deadline).await
+    }
+
+    /// Does the same as [`Self::call`] on a connection of its own, on which no response to
+    /// an earlier request can come.
+    pub async fn call_on_new_connection(
+        self: &rc::Rc<Self>,
+        peer: net::SocketAddr,
+        request: hyper::Request<FullBody>,
+        deadline: time::Instant,
+    ) -> Result<ClientResponse, CallError> {
+        let mut connection = self.connect(peer, deadline).await?;
+        let sent = connection.sender.try_send_request(request);
+        match tokio::time::timeout_at(deadline.into(), sent).await {
+            Err(_) => Err(CallError::Timeout),
+            Ok(Ok(response)) => Ok(self.client_response(peer, connection, response, false)),
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(_) => Err(CallError::NotSent),
+                None => Err(CallError::ConnectionLost),
+            },
+        }
     }
 
     /// Closes the idle connections to a peer.
@@ -235,6 +249,7 @@
         peer: net::SocketAddr,
         connection: Connection,
         response: hyper::Response<body::Incoming>,
+        is_reused: bool,
     ) -> ClientResponse {
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive(&head.headers);
@@ -244,7 +259,12 @@
             connection: Some(connection),
             keep_alive,
         };
-        ClientResponse { head, body, lease }
+        ClientResponse {
+            head,
+            body,
+            lease,
+            is_reused,
+        }
     }
 }
 
@@ -275,6 +295,17 @@
             .ok()
     }
 
+    /// Returns whether the connection has carried an earlier request, to which this response
+    /// may belong if the peer responds twice.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Makes the connection close after this response.
+    pub fn close_connection(&mut self) {
+        self.lease.keep_alive = time::Duration::ZERO;
+    }
+
     /// Returns whether the peer announced neither a length nor chunks, so that the body
     /// ends with its connection.
     pub fn is_unframed(&self) -> bool {
