A stream goes on at another engine only with the event that is next

Cause: whatever a next engine sent behind a 200 was joined to what the caller had: text with blank lines, events from the first one on or from one too far, and an empty answer ended the stream as whole. Behind an unframed stream, a second answer's head and events were read as an event.

The ids of events must increase, and the first one of a next engine must follow the last one that the caller has, where the ids so far were consecutive. Text without an id is no event there; a comment may come. What doesn't follow counts as a failure of its engine (stream_end end=misordered), and the stream may go on at another one. An engine that takes over and sends no event hasn't shown that none is missing.

Failures (500, 503, 400, 421, 429 in three framings) and heads cut at each byte were never joined: only a 200 is.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -16,11 +16,18 @@
     /// Longest pause between two arrivals of bytes.
     pub(crate) max_gap: time::Duration,
     last_arrival: time::Instant,
+    /// Whether each id so far was the one after its predecessor.
+    is_consecutive: bool,
+    /// Whether another engine has taken over, whose first event is still to come.
+    is_continuing: bool,
+    is_misordered: bool,
 }
 
 /// Longest event that is read from an engine; an engine in trouble may send bytes
 /// without end.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
 /// Events after which their mean interval is known well enough.
 const MIN_EVENTS: u64 = 5;
 
@@ -34,9 +41,31 @@
             first_arrival: None,
             max_gap: time::Duration::ZERO,
             last_arrival: time::Instant::now(),
+            is_consecutive: true,
+            is_continuing: false,
+            is_misordered: false,
         }
     }
 
+    /// Expects the events of another engine, in place of what is missing. The start of an
+    /// event that was cut off is discarded.
+    pub(crate) fn continue_elsewhere(&mut self) {
+        self.partial.clear();
+        self.is_continuing = true;
+        self.is_misordered = false;
+    }
+
+    /// Returns whether another engine has taken over that has sent no event yet.
+    pub(crate) fn is_continuing(&self) -> bool {
+        self.is_continuing
+    }
+
+    /// Returns whether bytes have arrived that don't follow the last event. They and all
+    /// after them belong to another stream, or to none.
+    pub(crate) fn is_misordered(&self) -> bool {
+        self.is_misordered
+    }
+
     /// Records that bytes have arrived now, for the first delay and the longest
     /// pause.
     pub(crate) fn record_arrival(&mut self, arrived_at: time::Instant) {
@@ -78,33 +107,60 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
-    /// Adds bytes, and returns all events that are complete now.
+    /// Adds bytes, and returns all events that are complete now, up to the first one that
+    /// is out of order.
     pub(crate) fn push(&mut self, bytes: bytes::Bytes) -> Option<bytes::Bytes> {
-        let complete = match self.partial.is_empty() && bytes.ends_with(b"\n\n") {
+        if self.is_misordered {
+            return None;
+        }
+        let mut complete = match self.partial.is_empty() && bytes.ends_with(EVENT_END) {
             true => bytes,
             false => {
                 self.partial.extend_from_slice(&bytes);
-                let end = self.partial.windows(2).rposition(|w| w == b"\n\n")?;
-                self.partial.split_to(end + 2).freeze()
+                let end = self.partial.windows(2).rposition(|w| w == EVENT_END)?;
+                self.partial.split_to(end + EVENT_END.len()).freeze()
             }
         };
-        for line in complete.split(|b| *b == b'\n') {
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = std::str::from_utf8(id).ok().map(str::trim);
-                self.last_id = id.and_then(|i| i.parse().ok()).or(self.last_id);
-                self.event_count += 1;
+        let mut start = 0;
+        while let Some(length) = complete[start..].windows(2).position(|w| w == EVENT_END) {
+            let end = start + length + EVENT_END.len();
+            if !self.record_event(&complete[start..end]) {
+                self.is_misordered = true;
+                complete.truncate(start);
+                break;
             }
+            start = end;
         }
-        Some(complete)
+        Some(complete).filter(|events| !events.is_empty())
+    }
+
+    /// Records a complete event; returns false if it doesn't follow the one before it.
+    fn record_event(&mut self, event: &[u8]) -> bool {
+        let mut lines = event.split(|b| *b == b'\n').filter(|line| !line.is_empty());
+        let Some(id) = lines.clone().find_map(|line| line.strip_prefix(b"id:")) else {
+            // A comment may come at any time. Other text has no place at the point where
+            // another engine goes on.
+            return !self.is_continuing || lines.all(|line| line.starts_with(b":"));
+        };
+        let id = std::str::from_utf8(id).ok().map(str::trim);
+        let id: Option<u64> = id.and_then(|id| id.parse().ok());
+        if let (Some(id), Some(last)) = (id, self.last_id) {
+            let is_next = last.checked_add(1) == Some(id);
+            if id <= last || (self.is_continuing && self.is_consecutive && !is_next) {
+                return false;
+            }
+            self.is_consecutive &= is_next;
+        } else if self.is_continuing && id.is_none() {
+            return false;
+        }
+        self.last_id = id.or(self.last_id);
+        self.event_count += 1;
+        self.is_continuing = false;
+        true
     }
 
     /// Returns whether the buffer holds the start of an incomplete event.
     pub(crate) fn has_partial(&self) -> bool {
         !self.partial.is_empty()
     }
-
-    /// Discards the start of an event that was cut off.
-    pub(crate) fn discard_partial(&mut self) {
-        self.partial.clear();
-    }
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -42,7 +42,10 @@
                 StreamEnd::CallerGone | StreamEnd::DeadlinePassed => {
                     return self.log_cut(end, &started.engine, &events);
                 }
-                StreamEnd::ConnectionLost | StreamEnd::Stalled | StreamEnd::Oversized => {
+                StreamEnd::ConnectionLost
+                | StreamEnd::Stalled
+                | StreamEnd::Oversized
+                | StreamEnd::Misordered => {
                     self.handle_failure(&started).await;
                 }
             }
@@ -211,6 +214,9 @@
             if events.is_oversized() {
                 return StreamEnd::Oversized;
             }
+            if events.is_misordered() {
+                return StreamEnd::Misordered;
+            }
         }
     }
 }
@@ -232,7 +238,9 @@
     pub(crate) fn is_whole(&self, events: &EventSplitter) -> bool {
         // Without a length or chunks, a crash before the first event looks the same.
         let may_have_crashed = self.response.body.is_unframed() && self.event_count == 0;
-        !events.has_partial() && !may_have_crashed
+        // An engine that takes over and sends nothing doesn't show that nothing is missing.
+        let is_started = !may_have_crashed && !events.is_continuing();
+        is_started && !events.has_partial() && !events.is_misordered()
     }
 }
 
@@ -247,6 +255,8 @@
     Stalled,
     /// The engine sent an event without end.
     Oversized,
+    /// The engine sent bytes that don't follow the last event.
+    Misordered,
     /// The caller disconnected.
     CallerGone,
     /// The request's deadline passed.
@@ -261,6 +271,7 @@
             StreamEnd::ConnectionLost => "broken",
             StreamEnd::Stalled => "stalled",
             StreamEnd::Oversized => "oversized",
+            StreamEnd::Misordered => "misordered",
             StreamEnd::CallerGone => "caller_left",
             StreamEnd::DeadlinePassed => "overdue",
         }
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -81,7 +81,7 @@
                             .info();
                         return Resumption::WentOn(first, complete);
                     }
-                    if !events.is_oversized() {
+                    if !events.is_oversized() && !events.is_misordered() {
                         silent = Some(first);
                     }
                 }
@@ -90,7 +90,7 @@
         match moved {
             Ok(next) if next.response.status == StatusCode::OK => {
                 drop(silent);
-                events.discard_partial();
+                events.continue_elsewhere();
                 Resumption::Moved(next)
             }
             Ok(_) | Err(_) => {
