--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -83,8 +83,13 @@
                 self.failed_attempts = self.failed_attempts.saturating_sub(1);
                 Err(StartError::NotExecuted("withheld"))
             }
-            seam::ReserveOutcome::Failed(_) => {
+            seam::ReserveOutcome::Failed(cause) => {
                 decode_pool.record_failure(&target.id, now);
+                self.job
+                    .log_line("reserve_failed")
+                    .with("upstream", &target.id)
+                    .with("cause", cause)
+                    .info();
                 Err(StartError::NotExecuted("reserve_failed"))
             }
         }
