A plain answer's host is left as soon as its caller leaves

What hosts saw: a caller that left during a silence inside a long answer kept its host at work until the host's next bytes or the deadline, 8 s in the test.

Cause: the forwarding of a body noticed a closed channel only when it sent the next chunk. The end of an answer with a length was also taken for a caller that had left, as the connection drops a body once it has all of its bytes; and a caller that took no bytes held the host beyond the deadline.

Found by review.

--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -43,28 +43,32 @@
     collected.ok()
 }
 
-/// Forwards a body to the caller in chunks; fails with the cause if that ends early.
+/// Forwards a body to the caller in chunks; fails with the cause if that ends early. The
+/// host is left as soon as the caller leaves.
 async fn forward_chunks<S: ByteStream>(
     job: &Job,
     body: &mut S,
     sender: &mpsc::Sender<Chunk>,
 ) -> Result<(), &'static str> {
+    let deadline = job.deadline.into();
     loop {
-        let next = tokio::time::timeout_at(job.deadline.into(), body.next_chunk());
-        let chunk = match next.await {
-            Ok(Some(Ok(bytes))) => Chunk::Data(bytes),
-            Ok(None) => Chunk::End,
+        // A connection closes the channel, too, once it has all bytes of an announced length.
+        let is_sent = body.content_length() == Some(0);
+        let next = tokio::select! {
+            next = tokio::time::timeout_at(deadline, body.next_chunk()) => next,
+            () = sender.closed(), if !is_sent => return Err("caller_left"),
+        };
+        let bytes = match next {
+            Ok(Some(Ok(bytes))) => bytes,
+            Ok(None) => break,
             Ok(Some(Err(_))) => return Err("broken"),
             Err(_) => return Err("overdue"),
         };
-        let ended = matches!(chunk, Chunk::End);
-        if sender.send(chunk).await.is_err() {
-            return Err("caller_left");
-        }
-        if ended {
-            return Ok(());
-        }
+        let sent = tokio::time::timeout_at(deadline, sender.send(Chunk::Data(bytes))).await;
+        sent.map_err(|_| "overdue")?.map_err(|_| "caller_left")?;
     }
+    let _ = sender.send(Chunk::End).await;
+    Ok(())
 }
 
 /// Builds the response to the caller from a host's answer.
