A sound stream that can't move now may move after its next event

Cause: once a start elsewhere had been refused, a stream stayed with its engine for good, so that a crash of that engine later cut it although another one was free. A silent stream, one of whose parts was condemned meanwhile, was cut although its engine was sound. After a silence the next one counted from 2.5 s, not 1.5. A caller that took no bytes held its engine beyond its deadline.

Change: pool::StreamProgress holds a stream at its engine until the next event. A condemned stream is held too, and starts nowhere else. Passing events on ends at the deadline; a complete stream's engine is let go before its caller has taken all.

The case of the condemned part was found by review and is not shown by a run.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -28,17 +28,24 @@
     ) {
         let mut events = EventSplitter::new(self.job.request.last_event);
         let mut started = started;
-        let mut can_move = self.job.route.retry == seam::RetryMode::Resumable
+        let is_movable = self.job.route.retry == seam::RetryMode::Resumable
             && started.response.status == StatusCode::OK;
+        // The number of events after which no other engine took the stream.
+        let mut refused_at = None;
         loop {
+            let can_move = is_movable && refused_at != Some(events.event_count);
+            let mut progress = pool::StreamProgress::new(is_movable, time::Instant::now());
+            if started.event_count > 0 {
+                progress.record_read(true, time::Instant::now());
+            }
+            if !can_move {
+                progress.hold();
+            }
             let end = self
-                .forward_until_end(&mut started, &mut events, &sender, can_move)
+                .forward_until_end(&mut started, &mut events, &sender, progress)
                 .await;
             match end {
-                StreamEnd::Complete => {
-                    self.complete(&started, &events, &sender).await;
-                    return;
-                }
+                StreamEnd::Complete => return self.complete(started, &events, &sender).await,
                 StreamEnd::CallerGone | StreamEnd::DeadlinePassed => {
                     return self.log_cut(end, &started.engine, &events);
                 }
@@ -49,7 +56,14 @@
                     self.handle_failure(&started).await;
                 }
             }
-            if !can_move || self.entry.is_condemned(&self.job) {
+            let can_move = is_movable && refused_at != Some(events.event_count);
+            let is_condemned = self.entry.is_condemned(&self.job);
+            if is_condemned && can_move && end == StreamEnd::Stalled {
+                // It may start at no other engine, but this one may go on.
+                refused_at = Some(events.event_count);
+                continue;
+            }
+            if is_condemned || !can_move {
                 return self.log_cut(end, &started.engine, &events);
             }
             let engine = started.engine.clone();
@@ -63,18 +77,15 @@
                         .decode_pool
                         .borrow_mut()
                         .record_success(&first.engine);
-                    if sender.send(Chunk::Data(bytes)).await.is_err() {
-                        return self.log_cut(StreamEnd::CallerGone, &engine, &events);
+                    if let Err(end) = self.pass_on(&sender, bytes).await {
+                        return self.log_cut(end, &engine, &events);
                     }
                     started = first;
                 }
-                Resumption::Ended(first) => {
-                    self.complete(&first, &events, &sender).await;
-                    return;
-                }
+                Resumption::Ended(first) => return self.complete(first, &events, &sender).await,
                 Resumption::Refused(Some(first)) => {
                     started = first;
-                    can_move = false;
+                    refused_at = Some(events.event_count);
                 }
                 Resumption::Refused(None) => return self.log_cut(end, &engine, &events),
                 Resumption::CallerGone => {
@@ -84,10 +95,25 @@
         }
     }
 
+    /// Passes bytes on to the caller; fails if the caller leaves, or takes none until the
+    /// deadline.
+    async fn pass_on(
+        &self,
+        sender: &mpsc::Sender<Chunk>,
+        bytes: bytes::Bytes,
+    ) -> Result<(), StreamEnd> {
+        let sent = sender.send(Chunk::Data(bytes));
+        match tokio::time::timeout_at(self.job.deadline.into(), sent).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(StreamEnd::CallerGone),
+            Err(_) => Err(StreamEnd::DeadlinePassed),
+        }
+    }
+
     /// Ends the caller's answer as complete.
     async fn complete(
         &self,
-        started: &StartedStream<<P::Upstreams as Upstreams>::Body>,
+        started: StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &EventSplitter,
         sender: &mpsc::Sender<Chunk>,
     ) {
@@ -95,6 +121,8 @@
         self.record_stream(&started.seat, events);
         metrics::histogram!("answer_seconds", "kind" => "stream")
             .record(self.job.arrived_at.elapsed().as_secs_f64());
+        // A caller that reads slowly keeps no engine.
+        drop(started);
         // The caller may have disconnected, so a failure to send the end is ignored.
         let _ = sender.send(Chunk::End).await;
     }
@@ -154,9 +182,9 @@
         started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
         sender: &mpsc::Sender<Chunk>,
-        can_move: bool,
+        progress: pool::StreamProgress,
     ) -> StreamEnd {
-        let end = self.read_events(started, events, sender, can_move).await;
+        let end = self.read_events(started, events, sender, progress).await;
         let first_delay = events
             .first_arrival
             .map(|first| first.saturating_duration_since(self.job.arrived_at));
@@ -177,9 +205,8 @@
         started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
         sender: &mpsc::Sender<Chunk>,
-        can_move: bool,
+        mut progress: pool::StreamProgress,
     ) -> StreamEnd {
-        let mut progress = pool::StreamProgress::new(can_move, time::Instant::now());
         let mut is_proven = false;
         loop {
             let check_at = progress.check_at().min(self.job.deadline);
@@ -203,8 +230,8 @@
             let complete = started.push(events, bytes);
             progress.record_read(complete.is_some(), time::Instant::now());
             if let Some(complete) = complete {
-                if sender.send(Chunk::Data(complete)).await.is_err() {
-                    return StreamEnd::CallerGone;
+                if let Err(end) = self.pass_on(sender, complete).await {
+                    return end;
                 }
                 // An engine crashes before it completes an event.
                 self.trial = None;
--- a/crates/pool/src/stall.rs
+++ b/crates/pool/src/stall.rs
@@ -20,6 +20,8 @@
 pub struct StreamProgress {
     /// Whether the stream can go on at another engine.
     can_move: bool,
+    /// Whether it stays at its engine until the next event.
+    is_held: bool,
     /// When the next complete event is overdue.
     due: time::Instant,
     /// Reads since the last complete event.
@@ -32,11 +34,17 @@
     pub fn new(can_move: bool, now: time::Instant) -> Self {
         Self {
             can_move,
+            is_held: false,
             due: now + FIRST_EVENT_TIMEOUT,
             partial_reads: 0,
         }
     }
 
+    /// Keeps the stream at its engine until the next event, as no other one takes it now.
+    pub fn hold(&mut self) {
+        self.is_held = true;
+    }
+
     /// Returns when to check whether the stream is stalled.
     pub fn check_at(&self) -> time::Instant {
         self.due
@@ -46,6 +54,7 @@
     pub fn record_read(&mut self, is_complete: bool, now: time::Instant) {
         if is_complete {
             self.partial_reads = 0;
+            self.is_held = false;
             self.due = now + STALL_TIMEOUT;
         } else {
             self.partial_reads += 1;
@@ -58,7 +67,7 @@
         if now < self.due {
             return false;
         }
-        if self.can_move || self.partial_reads >= MAX_PARTIAL_READS {
+        if self.can_move && !self.is_held || self.partial_reads >= MAX_PARTIAL_READS {
             return true;
         }
         self.due = now + STALL_TIMEOUT;
--- a/crates/pool/tests/stall_tests.rs
+++ b/crates/pool/tests/stall_tests.rs
@@ -74,3 +74,16 @@
         assert!(!progress.is_stalled(now));
     }
 }
+
+/// No other engine takes the stream now; after the next event that is looked at anew.
+#[test]
+fn silence_ends_no_held_stream_before_its_next_event() {
+    let start = time::Instant::now();
+    let mut progress = StreamProgress::new(true, start);
+    progress.record_read(true, start);
+    progress.hold();
+    assert_eq!(stalled_after(&mut progress, start), None);
+    let event_at = start + seconds(60.0);
+    progress.record_read(true, event_at);
+    assert_eq!(stalled_after(&mut progress, event_at), Some(1.5));
+}
