--- /dev/null
+++ b/crates/direct/src/forward.rs
@@ -0,0 +1,104 @@
+//! Forwards hosts' responses to callers.
+
+use crate::admit::Job;
+use crate::body::Body;
+use crate::body::Chunk;
+use crate::caller::Exchange;
+use seam::ByteStream;
+use std::rc;
+use std::time;
+use tokio::sync::mpsc;
+use world::Name;
+
+/// Longest response body that is read before it is passed on; a host in
+/// trouble may send bytes without end.
+const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
+
+/// A host's response to a call.
+pub(crate) struct Answer<S> {
+    pub(crate) host: Name,
+    /// The response, with its body unless that was buffered.
+    pub(crate) response: seam::Response<S>,
+    /// The whole body, if it was buffered.
+    pub(crate) body: Option<bytes::Bytes>,
+}
+
+/// Reads a body to its end; returns `None` if that does not come by `deadline`, the
+/// connection breaks or the body is too long, which is logged.
+pub(crate) async fn collect_body<S: ByteStream>(
+    job: &Job,
+    host: &str,
+    body: &mut S,
+    deadline: time::Instant,
+) -> Option<bytes::Bytes> {
+    let next_chunk = async || body.next_chunk().await;
+    let collected = web::collect_chunks(next_chunk, MAX_UNSIZED_BYTES, deadline).await;
+    if let Err(web::ReadError::Oversized(bytes)) = collected {
+        job.log_line("body_oversized")
+            .with("upstream", host)
+            .with("bytes", bytes)
+            .with("bound", MAX_UNSIZED_BYTES)
+            .warn();
+    }
+    collected.ok()
+}
+
+/// Forwards a body to the caller in chunks; fails with the cause if that ends early. The
+/// host is left as soon as the caller leaves.
+async fn forward_chunks<S: ByteStream>(
+    job: &Job,
+    body: &mut S,
+    sender: &mpsc::Sender<Chunk>,
+) -> Result<(), &'static str> {
+    let deadline = job.deadline.into();
+    loop {
+        // A connection closes the channel, too, once it has all bytes of an announced length.
+        let is_sent = body.content_length() == Some(0);
+        let next = tokio::select! {
+            next = tokio::time::timeout_at(deadline, body.next_chunk()) => next,
+            () = sender.closed(), if !is_sent => return Err("caller_left"),
+        };
+        let bytes = match next {
+            Ok(Some(Ok(bytes))) => bytes,
+            Ok(None) => break,
+            Ok(Some(Err(_))) => return Err("broken"),
+            Err(_) => return Err("overdue"),
+        };
+        let sent = tokio::time::timeout_at(deadline, sender.send(Chunk::Data(bytes))).await;
+        sent.map_err(|_| "overdue")?.map_err(|_| "caller_left")?;
+    }
+    let _ = sender.send(Chunk::End).await;
+    Ok(())
+}
+
+/// Builds the response to the caller from a host's answer.
+pub(crate) fn forward_response<P: seam::Platform, S: ByteStream + 'static>(
+    answer: Answer<S>,
+    exchange: rc::Rc<Exchange<P>>,
+    job: Job,
+) -> hyper::Response<Body> {
+    let Answer {
+        host,
+        response: upstream,
+        body,
+    } = answer;
+    let body = match body {
+        Some(bytes) => Body::from(bytes),
+        None => {
+            let (sender, body) = Body::channel(upstream.body.content_length());
+            let mut stream = upstream.body;
+            tokio::task::spawn_local(async move {
+                let _guard = exchange;
+                // Dropping the sender before the end aborts the response.
+                if let Err(cause) = forward_chunks(&job, &mut stream, &sender).await {
+                    job.log_cut(cause, &host).info();
+                }
+            });
+            body
+        }
+    };
+    let mut response = hyper::Response::new(body);
+    *response.status_mut() = upstream.status;
+    *response.headers_mut() = upstream.headers;
+    response
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,20 +6,25 @@
 
 mod admit;
 mod body;
+mod caller;
 mod crashes;
 mod engine_pool;
 mod entry;
 mod events;
+mod forward;
 mod gate;
 mod gossip;
 mod guards;
 mod peers;
+mod plain_attempt;
+mod plain_call;
 mod plain_service;
 mod prefill;
 mod relay;
 mod reload;
 mod reserve;
 mod resume;
+mod retries;
 mod role_orders;
 mod serve;
 mod shutdown;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,13 +4,15 @@
 use crate::admit;
 use crate::admit::Job;
 use crate::body::Body;
+use crate::caller::Exchange;
 use crate::crashes;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
+use crate::forward;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
+use crate::retries::SpareRetry;
 use crate::trials;
 use crate::trials::TrialGuard;
 use http::StatusCode;
@@ -59,7 +61,7 @@
 pub(crate) async fn serve<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     job: rc::Rc<Job>,
-    active_request: ActiveRequest<P>,
+    exchange: rc::Rc<Exchange<P>>,
 ) -> hyper::Response<Body> {
     let Some(pool) = entry.pools.get(&job.service) else {
         let reply = job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "no_service");
@@ -88,7 +90,7 @@
     *response.status_mut() = started.response.status;
     *response.headers_mut() = started.response.headers.clone();
     tokio::task::spawn_local(async move {
-        let _guard = active_request;
+        let _guard = exchange;
         runner.forward_events(started, sender).await;
     });
     response
@@ -105,7 +107,7 @@
         engine,
         ..
     } = started;
-    let body = plain_service::collect_body(job, &engine, &mut response.body, job.deadline).await;
+    let body = forward::collect_body(job, &engine, &mut response.body, job.deadline).await;
     let Some(bytes) = body else {
         return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
     };
@@ -147,10 +149,13 @@
     ticket: pool::Ticket,
     /// Attempts that have failed, without those at engines that were full.
     pub(crate) failed_attempts: u32,
-    /// Prompts sent to prefill engines.
-    pub(crate) prefill_count: u32,
+    pub(crate) arrivals: pool::Arrivals,
     /// Requests sent to decode engines.
-    send_count: u32,
+    pub(crate) send_count: u32,
+    /// How many of them were sent before the stream was last to be resumed.
+    pub(crate) sends_before: u32,
+    /// Engines that were sent the request, or its prompt.
+    sent_to: Vec<Name>,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -159,6 +164,8 @@
     is_retry: bool,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
+    /// Retry for the case that an engine refuses the stream after another was given up.
+    pub(crate) spare: Option<SpareRetry<P>>,
 }
 
 impl<P: seam::Platform> StreamRunner<P> {
@@ -174,12 +181,15 @@
             job,
             ticket,
             failed_attempts: 0,
-            prefill_count: 0,
+            arrivals: pool::Arrivals::default(),
             send_count: 0,
+            sends_before: 0,
+            sent_to: Vec::new(),
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
             trial: None,
+            spare: None,
         }
     }
 
@@ -280,9 +290,10 @@
         if !self.entry.is_accepting(&engine) {
             return Err(StartError::NotExecuted("draining"));
         }
-        if self.send_count > 0 && !self.take_retry() {
+        if !self.take_needed_retry() {
             return Err(StartError::Abandoned);
         }
+        self.arrivals.record_send();
         self.send_count += 1;
         let options = seam::SendOptions {
             tenant: job.tenant.clone(),
@@ -291,6 +302,7 @@
             kv_source: cache.as_ref().and_then(KvCacheGuard::source),
             last_event,
             priority: None,
+            is_repeat: self.record_sending(&target),
         };
         let deadline = match job.route.retry.is_repeatable() {
             true => job.deadline.min(time::Instant::now() + HEAD_TIMEOUT),
@@ -303,10 +315,15 @@
             .send(&target, &job.request, &options, deadline)
             .await;
         self.sent_at.set(None);
+        // A verdict may come while the crash of the engine is checked.
+        self.may_have_run |= result.as_ref().is_err_and(|e| e.may_have_run);
         let now = time::Instant::now();
         let response = match result {
             Ok(response) => response,
             Err(error) => {
+                if !error.cause.may_have_arrived() {
+                    self.arrivals.withdraw();
+                }
                 if error.cause != seam::FailureCause::Withheld {
                     let mut decode_pool = self.pool.decode_pool.borrow_mut();
                     decode_pool.record_failure(&engine, now);
@@ -365,6 +382,16 @@
         })
     }
 
+    /// Records that an engine is sent the request or its prompt, and returns whether it
+    /// was before.
+    pub(crate) fn record_sending(&mut self, target: &seam::Target) -> bool {
+        let is_repeat = self.sent_to.contains(&target.id);
+        if !is_repeat {
+            self.sent_to.push(target.id.clone());
+        }
+        is_repeat
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
@@ -396,12 +423,4 @@
         };
         (from + timeout).min(self.job.deadline)
     }
-
-    /// Takes one retry from the service's budget; returns false if none is left.
-    pub(crate) fn take_retry(&self) -> bool {
-        let now = time::Instant::now();
-        let entries = self.entry.entry_count();
-        let mut retry_budget = self.entry.retry_budget.borrow_mut();
-        retry_budget.try_take(&self.job.service, entries, now)
-    }
 }
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -44,6 +44,8 @@
     pub last_event: Option<u64>,
     /// Priority at the engine, from 0 (served first) to 9.
     pub priority: Option<u8>,
+    /// Whether the host has been sent this request before, and may still respond to that.
+    pub is_repeat: bool,
 }
 
 /// Response of an upstream host: its head, and the body still to be read.
@@ -91,6 +93,13 @@
     Withheld,
 }
 
+impl FailureCause {
+    /// Returns whether the call may have arrived at the host.
+    pub fn may_have_arrived(self) -> bool {
+        !matches!(self, FailureCause::ConnectFailed | FailureCause::Withheld)
+    }
+}
+
 /// A response body that is read in chunks.
 pub trait ByteStream {
     /// Returns the next chunk: `None` after the complete body, an error where the
