--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -5,7 +5,6 @@
 use crate::gate::HostGate;
 use crate::gossip::GossipMessage;
 use crate::plain_service::PlainServices;
-use crate::telemetry;
 use std::cell;
 use std::collections;
 use std::net;
@@ -372,43 +371,4 @@
             .get(&member.id)
             .is_some_and(|(role, until)| *until > now && member.role != Some(*role))
     }
-
-    /// Returns the state and the role of each known upstream host.
-    fn member_states(
-        &self,
-    ) -> collections::BTreeMap<Name, (seam::MemberState, Option<seam::Role>)> {
-        let host_list = self.host_list.borrow();
-        host_list
-            .members()
-            .map(|m| (m.id.clone(), (m.state, m.role)))
-            .collect()
-    }
-
-    fn log_member_changes(
-        &self,
-        before: &collections::BTreeMap<Name, (seam::MemberState, Option<seam::Role>)>,
-        from: &str,
-        revision: u64,
-    ) {
-        let after = self.member_states();
-        for (id, state) in &after {
-            if before.get(id) != Some(state) {
-                trace::LogLine::new("upstream")
-                    .with("id", id)
-                    .with("state", format!("{:?}", state.0))
-                    .with("part", telemetry::role_label(state.1))
-                    .with("from", from)
-                    .with("revision", revision)
-                    .info();
-            }
-        }
-        for id in before.keys().filter(|id| !after.contains_key(*id)) {
-            trace::LogLine::new("upstream")
-                .with("id", id)
-                .with("state", "Gone")
-                .with("from", from)
-                .with("revision", revision)
-                .info();
-        }
-    }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod gate;
 mod gossip;
 mod guards;
+mod member_log;
 mod peers;
 mod plain_attempt;
 mod plain_call;
@@ -33,6 +34,7 @@
 mod stream_memory;
 mod telemetry;
 mod trials;
+mod unstarted;
 mod usage_store;
 mod verdict_store;
 
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -1,4 +1,4 @@
-//! Retries of streams, from the budget of their service.
+//! Counts what is sent for a stream, and takes its retries from the budget of its service.
 
 use crate::entry::Entry;
 use crate::stream::StreamRunner;
@@ -74,4 +74,14 @@
         };
         spare.map(SpareRetry::take).is_some()
     }
+
+    /// Records that an engine is sent the request or its prompt, and returns whether it
+    /// was before.
+    pub(crate) fn record_sending(&mut self, target: &seam::Target) -> bool {
+        let is_repeat = self.sent_to.contains(&target.id);
+        if !is_repeat {
+            self.sent_to.push(target.id.clone());
+        }
+        is_repeat
+    }
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -1,7 +1,6 @@
 //! Serves streams: assigns a seat, has the prompt processed, and then starts the
 //! stream at the seat's engine.
 
-use crate::admit;
 use crate::admit::Job;
 use crate::body::Body;
 use crate::caller::Exchange;
@@ -9,12 +8,12 @@
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
-use crate::forward;
 use crate::guards::KvCacheGuard;
 use crate::plain_service;
 use crate::retries::SpareRetry;
 use crate::trials;
 use crate::trials::TrialGuard;
+use crate::unstarted;
 use http::StatusCode;
 use seam::Upstreams;
 use std::cell;
@@ -22,9 +21,6 @@
 use std::time;
 use world::Name;
 
-/// A refused caller is told to retry only if more than this time is left until its
-/// deadline.
-const MIN_RETRY_TIME: time::Duration = time::Duration::from_secs(6);
 /// How long callers wait for an event before they disconnect: the longest of this
 /// number of the route's latency targets, this number of its targets for the pause
 /// between two events, and this time.
@@ -78,12 +74,12 @@
                 (StartError::Abandoned | StartError::NotExecuted(_), Some(at)) => {
                     plain_service::refusal_response(&entry, &job, &job.paused_reply(at, now))
                 }
-                (error, _) => failure_response(&entry, &job, &error),
+                (error, _) => unstarted::failure_response(&entry, &job, &error),
             };
         }
     };
     if !started.response.status.is_success() {
-        return forward_failure(&entry, &job, started).await;
+        return unstarted::forward_failure(&entry, &job, started).await;
     }
     let (sender, body) = Body::channel(None);
     let mut response = hyper::Response::new(body);
@@ -96,50 +92,6 @@
     response
 }
 
-/// Passes on an engine's failure with its body, which is no stream of events.
-async fn forward_failure<P: seam::Platform>(
-    entry: &Entry<P>,
-    job: &Job,
-    started: StartedStream<<P::Upstreams as Upstreams>::Body>,
-) -> hyper::Response<Body> {
-    let StartedStream {
-        mut response,
-        engine,
-        ..
-    } = started;
-    let body = forward::collect_body(job, &engine, &mut response.body, job.deadline).await;
-    let Some(bytes) = body else {
-        return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
-    };
-    let mut forwarded = hyper::Response::new(Body::from(bytes));
-    *forwarded.status_mut() = response.status;
-    *forwarded.headers_mut() = response.headers;
-    forwarded
-}
-
-fn failure_response<P: seam::Platform>(
-    entry: &Entry<P>,
-    job: &Job,
-    error: &StartError,
-) -> hyper::Response<Body> {
-    let reply = match error {
-        StartError::Abandoned | StartError::NotExecuted(_) => {
-            let mut refusals = entry.refusals.borrow_mut();
-            let now = time::Instant::now();
-            let retry_after = (job.time_left() > MIN_RETRY_TIME).then(|| {
-                refusals.record_refusal(job.digest, job.time_left() / admit::RETURN_DIVISOR, now)
-            });
-            job.reply(StatusCode::SERVICE_UNAVAILABLE, retry_after, "no_seat")
-        }
-        StartError::Condemned => job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "quarantined"),
-        StartError::Unknown(_) if job.time_left().is_zero() => {
-            job.reply(StatusCode::GATEWAY_TIMEOUT, None, "timeout")
-        }
-        StartError::Unknown(_) => job.reply(StatusCode::BAD_GATEWAY, None, "outcome_unknown"),
-    };
-    plain_service::refusal_response(entry, job, &reply)
-}
-
 /// Starts one stream at an engine, and starts or resumes it at another one where
 /// that is safe.
 pub(crate) struct StreamRunner<P: seam::Platform> {
@@ -155,7 +107,7 @@
     /// How many of them were sent before the stream was last to be resumed.
     pub(crate) sends_before: u32,
     /// Engines that were sent the request, or its prompt.
-    sent_to: Vec<Name>,
+    pub(crate) sent_to: Vec<Name>,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -382,16 +334,6 @@
         })
     }
 
-    /// Records that an engine is sent the request or its prompt, and returns whether it
-    /// was before.
-    pub(crate) fn record_sending(&mut self, target: &seam::Target) -> bool {
-        let is_repeat = self.sent_to.contains(&target.id);
-        if !is_repeat {
-            self.sent_to.push(target.id.clone());
-        }
-        is_repeat
-    }
-
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
