--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -17,6 +17,7 @@
 
 /// Delay after which a caller should retry if no host can take its call.
 const NO_HOST_RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
+
 /// The hosts of all plain services.
 #[derive(Debug, Default)]
 pub(crate) struct PlainServices {
--- a/crates/direct/src/unstarted.rs
+++ b/crates/direct/src/unstarted.rs
@@ -15,6 +15,7 @@
 /// A refused caller is told to retry only if more than this time is left until its
 /// deadline.
 const MIN_RETRY_TIME: time::Duration = time::Duration::from_secs(6);
+
 /// Passes on an engine's failure with its body, which is no stream of events.
 pub(crate) async fn forward_failure<P: seam::Platform>(
     entry: &Entry<P>,
