Tests of a stream whose engine is silent behind its last event

A resumable stream whose engine is silent between its last event and the end of its body is started at another engine.

--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -1,5 +1,5 @@
-//! Tests of a stream that is handed over to another engine, which is silent and then refuses
-//! it.
+//! Tests of a stream that is handed over to another engine, which refuses it or has nothing to
+//! add.
 
 use fake::tracks::CallEnd;
 use fake::tracks::CallerRequest;
@@ -7,6 +7,7 @@
 use fake::tracks::Silence;
 use fake::tracks::SilencePoint;
 use fake::tracks::SilentSite;
+use fake::tracks::SilentWorker;
 use fake::tracks::event_text;
 use std::path;
 use std::thread;
@@ -19,7 +20,7 @@
 const PATIENCE: time::Duration = time::Duration::from_secs(12);
 /// Within this time an entry has written its log.
 const LOG_DELAY: time::Duration = time::Duration::from_millis(800);
-/// Silence of the first engine, in the middle of the stream.
+/// Silence of the first engine.
 const FIRST_SILENCE: time::Duration = time::Duration::from_millis(2_200);
 
 /// The stream of a silent engine is given up once the request was under way to another
@@ -34,12 +35,45 @@
     refused_after_700_two_retries = { 700, "4" },
 )]
 fn stream_is_whole_after_the_other_engine_refused_it(silent_ms: u64, budget_slack: &str) {
+    assert_whole(6, budget_slack, |other| {
+        other.refuse_runs(true);
+        other.gate.plan(Silence {
+            point: SilencePoint::BeforeHead,
+            duration: time::Duration::from_millis(silent_ms),
+        });
+    });
+}
+
+/// An engine that is silent behind its last event is not given up for one that sends no event.
+#[parameterized(
+    at_once = { SilencePoint::BeforeHead, 0, "56" },
+    head_after_100 = { SilencePoint::BeforeHead, 100, "56" },
+    end_after_100 = { SilencePoint::BetweenEvents(EVENT_COUNT), 100, "56" },
+    end_after_700 = { SilencePoint::BetweenEvents(EVENT_COUNT), 700, "56" },
+    at_once_two_retries = { SilencePoint::BeforeHead, 0, "4" },
+)]
+fn stream_is_whole_after_the_other_engine_had_nothing_to_add(
+    point: SilencePoint,
+    silent_ms: u64,
+    budget_slack: &str,
+) {
+    assert_whole(EVENT_COUNT, budget_slack, |other| {
+        other.gate.plan(Silence {
+            point,
+            duration: time::Duration::from_millis(silent_ms),
+        });
+    });
+}
+
+/// Requests a stream whose engine is silent behind so many events, and expects all of it;
+/// `prepare` gets the other engine.
+fn assert_whole(events: u64, budget_slack: &str, prepare: impl Fn(&SilentWorker)) {
     let mut site = SilentSite::prepare(path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd")), 1);
     site.add_workers("llm", Some("decode"), 2);
     site.cluster.entries[0].set_setting("budget_slack", budget_slack);
     site.cluster.start();
     let first_silence = Silence {
-        point: SilencePoint::BetweenEvents(6),
+        point: SilencePoint::BetweenEvents(events),
         duration: FIRST_SILENCE,
     };
     site.workers.iter().for_each(|w| w.gate.plan(first_silence));
@@ -59,11 +93,7 @@
         let mut workers = site.workers.iter();
         let other = workers.find(|w| w.received_ids().is_empty());
         let other = other.expect("one engine has the stream");
-        other.refuse_runs(true);
-        other.gate.plan(Silence {
-            point: SilencePoint::BeforeHead,
-            duration: time::Duration::from_millis(silent_ms),
-        });
+        prepare(other);
         caller.join().expect("the caller does not panic")
     });
     thread::sleep(LOG_DELAY);
--- a/crates/daemon/tests/silence_tests.rs
+++ b/crates/daemon/tests/silence_tests.rs
@@ -145,6 +145,25 @@
     assert_streams_served(route, fallback, duration, &points);
 }
 
+/// A caller gets the end of its stream although its engine was silent behind the last event.
+#[parameterized(
+    once_1600 = { "once", Fallback::Missing, 1_600 },
+    once_2500 = { "once", Fallback::Missing, 2_500 },
+    resumable_alone_2500 = { "resumable", Fallback::Missing, 2_500 },
+    resumable_others_full_2500 = { "resumable", Fallback::Full, 2_500 },
+    resumable_no_budget_2500 = { "resumable", Fallback::NoBudget, 2_500 },
+    resumable_all_silent_2500 = { "resumable", Fallback::Silent, 2_500 },
+)]
+fn stream_ends_after_its_engine_was_silent_behind_its_last_event(
+    route: &str,
+    fallback: Fallback,
+    silent_ms: u64,
+) {
+    let duration = time::Duration::from_millis(silent_ms);
+    let points = [SilencePoint::BetweenEvents(EVENT_COUNT)];
+    assert_streams_served(route, fallback, duration, &points);
+}
+
 /// A caller gets its whole stream although its engine was silent before or inside the
 /// head.
 #[parameterized(
--- a/crates/fake/src/tracks/silence.rs
+++ b/crates/fake/src/tracks/silence.rs
@@ -21,7 +21,8 @@
     BeforeHead,
     /// In the middle of that head.
     InsideHead,
-    /// Between the events after so many of them; with 0, between the head and the first.
+    /// Between the events after so many of them; with 0, between the head and the first, with
+    /// their number, between the last and the end of the body.
     BetweenEvents(u64),
     /// In the middle of the event after so many of them.
     InsideEvent(u64),
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -326,7 +326,8 @@
             self.send_chunk(second, Some(inside), None)?;
             thread::sleep(interval);
         }
-        self.send(b"0\r\n\r\n", None, None)
+        let behind_last = SilencePoint::BetweenEvents(event_count);
+        self.send(b"0\r\n\r\n", Some(behind_last), None)
     }
 
     /// Sends a chunk of a body.
