A stream whose engine is silent behind its last event ends whole

Callers saw a stream cut off of which they had every event: its engine was silent for 1.6 s or more between the last event and the end of the body.

Cause: the silent engine was given up as soon as another one had sent the head of its response. That one has no event behind the last, and a body without an event doesn't show that nothing is missing, so the stream was started at engine after engine, each with nothing to add, until no retry was left.

Change: the silent engine is given up only once the next one has sent bytes, or has had the request for 250 ms as before. One that ends without bytes leaves the stream to the silent engine, whose own end completes it. Where the silent one is lost, a second engine that ends an event stream in order, marked by its framing, without an event confirms the end; one alone doesn't.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits a server-sent event stream into complete events.
 
 use std::time;
+use world::Name;
 
 /// Splits a byte stream into complete events and tracks the last event id and
 /// the timing.
@@ -21,6 +22,8 @@
     /// Whether another engine has taken over, whose first event is still to come.
     is_continuing: bool,
     is_misordered: bool,
+    /// Engine that had no event to add behind the last one.
+    empty_engine: Option<Name>,
 }
 
 /// Longest event that is read from an engine; an engine in trouble may send bytes
@@ -44,6 +47,7 @@
             is_consecutive: true,
             is_continuing: false,
             is_misordered: false,
+            empty_engine: None,
         }
     }
 
@@ -60,6 +64,19 @@
         self.is_continuing
     }
 
+    /// Returns whether another engine has taken over and sent nothing that counts yet.
+    pub(crate) fn is_at_handover(&self) -> bool {
+        self.is_continuing && !self.is_misordered && self.partial.is_empty()
+    }
+
+    /// Records that an engine has no event to add. Returns whether another one had none
+    /// either: then none is missing.
+    pub(crate) fn confirm_end(&mut self, engine: &Name) -> bool {
+        let is_confirmed = self.empty_engine.as_ref().is_some_and(|e| e != engine);
+        self.empty_engine.get_or_insert_with(|| engine.clone());
+        is_confirmed
+    }
+
     /// Returns whether bytes have arrived that don't follow the last event. They and all
     /// after them belong to another stream, or to none.
     pub(crate) fn is_misordered(&self) -> bool {
@@ -155,6 +172,7 @@
         }
         self.last_id = id.or(self.last_id);
         self.event_count += 1;
+        self.empty_engine = None;
         self.is_continuing = false;
         true
     }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -15,6 +15,8 @@
 
 /// A stream counts as paused after this many of its usual times between two events.
 const PAUSE_FACTOR: u32 = 4;
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// A stream does not count as paused before this time.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(150);
 
@@ -49,7 +51,11 @@
                 StreamEnd::CallerGone | StreamEnd::DeadlinePassed => {
                     return self.log_cut(end, &started.engine, &events);
                 }
+                StreamEnd::Empty if events.confirm_end(&started.engine) => {
+                    return self.complete(started, &events, &sender).await;
+                }
                 StreamEnd::ConnectionLost
+                | StreamEnd::Empty
                 | StreamEnd::Stalled
                 | StreamEnd::Oversized
                 | StreamEnd::Misordered => {
@@ -140,7 +146,10 @@
     /// Records that an engine failed a stream, and has it checked whether the engine
     /// crashed under it. If the stream may have been the cause, waits a moment for the
     /// result, so that it does not crash the next engine at once.
-    async fn handle_failure(&mut self, started: &StartedStream<<P::Upstreams as Upstreams>::Body>) {
+    pub(crate) async fn handle_failure(
+        &mut self,
+        started: &StartedStream<<P::Upstreams as Upstreams>::Body>,
+    ) {
         self.pool
             .decode_pool
             .borrow_mut()
@@ -164,6 +173,9 @@
         events: &EventSplitter,
         deadline: time::Instant,
     ) -> Result<Option<Result<bytes::Bytes, seam::FailureCause>>, tokio::time::error::Elapsed> {
+        if let Some(bytes) = started.unread.take() {
+            return Ok(Some(Ok(bytes)));
+        }
         let overdue = events.interval().map(|i| (i * PAUSE_FACTOR).max(MIN_PAUSE));
         let pause_at = overdue.map(|o| time::Instant::now() + o);
         let body = &mut started.response.body;
@@ -219,6 +231,9 @@
                 Ok(Some(Ok(bytes))) => bytes,
                 Ok(Some(Err(_))) => return StreamEnd::ConnectionLost,
                 Ok(None) if started.is_whole(events) => return StreamEnd::Complete,
+                Ok(None) if events.is_at_handover() && started.is_empty_stream() => {
+                    return StreamEnd::Empty;
+                }
                 Ok(None) => return StreamEnd::ConnectionLost,
                 Err(_) if self.job.time_left().is_zero() => return StreamEnd::DeadlinePassed,
                 Err(_) if progress.is_stalled(time::Instant::now()) => return StreamEnd::Stalled,
@@ -271,6 +286,14 @@
         let is_started = !may_have_crashed && !events.is_continuing();
         is_started && !events.has_partial() && !events.is_misordered()
     }
+
+    /// Returns whether a body that has ended in order is that of a stream, marks its end and
+    /// holds no event.
+    pub(crate) fn is_empty_stream(&self) -> bool {
+        let content_type = self.response.headers.get(http::header::CONTENT_TYPE);
+        let is_stream = content_type.is_some_and(|t| t.as_bytes().starts_with(EVENT_STREAM));
+        is_stream && !self.response.body.is_unframed() && self.event_count == 0
+    }
 }
 
 /// How forwarding from one engine ended.
@@ -280,6 +303,8 @@
     Complete,
     /// The connection was lost, or the stream ended within an event.
     ConnectionLost,
+    /// The engine took over, had no event to add, and ended in order.
+    Empty,
     /// No complete event arrived for too long.
     Stalled,
     /// The engine sent an event without end.
@@ -298,6 +323,7 @@
         match self {
             StreamEnd::Complete => "whole",
             StreamEnd::ConnectionLost => "broken",
+            StreamEnd::Empty => "empty",
             StreamEnd::Stalled => "stalled",
             StreamEnd::Oversized => "oversized",
             StreamEnd::Misordered => "misordered",
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -2,7 +2,8 @@
 //! received last.
 //!
 //! An engine that is only silent may go on. Its stream is kept open while the start
-//! elsewhere is prepared, and given up only once the other engine has taken over.
+//! elsewhere is prepared, and given up only once the other engine has sent something, or
+//! has had the request for some time.
 
 use crate::admit::Job;
 use crate::body::Chunk;
@@ -47,6 +48,16 @@
     HandedOver,
 }
 
+/// State of a silent engine after a sign of it.
+enum SilentState<S> {
+    /// No complete event has arrived.
+    Silent(StartedStream<S>),
+    /// It goes on or has ended in order.
+    Alive(Resumption<S>),
+    /// It is lost, or another engine has taken over.
+    GivenUp,
+}
+
 impl<P: seam::Platform> StreamRunner<P> {
     /// Starts the stream at another engine, beside the one that is silent.
     pub(crate) async fn resume(
@@ -67,43 +78,107 @@
                 return refused(&job, silent);
             }
         }
-        let mut start = pin::pin!(self.start(events.last_id));
-        let moved = loop {
+        let moved = {
+            let mut start = pin::pin!(self.start(events.last_id));
+            loop {
+                let sign = tokio::select! {
+                    biased;
+                    () = sender.closed() => return Resumption::CallerGone,
+                    sign = next_sign(&mut silent, &sent_at) => sign,
+                    moved = &mut start => break moved,
+                };
+                let Some(first) = silent.take() else {
+                    continue;
+                };
+                match apply_sign(&job, first, sign, events) {
+                    SilentState::Silent(first) => silent = Some(first),
+                    SilentState::Alive(resumption) => return resumption,
+                    SilentState::GivenUp => {}
+                }
+            }
+        };
+        match (moved, silent) {
+            (Ok(next), Some(first)) if next.response.status == StatusCode::OK => {
+                self.hand_over(first, next, events, sender).await
+            }
+            (Ok(next), None) if next.response.status == StatusCode::OK => {
+                events.continue_elsewhere();
+                Resumption::Moved(next)
+            }
+            (Ok(_) | Err(_), silent) => refused(&job, silent),
+        }
+    }
+
+    /// Reads both a silent engine and the next one, until one of them sends something or the
+    /// handover time is over. An engine that is silent behind its last event can only be told
+    /// by its own end, as the next one has nothing to add.
+    async fn hand_over(
+        &mut self,
+        first: StartedStream<<P::Upstreams as Upstreams>::Body>,
+        next: StartedStream<<P::Upstreams as Upstreams>::Body>,
+        events: &mut EventSplitter,
+        sender: &mpsc::Sender<Chunk>,
+    ) -> Resumption<<P::Upstreams as Upstreams>::Body> {
+        let job = self.job.clone();
+        let (mut first, mut next) = (first, next);
+        let end = next.sent_at + HANDOVER_TIME;
+        loop {
             let sign = tokio::select! {
                 biased;
                 () = sender.closed() => return Resumption::CallerGone,
-                sign = next_sign(&mut silent, &sent_at) => sign,
-                moved = &mut start => break moved,
-            };
-            let Some(mut first) = silent.take() else {
-                continue;
-            };
-            match sign {
-                Sign::HandedOver | Sign::Read(Some(Err(_))) => {}
-                Sign::Read(None) if first.is_whole(events) => return Resumption::Ended(first),
-                Sign::Read(None) => {}
-                Sign::Read(Some(Ok(bytes))) => {
-                    events.record_arrival(job.arrived_at);
-                    if let Some(complete) = first.push(events, bytes) {
-                        job.log_line("stream_went_on")
-                            .with("upstream", &first.engine)
-                            .with("events", events.event_count)
-                            .info();
-                        return Resumption::WentOn(first, complete);
+                chunk = first.response.body.next_chunk() => Sign::Read(chunk),
+                chunk = next.response.body.next_chunk() => match chunk {
+                    Some(Ok(bytes)) => {
+                        next.unread = Some(bytes);
+                        Sign::HandedOver
                     }
-                    if !events.is_oversized() && !events.is_misordered() {
-                        silent = Some(first);
+                    None if next.is_empty_stream() => {
+                        events.confirm_end(&next.engine);
+                        return refused(&job, Some(first));
                     }
+                    None | Some(Err(_)) => {
+                        self.handle_failure(&next).await;
+                        return refused(&job, Some(first));
+                    }
+                },
+                () = tokio::time::sleep_until(end.into()) => Sign::HandedOver,
+            };
+            match apply_sign(&job, first, sign, events) {
+                SilentState::Silent(silent) => first = silent,
+                SilentState::Alive(resumption) => return resumption,
+                SilentState::GivenUp => {
+                    events.continue_elsewhere();
+                    return Resumption::Moved(next);
                 }
             }
-        };
-        match moved {
-            Ok(next) if next.response.status == StatusCode::OK => {
-                drop(silent);
-                events.continue_elsewhere();
-                Resumption::Moved(next)
+        }
+    }
+}
+
+/// Applies what a silent engine did.
+fn apply_sign<S: ByteStream>(
+    job: &Job,
+    first: StartedStream<S>,
+    sign: Sign,
+    events: &mut EventSplitter,
+) -> SilentState<S> {
+    let mut first = first;
+    match sign {
+        Sign::Read(None) if first.is_whole(events) => SilentState::Alive(Resumption::Ended(first)),
+        Sign::HandedOver | Sign::Read(None | Some(Err(_))) => SilentState::GivenUp,
+        Sign::Read(Some(Ok(bytes))) => {
+            events.record_arrival(job.arrived_at);
+            if let Some(complete) = first.push(events, bytes) {
+                job.log_line("stream_went_on")
+                    .with("upstream", &first.engine)
+                    .with("events", events.event_count)
+                    .info();
+                return SilentState::Alive(Resumption::WentOn(first, complete));
+            }
+            match events.is_oversized() || events.is_misordered() {
+                true => SilentState::GivenUp,
+                false => SilentState::Silent(first),
             }
-            Ok(_) | Err(_) => refused(&job, silent),
         }
     }
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -39,6 +39,10 @@
     pub(crate) seat: Seat,
     /// Complete events that this engine has sent.
     pub(crate) event_count: u64,
+    /// When the request was sent to the engine.
+    pub(crate) sent_at: time::Instant,
+    /// The first bytes of the body, if they have been read before the others.
+    pub(crate) unread: Option<bytes::Bytes>,
 }
 
 /// Why no engine has started a stream.
@@ -260,7 +264,8 @@
             true => job.deadline.min(time::Instant::now() + HEAD_TIMEOUT),
             false => job.deadline,
         };
-        self.sent_at.set(Some(time::Instant::now()));
+        let sent_at = time::Instant::now();
+        self.sent_at.set(Some(sent_at));
         let result = self
             .entry
             .upstreams
@@ -331,6 +336,8 @@
             engine,
             seat,
             event_count: 0,
+            sent_at,
+            unread: None,
         })
     }
 
