--- a/crates/direct/src/verdict_store.rs
+++ b/crates/direct/src/verdict_store.rs
@@ -136,9 +136,8 @@
                 .with("revision", revision)
                 .info();
         }
-        // Another entry has written it; the next list tells its revision.
-        Ok(seam::SwapResult::Mismatch) => {}
-        Ok(seam::SwapResult::LeaseExpired) => {}
+        // Another entry has written it; the next list tells its revision. No lease is used.
+        Ok(seam::SwapResult::Mismatch | seam::SwapResult::LeaseExpired) => {}
         Err(error) => trace::LogLine::new("verdict_unstored")
             .with("key", &key)
             .with("fault", error)
