Test of a stream whose next engine fails it after the handover

The next engine answers 500 after 700 ms; the answer is cut though the first engine is sound. The stand-in's failures may be silent before their head; the body of the test of refusals is shared.

--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -2,11 +2,14 @@
 //! it.
 
 use fake::tracks::CallEnd;
+use fake::tracks::CallFault;
+use fake::tracks::CallRecord;
 use fake::tracks::CallerRequest;
 use fake::tracks::KeptCaller;
 use fake::tracks::Silence;
 use fake::tracks::SilencePoint;
 use fake::tracks::SilentSite;
+use fake::tracks::SilentWorker;
 use fake::tracks::event_text;
 use std::path;
 use std::thread;
@@ -22,21 +25,30 @@
 /// Silence of the first engine, in the middle of the stream.
 const FIRST_SILENCE: time::Duration = time::Duration::from_millis(2_200);
 
-/// The stream of a silent engine is given up once the request was under way to another
-/// engine for a quarter of a second. If that one then refuses it, the stream still reaches
-/// its caller whole: the first engine is sound, and takes it again.
-#[parameterized(
-    refused_at_once = { 0, "56" },
-    refused_after_700 = { 700, "56" },
-    refused_after_2000 = { 2_000, "56" },
-    refused_after_700_no_retry = { 700, "1" },
-    refused_after_700_one_retry = { 700, "2" },
-    refused_after_700_two_retries = { 700, "4" },
-)]
-fn stream_is_whole_after_the_other_engine_refused_it(silent_ms: u64, budget_slack: &str) {
+/// Prepares an entry with this budget of retries and two engines.
+fn prepare_site(budget_slack: &str) -> SilentSite {
     let mut site = SilentSite::prepare(path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd")), 1);
     site.add_workers("llm", Some("decode"), 2);
     site.cluster.entries[0].set_setting("budget_slack", budget_slack);
+    site
+}
+
+fn request() -> CallerRequest {
+    CallerRequest {
+        method: "POST",
+        path: format!("/resumable/events-{EVENT_COUNT}-60"),
+        id: "0000000000000001".to_owned(),
+        patience: PATIENCE,
+    }
+}
+
+/// Requests a stream whose engine is silent in its middle; `plan` is told of the other engine
+/// and of the time for which it is to be silent.
+fn request_handover(
+    site: &mut SilentSite,
+    silent_ms: u64,
+    plan: impl FnOnce(&SilentWorker),
+) -> CallRecord {
     site.cluster.start();
     let first_silence = Silence {
         point: SilencePoint::BetweenEvents(6),
@@ -44,22 +56,17 @@
     };
     site.workers.iter().for_each(|w| w.gate.plan(first_silence));
     let address = site.cluster.entries[0].caller_address;
-    let request = CallerRequest {
-        method: "POST",
-        path: format!("/resumable/events-{EVENT_COUNT}-60"),
-        id: "0000000000000001".to_owned(),
-        patience: PATIENCE,
-    };
+    let request = request();
     let record = thread::scope(|scope| {
         let caller = scope.spawn(|| {
             let mut caller = KeptCaller::connect(address).expect("the entry listens");
             caller.call(&request)
         });
         site.cluster.wait_until(|_| site.has_received(&request.id));
-        let mut workers = site.workers.iter();
+        let mut workers = site.workers.iter().take(2);
         let other = workers.find(|w| w.received_ids().is_empty());
         let other = other.expect("one engine has the stream");
-        other.refuse_runs(true);
+        plan(other);
         other.gate.plan(Silence {
             point: SilencePoint::BeforeHead,
             duration: time::Duration::from_millis(silent_ms),
@@ -67,8 +74,42 @@
         caller.join().expect("the caller does not panic")
     });
     thread::sleep(LOG_DELAY);
-    let log = site.log_of_request(&request.id);
+    record
+}
+
+fn assert_whole(site: &SilentSite, record: &CallRecord) {
+    let log = site.log_of_request(&request().id);
     let whole: String = (1..=EVENT_COUNT).map(event_text).collect();
     assert_eq!((record.end, record.status), (CallEnd::Whole, 200), "{log}");
     assert_eq!(record.body, whole);
 }
+
+/// The stream of a silent engine is given up once the request was under way to another
+/// engine for a quarter of a second. If that one then refuses it, the stream still reaches
+/// its caller whole: the first engine is sound, and takes it again.
+#[parameterized(
+    refused_at_once = { 0, "56" },
+    refused_after_700 = { 700, "56" },
+    refused_after_2000 = { 2_000, "56" },
+    refused_after_700_no_retry = { 700, "1" },
+    refused_after_700_one_retry = { 700, "2" },
+    refused_after_700_two_retries = { 700, "4" },
+)]
+fn stream_is_whole_after_the_other_engine_refused_it(silent_ms: u64, budget_slack: &str) {
+    let mut site = prepare_site(budget_slack);
+    let record = request_handover(&mut site, silent_ms, |other| other.refuse_runs(true));
+    assert_whole(&site, &record);
+}
+
+/// An engine's own failure is no answer to a stream that its caller has begun to read.
+#[parameterized(
+    failed_at_once = { 0 },
+    failed_after_700 = { 700 },
+)]
+fn stream_is_whole_after_the_other_engine_failed_it(silent_ms: u64) {
+    let mut site = prepare_site("56");
+    let record = request_handover(&mut site, silent_ms, |other| {
+        other.set_call_fault(CallFault::Fails);
+    });
+    assert_whole(&site, &record);
+}
--- a/crates/fake/src/tracks/silent_worker.rs
+++ b/crates/fake/src/tracks/silent_worker.rs
@@ -295,7 +295,7 @@
             "HTTP/1.1 {status} Any\r\n{}: {id}\r\n{mark}\r\ncontent-length: 0\r\n\r\n",
             names::REQUEST_ID,
         );
-        self.send(head.as_bytes(), None, None)?;
+        self.send(head.as_bytes(), Some(SilencePoint::BeforeHead), None)?;
         Ok(true)
     }
 
