A stream whose next engine fails it goes on at another one

Callers saw their answer cut in the middle although the first engine was only silent and others were free: stream 500, stream_lost kept=false, answer_cut cause=stalled.

Cause: the silent engine is given up 250 ms after the request went to another one. Any response but 200 of that one ended the resumption, with attempts, retries and time left.

Change: such a response is a failed attempt of the resumption, and the engine is backed off like one that broke. Attempts and the retry budget bound the loop as before.

--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -8,6 +8,8 @@
 use crate::body::Chunk;
 use crate::events::EventSplitter;
 use crate::retries::SpareRetry;
+use crate::stream;
+use crate::stream::StartError;
 use crate::stream::StartedStream;
 use crate::stream::StreamRunner;
 use http::StatusCode;
@@ -67,7 +69,7 @@
                 return refused(&job, silent);
             }
         }
-        let mut start = pin::pin!(self.start(events.last_id));
+        let mut start = pin::pin!(self.start_again(events.last_id));
         let moved = loop {
             let sign = tokio::select! {
                 biased;
@@ -98,12 +100,35 @@
             }
         };
         match moved {
-            Ok(next) if next.response.status == StatusCode::OK => {
+            Ok(next) => {
                 drop(silent);
                 events.continue_elsewhere();
                 Resumption::Moved(next)
             }
-            Ok(_) | Err(_) => refused(&job, silent),
+            Err(_) => refused(&job, silent),
+        }
+    }
+
+    /// Makes attempts until an engine goes on with the stream. A response without events is
+    /// no answer to a caller that has received some.
+    async fn start_again(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<StartedStream<<P::Upstreams as Upstreams>::Body>, StartError> {
+        loop {
+            let next = self.start(last_event).await?;
+            if next.response.status == StatusCode::OK {
+                return Ok(next);
+            }
+            let now = time::Instant::now();
+            let mut decode_pool = self.pool.decode_pool.borrow_mut();
+            decode_pool.record_failure(&next.engine, now);
+            drop(decode_pool);
+            self.trial = None;
+            self.failed_attempts += 1;
+            if self.failed_attempts >= stream::MAX_ATTEMPTS || self.job.time_left().is_zero() {
+                return Err(StartError::Unknown("failed"));
+            }
         }
     }
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -30,7 +30,7 @@
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
 /// that were full.
-const MAX_ATTEMPTS: u32 = 6;
+pub(crate) const MAX_ATTEMPTS: u32 = 6;
 
 /// A stream that an engine has started.
 pub(crate) struct StartedStream<S> {
