Test of a stream whose engine is silent twice while others refuse it

Five other engines refuse the stream in the first silence. In the second the next engine refuses it after the handover; the answer is cut though four others would take it.

--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -113,3 +113,49 @@
     });
     assert_whole(&site, &record);
 }
+
+/// Attempts that failed in an earlier silence don't count in a later one.
+#[test]
+fn stream_is_whole_after_two_silences_with_refusals() {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut site = SilentSite::prepare(program, 1);
+    site.add_workers("llm", Some("decode"), 1);
+    site.cluster.start();
+    let first = site.workers[0].gate.clone();
+    let silence = |event| Silence {
+        point: SilencePoint::BetweenEvents(event),
+        duration: FIRST_SILENCE,
+    };
+    first.plan(silence(4));
+    let address = site.cluster.entries[0].caller_address;
+    let request = request();
+    let log_count = |site: &SilentSite, word: &str| {
+        let log = site.log_of_request(&request.id);
+        log.matches(word).count()
+    };
+    let record = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let mut caller = KeptCaller::connect(address).expect("the entry listens");
+            caller.call(&request)
+        });
+        site.cluster.wait_until(|_| site.has_received(&request.id));
+        site.add_group("llm", Some("decode"), 5);
+        let others = &site.workers[1..];
+        others.iter().for_each(|w| w.refuse_runs(true));
+        site.cluster.wait_until(|_| {
+            log_count(&site, "event=stream_went_on") + log_count(&site, "event=stream_lost") > 0
+        });
+        first.plan(silence(10));
+        others[0].gate.plan(Silence {
+            point: SilencePoint::BeforeHead,
+            duration: time::Duration::from_millis(900),
+        });
+        site.cluster
+            .wait_until(|_| log_count(&site, "end=stalled") == 2);
+        thread::sleep(time::Duration::from_millis(500));
+        others.iter().for_each(|w| w.refuse_runs(false));
+        caller.join().expect("the caller does not panic")
+    });
+    thread::sleep(LOG_DELAY);
+    assert_whole(&site, &record);
+}
