Failed attempts of an earlier silence don't count in a later one

Callers saw a long stream cut at a later silence of its engine: stream_missed tries=7, stream_lost kept=false, answer_cut, with engines, retries and time left.

Cause: the count of failed attempts ran over the whole stream and ended the resumption at six. Once it was reached, the first refusal after the handover cut the answer.

Change: each resumption counts its own attempts. Sends stay bounded by the retry budget, and each wait by the caller's.

Evidence: stream_is_whole_after_two_silences_with_refusals red before; handover_tests 9 of 9 pass in two plays after.

--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -61,6 +61,7 @@
         let job = self.job.clone();
         let sent_at = self.sent_at.clone();
         self.may_have_run = true;
+        self.failed_attempts = 0;
         self.sends_before = self.send_count;
         if silent.is_some() {
             // The other engine may refuse the stream once the silent one is given up.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -99,7 +99,8 @@
     pub(crate) pool: rc::Rc<EnginePool>,
     pub(crate) job: rc::Rc<Job>,
     ticket: pool::Ticket,
-    /// Attempts that have failed, without those at engines that were full.
+    /// Attempts that have failed since the stream was last to be started or resumed, without
+    /// those at engines that were full.
     pub(crate) failed_attempts: u32,
     pub(crate) arrivals: pool::Arrivals,
     /// Requests sent to decode engines.
