--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -159,3 +159,40 @@
     thread::sleep(LOG_DELAY);
     assert_whole(&site, &record);
 }
+
+/// A silent stream is given up only while a retry is kept back, also if another engine has
+/// refused it before.
+#[test]
+fn stream_is_whole_after_a_quick_and_a_late_refusal_with_one_retry() {
+    let mut site = prepare_site("4");
+    site.cluster.start();
+    let first_silence = Silence {
+        point: SilencePoint::BetweenEvents(6),
+        duration: FIRST_SILENCE,
+    };
+    site.workers.iter().for_each(|w| w.gate.plan(first_silence));
+    let address = site.cluster.entries[0].caller_address;
+    let request = request();
+    let record = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let mut caller = KeptCaller::connect(address).expect("the entry listens");
+            caller.call(&request)
+        });
+        site.cluster.wait_until(|_| site.has_received(&request.id));
+        let mut workers = site.workers.iter();
+        let other = workers.find(|w| w.received_ids().is_empty());
+        let other = other.expect("one engine has the stream");
+        other.refuse_runs(true);
+        let refused = |site: &SilentSite| site.log_of_request(&request.id).contains("why=refused");
+        while !refused(&site) {
+            thread::sleep(time::Duration::from_millis(2));
+        }
+        other.gate.plan(Silence {
+            point: SilencePoint::BeforeHead,
+            duration: time::Duration::from_millis(900),
+        });
+        caller.join().expect("the caller does not panic")
+    });
+    thread::sleep(LOG_DELAY);
+    assert_whole(&site, &record);
+}
