The retry kept back for a silent stream is used only once it was given up

Callers saw their answer cut though its engine was sound: the next engine refused the stream at once, then once more after the handover; stream_missed tries=2, stream_lost kept=false, answer_cut cause=stalled.

Cause: the retry that is kept back for refusals after the handover could pay for a send while the silent engine was still there. The handover then went on without one, and the next refusal had no retry.

Change: the spare is taken only after the silent engine was given up or has failed. Without another retry the stream stays where it is.

--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -60,9 +60,10 @@
         let mut silent = silent;
         let job = self.job.clone();
         let sent_at = self.sent_at.clone();
+        let silent_kept = self.silent_kept.clone();
         self.may_have_run = true;
         self.failed_attempts = 0;
-        self.sends_before = self.send_count;
+        self.silent_kept.set(silent.is_some());
         if silent.is_some() {
             // The other engine may refuse the stream once the silent one is given up.
             self.spare = SpareRetry::reserve(&self.entry, &job.service);
@@ -81,6 +82,7 @@
             let Some(mut first) = silent.take() else {
                 continue;
             };
+            silent_kept.set(false);
             match sign {
                 Sign::HandedOver | Sign::Read(Some(Err(_))) => {}
                 Sign::Read(None) if first.is_whole(events) => return Resumption::Ended(first),
@@ -95,6 +97,7 @@
                         return Resumption::WentOn(first, complete);
                     }
                     if !events.is_oversized() && !events.is_misordered() {
+                        silent_kept.set(true);
                         silent = Some(first);
                     }
                 }
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -65,12 +65,12 @@
         retry_budget.try_take(&self.job.service, entries, now)
     }
 
-    /// Takes the retry that was kept back, which is not meant for the first engine that the
-    /// stream is to go on at.
+    /// Takes the retry that was kept back, which is meant for the time after the silent
+    /// engine was given up.
     fn take_spare(&mut self) -> bool {
-        let spare = match self.send_count > self.sends_before {
-            true => self.spare.take(),
-            false => None,
+        let spare = match self.silent_kept.get() {
+            true => None,
+            false => self.spare.take(),
         };
         spare.map(SpareRetry::take).is_some()
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -103,10 +103,8 @@
     /// those at engines that were full.
     pub(crate) failed_attempts: u32,
     pub(crate) arrivals: pool::Arrivals,
-    /// Requests sent to decode engines.
-    pub(crate) send_count: u32,
-    /// How many of them were sent before the stream was last to be resumed.
-    pub(crate) sends_before: u32,
+    /// Whether the silent engine of a stream that is being resumed may still go on.
+    pub(crate) silent_kept: rc::Rc<cell::Cell<bool>>,
     /// Engines that were sent the request, or its prompt.
     pub(crate) sent_to: Vec<Name>,
     /// Whether an engine may have executed the request.
@@ -135,8 +133,7 @@
             ticket,
             failed_attempts: 0,
             arrivals: pool::Arrivals::default(),
-            send_count: 0,
-            sends_before: 0,
+            silent_kept: rc::Rc::default(),
             sent_to: Vec::new(),
             may_have_run: false,
             sent_at: rc::Rc::default(),
@@ -247,7 +244,6 @@
             return Err(StartError::Abandoned);
         }
         self.arrivals.record_send();
-        self.send_count += 1;
         let options = seam::SendOptions {
             tenant: job.tenant.clone(),
             timeout: Some(job.time_left()),
