--- a/crates/pool/tests/stall_tests.rs
+++ b/crates/pool/tests/stall_tests.rs
@@ -87,3 +87,14 @@
     progress.record_read(true, event_at);
     assert_eq!(stalled_after(&mut progress, event_at), Some(1.5));
 }
+
+/// The first bytes of a long event may come in many reads, before its engine falls silent.
+#[test]
+fn silence_inside_a_long_event_ends_no_stream_that_can_not_move() {
+    let start = time::Instant::now();
+    let mut progress = StreamProgress::new(false, start);
+    for _ in 0..40 {
+        progress.record_read(false, start);
+    }
+    assert_eq!(stalled_after(&mut progress, start), None);
+}
