A late engine is given up only if the stream can start elsewhere

Callers on a route that may be repeated got 502 outcome_unknown 5 s after their request was sent, though time was left and the engine would have answered.

Cause: the limit of 5 s for the head of a response ended the attempt also with no retry left in the budget, or no other engine that is ready. Nothing could take its place.

Change: at the limit the engine is given up if there is a retry and another engine; if not, that is looked at again after the same time, up to the request's time limit.

--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -58,6 +58,13 @@
         granted
     }
 
+    /// Returns whether there is a retry, and another engine that may take it.
+    pub(crate) fn can_retry(&self) -> bool {
+        let has_retry =
+            self.spare.is_some() || SpareRetry::reserve(&self.entry, &self.job.service).is_some();
+        has_retry && self.pool.decode_pool.borrow().engine_count() > 1
+    }
+
     fn take_retry(&self) -> bool {
         let now = time::Instant::now();
         let entries = self.entry.entry_count();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use seam::Upstreams;
 use std::cell;
+use std::pin;
 use std::rc;
 use std::time;
 use world::Name;
@@ -25,8 +26,8 @@
 /// number of the route's latency targets, this number of its targets for the pause
 /// between two events, and this time.
 const CALLER_TIMEOUT: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
-/// How long an engine may take to send the head of its response if another engine can
-/// take over; otherwise it has the time that is left.
+/// How long an engine may take to send the head of its response before it is given up for
+/// another one. As long as the stream can't start elsewhere, it has the time that is left.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
 /// that were full.
@@ -253,16 +254,8 @@
             priority: None,
             is_repeat: self.record_sending(&target),
         };
-        let deadline = match job.route.retry.is_repeatable() {
-            true => job.deadline.min(time::Instant::now() + HEAD_TIMEOUT),
-            false => job.deadline,
-        };
         self.sent_at.set(Some(time::Instant::now()));
-        let result = self
-            .entry
-            .upstreams
-            .send(&target, &job.request, &options, deadline)
-            .await;
+        let result = self.send(&target, &options).await;
         self.sent_at.set(None);
         // A verdict may come while the crash of the engine is checked.
         self.may_have_run |= result.as_ref().is_err_and(|e| e.may_have_run);
@@ -331,6 +324,30 @@
         })
     }
 
+    /// Sends the request. A late engine is given up only if the stream can start at another
+    /// one.
+    async fn send(
+        &self,
+        target: &seam::Target,
+        options: &seam::SendOptions,
+    ) -> Result<seam::Response<<P::Upstreams as Upstreams>::Body>, seam::SendError> {
+        let (upstreams, job) = (&self.entry.upstreams, &self.job);
+        let sent = upstreams.send(target, &job.request, options, job.deadline);
+        let mut sent = pin::pin!(sent);
+        loop {
+            match tokio::time::timeout(HEAD_TIMEOUT, &mut sent).await {
+                Ok(result) => return result,
+                Err(_) if job.route.retry.is_repeatable() && self.can_retry() => {
+                    return Err(seam::SendError {
+                        may_have_run: true,
+                        cause: seam::FailureCause::TimedOut,
+                    });
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
