--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -114,6 +114,18 @@
     assert_whole(&site, &record);
 }
 
+/// A retry that is kept back for the stream isn't used to read its prompt once more.
+#[parameterized(
+    three_retries = { "5" },
+    four_retries = { "6" },
+)]
+fn stream_with_a_prefill_is_whole_after_the_other_engine_refused_it(budget_slack: &str) {
+    let mut site = prepare_site(budget_slack);
+    site.add_workers("llm", Some("prefill"), 1);
+    let record = request_handover(&mut site, 700, |other| other.refuse_runs(true));
+    assert_whole(&site, &record);
+}
+
 /// Attempts that failed in an earlier silence don't count in a later one.
 #[test]
 fn stream_is_whole_after_two_silences_with_refusals() {
