A prompt is read once more only if a retry is left for the send

Callers saw their answer cut though its engine was sound: after a refused handover the prompt was read again, and no retry was left to send the stream; prompt ready=true, stream_lost kept=false, answer_cut cause=stalled.

Cause: a further prefill counts as a retry and could take the last one, also the one that is kept back for the send, without which it is of no use.

Change: a prefill that needs a retry takes one only if another is left for the send. If not, the decode engine reads the prompt itself.

--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -30,7 +30,7 @@
             let Some((prefill, expected)) = assignment else {
                 return Ok(None);
             };
-            if !self.take_needed_retry() {
+            if !self.take_prompt_retry() {
                 return Ok(None);
             }
             match self.prefill_once(prefill, expected).await {
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -58,6 +58,24 @@
         granted
     }
 
+    /// Takes a retry from the service's budget if the next prefill needs one; returns false
+    /// if none would be left for the send, without which a prefill is of no use.
+    pub(crate) fn take_prompt_retry(&mut self) -> bool {
+        if !self.arrivals.needs_retry() {
+            return true;
+        }
+        let has_spare = self.spare.is_some() && !self.silent_kept.get();
+        let reserved = match has_spare {
+            true => None,
+            false => SpareRetry::reserve(&self.entry, &self.job.service),
+        };
+        let granted = (has_spare || reserved.is_some()) && self.take_retry();
+        if granted {
+            self.arrivals.record_retry();
+        }
+        granted
+    }
+
     /// Returns whether there is a retry, and another engine that may take it.
     pub(crate) fn can_retry(&self) -> bool {
         let has_retry =
