Test of a request whose head crosses the idle limit

It is answered, also before this test: a connection on which a head has begun to arrive is not closed by its idle limit.

--- a/crates/daemon/tests/kept_connection_tests.rs
+++ b/crates/daemon/tests/kept_connection_tests.rs
@@ -10,6 +10,9 @@
 use fake::tracks::SilentSite;
 use fake::tracks::body_bytes;
 use serde_json::json;
+use std::io::Read;
+use std::io::Write;
+use std::net;
 use std::path;
 use std::sync::atomic;
 use std::thread;
@@ -190,3 +193,20 @@
     );
     assert!(answer.body == body_bytes(LARGE_BYTES));
 }
+
+/// The idle limit doesn't end a connection on which the next request has begun to arrive.
+#[test]
+fn request_whose_head_crosses_the_idle_limit_is_answered() {
+    let site = start_site(1_000);
+    let address = site.cluster.entries[0].caller_address;
+    let mut stream = net::TcpStream::connect(address).expect("the entry listens");
+    thread::sleep(time::Duration::from_millis(800));
+    let mut send = |text: &str| stream.write_all(text.as_bytes());
+    send("POST /unknown/ HTTP/1.1\r\nhost: agency.example\r\n").expect("it is open");
+    thread::sleep(time::Duration::from_millis(500));
+    // A failed write shows in the answer, too.
+    let _ = send("connection: close\r\ncontent-length: 0\r\n\r\n");
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert!(answer.starts_with("HTTP/1.1 4"), "{answer:?}");
+}
