--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -9,6 +9,8 @@
 use crate::body::Chunk;
 use crate::events::EventSplitter;
 use crate::retries::SpareRetry;
+use crate::stream;
+use crate::stream::StartError;
 use crate::stream::StartedStream;
 use crate::stream::StreamRunner;
 use http::StatusCode;
@@ -69,8 +71,10 @@
         let mut silent = silent;
         let job = self.job.clone();
         let sent_at = self.sent_at.clone();
+        let silent_kept = self.silent_kept.clone();
         self.may_have_run = true;
-        self.sends_before = self.send_count;
+        self.failed_attempts = 0;
+        self.silent_kept.set(silent.is_some());
         if silent.is_some() {
             // The other engine may refuse the stream once the silent one is given up.
             self.spare = SpareRetry::reserve(&self.entry, &job.service);
@@ -79,7 +83,7 @@
             }
         }
         let moved = {
-            let mut start = pin::pin!(self.start(events.last_id));
+            let mut start = pin::pin!(self.start_again(events.last_id));
             loop {
                 let sign = tokio::select! {
                     biased;
@@ -90,22 +94,24 @@
                 let Some(first) = silent.take() else {
                     continue;
                 };
+                silent_kept.set(false);
                 match apply_sign(&job, first, sign, events) {
-                    SilentState::Silent(first) => silent = Some(first),
+                    SilentState::Silent(first) => {
+                        silent_kept.set(true);
+                        silent = Some(first);
+                    }
                     SilentState::Alive(resumption) => return resumption,
                     SilentState::GivenUp => {}
                 }
             }
         };
         match (moved, silent) {
-            (Ok(next), Some(first)) if next.response.status == StatusCode::OK => {
-                self.hand_over(first, next, events, sender).await
-            }
-            (Ok(next), None) if next.response.status == StatusCode::OK => {
+            (Ok(next), Some(first)) => self.hand_over(first, next, events, sender).await,
+            (Ok(next), None) => {
                 events.continue_elsewhere();
                 Resumption::Moved(next)
             }
-            (Ok(_) | Err(_), silent) => refused(&job, silent),
+            (Err(_), silent) => refused(&job, silent),
         }
     }
 
@@ -153,6 +159,29 @@
             }
         }
     }
+
+    /// Makes attempts until an engine goes on with the stream. A response without events is
+    /// no answer to a caller that has received some.
+    async fn start_again(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<StartedStream<<P::Upstreams as Upstreams>::Body>, StartError> {
+        loop {
+            let next = self.start(last_event).await?;
+            if next.response.status == StatusCode::OK {
+                return Ok(next);
+            }
+            let now = time::Instant::now();
+            let mut decode_pool = self.pool.decode_pool.borrow_mut();
+            decode_pool.record_failure(&next.engine, now);
+            drop(decode_pool);
+            self.trial = None;
+            self.failed_attempts += 1;
+            if self.failed_attempts >= stream::MAX_ATTEMPTS || self.job.time_left().is_zero() {
+                return Err(StartError::Unknown("failed"));
+            }
+        }
+    }
 }
 
 /// Applies what a silent engine did.
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -58,6 +58,31 @@
         granted
     }
 
+    /// Takes a retry from the service's budget if the next prefill needs one; returns false
+    /// if none would be left for the send, without which a prefill is of no use.
+    pub(crate) fn take_prompt_retry(&mut self) -> bool {
+        if !self.arrivals.needs_retry() {
+            return true;
+        }
+        let has_spare = self.spare.is_some() && !self.silent_kept.get();
+        let reserved = match has_spare {
+            true => None,
+            false => SpareRetry::reserve(&self.entry, &self.job.service),
+        };
+        let granted = (has_spare || reserved.is_some()) && self.take_retry();
+        if granted {
+            self.arrivals.record_retry();
+        }
+        granted
+    }
+
+    /// Returns whether there is a retry, and another engine that may take it.
+    pub(crate) fn can_retry(&self) -> bool {
+        let has_retry =
+            self.spare.is_some() || SpareRetry::reserve(&self.entry, &self.job.service).is_some();
+        has_retry && self.pool.decode_pool.borrow().engine_count() > 1
+    }
+
     fn take_retry(&self) -> bool {
         let now = time::Instant::now();
         let entries = self.entry.entry_count();
@@ -65,12 +90,12 @@
         retry_budget.try_take(&self.job.service, entries, now)
     }
 
-    /// Takes the retry that was kept back, which is not meant for the first engine that the
-    /// stream is to go on at.
+    /// Takes the retry that was kept back, which is meant for the time after the silent
+    /// engine was given up.
     fn take_spare(&mut self) -> bool {
-        let spare = match self.send_count > self.sends_before {
-            true => self.spare.take(),
-            false => None,
+        let spare = match self.silent_kept.get() {
+            true => None,
+            false => self.spare.take(),
         };
         spare.map(SpareRetry::take).is_some()
     }
