--- a/crates/pool/tests/notice_tests.rs
+++ b/crates/pool/tests/notice_tests.rs
@@ -362,3 +362,32 @@
     assert_eq!(calls.count(), 0);
     assert!(notices.allows(&"a".into(), now + delay));
 }
+
+/// A release may be answered although the host would refuse work.
+#[test]
+fn control_call_after_a_pause_does_not_let_all_work_return() {
+    let now = time::Instant::now();
+    let mut notices = listed(&["a"], now);
+    notices.record(&pause("a", SECOND, now));
+    let end = now + SECOND;
+    let control = notices.start_call(&host("a", 1), CallKind::Control, end);
+    let permit = control.expect("the pause is over");
+    notices.end_call(&host("a", 1), permit);
+    let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
+    assert_eq!(work(&mut notices, end), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, end), Err(Withheld::Probed));
+}
+
+#[test]
+fn control_call_without_an_answer_does_not_let_all_work_return() {
+    let now = time::Instant::now();
+    let mut notices = listed(&["a"], now);
+    notices.record(&pause("a", SECOND, now));
+    let end = now + SECOND;
+    let control = notices.start_call(&host("a", 1), CallKind::Control, end);
+    assert!(control.is_ok());
+    let later = end + pool::PROBE_TIMEOUT;
+    let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
+    assert_eq!(work(&mut notices, later), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, later), Err(Withheld::Probed));
+}
