A control call after a pause doesn't end the test with work

Callers that waited for a host returned to it all at once, as soon as the entry had released a reservation there or read its report: any call took the place of the test after a pause, and any answer to it ended the pause. A host answers such calls though it would refuse work. A pause now ends by work alone; a control call before it only keeps other calls back while it lasts.

--- a/crates/pool/src/host_notices.rs
+++ b/crates/pool/src/host_notices.rs
@@ -121,7 +121,14 @@
 #[derive(Clone, Copy, Debug)]
 struct Pause {
     until: time::Instant,
-    probed_at: Option<time::Instant>,
+    probe: Option<Probe>,
+}
+
+/// A call that was made after a pause and that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    started_at: time::Instant,
+    kind: CallKind,
 }
 
 impl Pause {
@@ -129,8 +136,14 @@
         if self.until > now {
             return Some(Withheld::Paused);
         }
-        let probed_at = self.probed_at?;
-        (probed_at + PROBE_TIMEOUT > now).then_some(Withheld::Probed)
+        let started_at = self.probe?.started_at;
+        (started_at + PROBE_TIMEOUT > now).then_some(Withheld::Probed)
+    }
+
+    /// Returns whether a call has tested whether the host takes work again. A host may
+    /// answer a control call although it would refuse work.
+    fn is_tested(&self) -> bool {
+        self.probe.is_some_and(|p| p.kind == CallKind::Work)
     }
 }
 
@@ -158,7 +171,7 @@
         });
         self.pauses.retain(|host, pause| {
             let is_listed = listed.get(&host.id) == Some(&host.started_ms);
-            pause.withheld(now).is_some() || (is_listed && pause.probed_at.is_none())
+            pause.withheld(now).is_some() || (is_listed && !pause.is_tested())
         });
     }
 
@@ -188,8 +201,8 @@
                 until = until.max(known.until);
             }
             if !pause.is_zero() {
-                let probed_at = None;
-                self.pauses.insert(host, Pause { until, probed_at });
+                let probe = None;
+                self.pauses.insert(host, Pause { until, probe });
             }
         }
         effect
@@ -271,8 +284,9 @@
         })
     }
 
-    /// Decides whether a call may be made, and records it if so. The first call after a
-    /// pause tests whether the host takes calls again.
+    /// Decides whether a call may be made, and records it if so. The first work after a
+    /// pause tests whether the host takes calls again; a control call before it keeps
+    /// others back only while it lasts.
     pub fn start_call(
         &mut self,
         host: &Incarnation,
@@ -285,20 +299,27 @@
         let Some(pause) = self.pauses.get_mut(host) else {
             return Ok(Permit::Usual);
         };
-        if pause.probed_at.is_some() {
+        if pause.is_tested() {
             self.pauses.remove(host);
             return Ok(Permit::Usual);
         }
-        pause.probed_at = Some(now);
+        let started_at = now;
+        pause.probe = Some(Probe { started_at, kind });
         Ok(Permit::Probe)
     }
 
-    /// Records that a call has ended, after its notice if it brought one. A test that brought
-    /// no new pause ends the old one.
+    /// Records that a call has ended, after its notice if it brought one. A test with work
+    /// that brought no new pause ends the old one.
     pub fn end_call(&mut self, host: &Incarnation, permit: Permit) {
-        let pause = self.pauses.get(host);
-        if permit == Permit::Probe && pause.is_some_and(|p| p.probed_at.is_some()) {
-            self.pauses.remove(host);
+        let Some(pause) = self.pauses.get_mut(host) else {
+            return;
+        };
+        match (permit, pause.is_tested()) {
+            (Permit::Probe, true) => {
+                self.pauses.remove(host);
+            }
+            (Permit::Probe, false) => pause.probe = None,
+            (Permit::Usual, _) => {}
         }
     }
 
