--- /dev/null
+++ b/crates/daemon/tests/seat_notice_tests.rs
@@ -0,0 +1,117 @@
+//! Tests of streams in progress whose engine says that it is leaving, or that it wants no
+//! call for a time.
+
+use fake::tracks::TracksCluster;
+use fake::tracks::Worker;
+use fake::tracks::WorkerBehaviour;
+use fake::tracks::names;
+use std::path;
+use std::thread;
+use std::time;
+use yare::parameterized;
+
+/// What an engine says of itself from some point on.
+type Notice = fn(&mut WorkerBehaviour);
+
+fn start_cluster(stages: &[&'static str]) -> TracksCluster {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, stages, 0, 1);
+    cluster.start();
+    cluster
+}
+
+fn say_leaving(behaviour: &mut WorkerBehaviour) {
+    behaviour.leaving = &["1"];
+}
+
+fn want_no_call(behaviour: &mut WorkerBehaviour) {
+    behaviour.retry_after = Some("20");
+}
+
+/// Requests a stream, which must be complete.
+fn stream(cluster: &TracksCluster) {
+    let response = cluster.request_stream(0, "/resumable/a", &[]);
+    assert!(response.complete && response.status == 200, "{response:?}");
+}
+
+/// Requests streams until an engine has received a call for one of them, and returns how
+/// many streams there were.
+fn stream_until_called(cluster: &TracksCluster, engine: &Worker) -> usize {
+    let mut count = 0;
+    while called(engine) == 0 {
+        stream(cluster);
+        count += 1;
+        assert!(count < 100, "the engine gets no call");
+    }
+    count
+}
+
+/// Counts the calls for reservations, prefills and streams that an engine received.
+fn called(engine: &Worker) -> usize {
+    let calls = engine.received();
+    let is_work = |path: &str| path == names::RESERVE_PATH || path.starts_with("/resumable/");
+    calls.iter().filter(|c| is_work(&c.path)).count()
+}
+
+/// An engine that is leaving still hands over the memory of a prompt that it has read.
+#[test]
+fn memory_at_a_leaving_prefill_engine_is_used() {
+    let cluster = start_cluster(&["prefill", "decode"]);
+    cluster.engines[0].set_behaviour(say_leaving);
+    stream(&cluster);
+    stream(&cluster);
+    assert_eq!(cluster.engines[0].received_under("/resumable/").len(), 1);
+    let streams = cluster.engines[1].received_under("/resumable/");
+    let sources: Vec<&str> = streams.iter().map(|c| c.header(names::KV_SOURCE)).collect();
+    assert!(
+        !sources[0].is_empty() && sources[1].is_empty(),
+        "{sources:?}"
+    );
+}
+
+/// A stream breaks off at an engine after two events and goes on at another one.
+#[parameterized(
+    leaving = { say_leaving },
+    paused = { want_no_call },
+)]
+fn broken_stream_goes_on_at_no_engine_that_gave_notice(notice: Notice) {
+    let cluster = start_cluster(&["prefill", "decode", "decode", "decode"]);
+    let (silent, broken) = (&cluster.engines[1], &cluster.engines[2]);
+    silent.set_behaviour(notice);
+    stream_until_called(&cluster, silent);
+    broken.set_behaviour(|b| b.abort_after = Some(2));
+    for _ in 0..6 {
+        stream(&cluster);
+    }
+    let before = broken.received_under("/resumable/").len();
+    cluster.wait_until(|c| {
+        stream(c);
+        broken.received_under("/resumable/").len() > before
+    });
+    let moved = cluster.engines[3].received_under("/resumable/");
+    assert!(moved.iter().any(|c| c.header("last-event-id") == "2"));
+    assert_eq!(called(silent), 1, "{:?}", silent.received());
+}
+
+/// A stream that runs at an engine goes on there, whatever that engine says to others.
+#[parameterized(
+    leaving = { say_leaving },
+    paused = { want_no_call },
+)]
+fn running_stream_goes_on_at_an_engine_that_gives_notice(notice: Notice) {
+    let cluster = start_cluster(&["prefill", "decode"]);
+    let engine = &cluster.engines[1];
+    engine.set_behaviour(|b| {
+        b.event_count = 8;
+        b.event_interval = time::Duration::from_millis(100);
+    });
+    thread::scope(|scope| {
+        let running = scope.spawn(|| cluster.request_stream(0, "/resumable/a", &[]));
+        cluster.wait_until(|_| engine.active_streams() == 1);
+        engine.set_behaviour(notice);
+        scope.spawn(|| cluster.request_stream(0, "/resumable/b", &[]));
+        let response = running.join().expect("the caller thread does not panic");
+        assert!(response.complete, "{response:?}");
+    });
+    assert_eq!(engine.received_under("/resumable/a").len(), 1);
+}
