--- a/crates/daemon/tests/seat_notice_tests.rs
+++ b/crates/daemon/tests/seat_notice_tests.rs
@@ -53,6 +53,16 @@
     calls.iter().filter(|c| is_work(&c.path)).count()
 }
 
+/// An engine that says it is leaving as it grants a seat has no use for the prompt.
+#[test]
+fn no_prompt_is_read_for_a_seat_at_a_leaving_engine() {
+    let cluster = start_cluster(&["prefill", "decode", "decode"]);
+    cluster.engines[1].set_behaviour(say_leaving);
+    let streams = stream_until_called(&cluster, &cluster.engines[1]);
+    let prompts = cluster.engines[0].received_under("/resumable/");
+    assert_eq!(prompts.len(), streams);
+}
+
 /// An engine that is leaving still hands over the memory of a prompt that it has read.
 #[test]
 fn memory_at_a_leaving_prefill_engine_is_used() {
