An engine that leaves as it grants a seat is left before the prompt is read

Callers waited for a prompt that was read for a seat which couldn't be used: whether the engine still took work was checked only after the prefill, though an engine may say that it is leaving when it grants the seat. The check is made after the grant too, so that nothing is read in vain.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -237,11 +237,9 @@
             .as_ref()
             .map_or(time::Duration::ZERO, |(_, t)| *t);
         let mut reservation = self.reserve(&target, need, expected).await?;
+        self.check_accepting(&engine)?;
         let mut cache = self.prefill_with_retry(assignment, zone.as_deref()).await?;
-        // The engine may have begun to drain while the prompt was processed.
-        if !self.entry.is_accepting(&engine) {
-            return Err(StartError::NotExecuted("draining"));
-        }
+        self.check_accepting(&engine)?;
         if !self.take_needed_retry() {
             return Err(StartError::Abandoned);
         }
@@ -334,6 +332,15 @@
         })
     }
 
+    /// Fails if an engine has begun to leave or wants no call, as it may say when it grants
+    /// a seat, or while the prompt is processed.
+    fn check_accepting(&self, engine: &Name) -> Result<(), StartError> {
+        match self.entry.is_accepting(engine) {
+            true => Ok(()),
+            false => Err(StartError::NotExecuted("draining")),
+        }
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
