--- a/crates/daemon/tests/seat_notice_tests.rs
+++ b/crates/daemon/tests/seat_notice_tests.rs
@@ -63,6 +63,58 @@
     assert_eq!(prompts.len(), streams);
 }
 
+/// The engine that granted the seat is lost while the prompt is read elsewhere.
+#[parameterized(
+    leaving = { say_leaving },
+    paused = { want_no_call },
+)]
+fn prompt_read_for_a_lost_seat_is_used_at_another_engine(notice: Notice) {
+    let mut cluster = start_cluster(&["prefill", "decode", "decode"]);
+    cluster.configure(|c| {
+        let engine = &mut c["services"][0]["engine"];
+        // Engines that are nearly empty are picked at random.
+        engine["kv_capacity_tokens"] = 400_000.into();
+        // The other engine is asked again some time after its last refusal.
+        engine["handle_ttl_s"] = 2.into();
+    });
+    let version = format!("version={} ", cluster.configuration["version"]);
+    cluster.wait_until(|c| c.entries[0].log().contains(&version));
+    cluster.engines[0].set_behaviour(|b| b.prefill_paused = true);
+    // The entry allows more than a second to prefill a prompt of this length.
+    let long = [(names::TOKEN_COUNTS, "30000,100")];
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| cluster.request(0, "POST", "/resumable/a", "", &long));
+        let has_seat =
+            |c: &TracksCluster| c.engines[1..].iter().any(|e| e.reservation_count() == 1);
+        cluster.wait_until(has_seat);
+        let (chosen, other) = match cluster.engines[1].reservation_count() {
+            1 => (&cluster.engines[1], &cluster.engines[2]),
+            _ => (&cluster.engines[2], &cluster.engines[1]),
+        };
+        chosen.set_behaviour(notice);
+        // The others are to ask the engine that leaves.
+        other.set_behaviour(|b| b.refuse_reservations = true);
+        for _ in 0..12 {
+            scope.spawn(|| cluster.request_stream(0, "/resumable/b", &[]));
+        }
+        let told = format!("upstream={} ", chosen.id);
+        cluster.wait_until(|c| {
+            let log = c.entries[0].log();
+            let mut notices = log.lines().filter(|l| l.contains("event=host_"));
+            notices.any(|l| l.contains(&told))
+        });
+        other.set_behaviour(|b| b.refuse_reservations = false);
+        cluster.engines[0].set_behaviour(|b| b.prefill_paused = false);
+        let response = caller.join().expect("the caller thread does not panic");
+        assert_eq!(response.status, 200, "{response:?}");
+        assert!(chosen.received_under("/resumable/").is_empty());
+        let streams = other.received_under("/resumable/a");
+        assert_eq!(streams.len(), 1, "{streams:?}");
+    });
+    let prompts = cluster.engines[0].received_under("/resumable/a");
+    assert_eq!(prompts.len(), 1, "{prompts:?}");
+}
+
 /// An engine that is leaving still hands over the memory of a prompt that it has read.
 #[test]
 fn memory_at_a_leaving_prefill_engine_is_used() {
