A prompt whose seat is lost is used for the next seat

Callers whose engine began to leave, or wanted no call, while their prompt was read waited for the same prompt twice, and a retry of the budget was spent on it: the KV cache was freed with the attempt that lost its seat. It now stays with the stream until a decode engine is sent the request, for half of the time that its holder keeps it.

--- a/crates/direct/src/guards.rs
+++ b/crates/direct/src/guards.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::Entry;
 use std::rc;
+use std::time;
 use world::Name;
 
 /// A reservation at an engine; dropping the guard releases it unless it was
@@ -49,6 +50,8 @@
 pub(crate) struct KvCacheGuard<P: seam::Platform> {
     entry: rc::Rc<Entry<P>>,
     source: Option<seam::KvSource>,
+    /// When the prefill was complete.
+    ready_at: time::Instant,
 }
 
 impl<P: seam::Platform> KvCacheGuard<P> {
@@ -56,6 +59,7 @@
         Self {
             entry: entry.clone(),
             source: Some(source),
+            ready_at: time::Instant::now(),
         }
     }
 
@@ -64,6 +68,14 @@
         self.source.clone()
     }
 
+    /// Returns whether a decode engine can fetch the KV cache, which its holder keeps for
+    /// `ttl`. The fetch may have to wait for others, so half of that time is left for it.
+    pub(crate) fn is_usable(&self, ttl: time::Duration) -> bool {
+        let holder = self.source.as_ref().map(|s| &s.holder);
+        let is_listed = holder.is_some_and(|h| self.entry.target(&h.id).as_ref() == Some(h));
+        is_listed && self.ready_at.elapsed() < ttl / 2
+    }
+
     /// Keeps the KV cache on drop, because a decode engine has fetched it.
     pub(crate) fn disarm(&mut self) {
         self.source = None;
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -16,6 +16,14 @@
 const MAX_PREFILL_ATTEMPTS: u32 = 2;
 
 impl<P: seam::Platform> StreamRunner<P> {
+    /// Returns whether the prompt was processed for an earlier seat and need not be again.
+    /// A KV cache that has become too old is dropped.
+    pub(crate) fn has_cache(&mut self) -> bool {
+        let ttl = self.pool.spec.borrow().handle_ttl;
+        self.cache = self.cache.take().filter(|cache| cache.is_usable(ttl));
+        self.cache.is_some()
+    }
+
     /// Has the prompt processed by a prefill engine, and by a second one if the
     /// first fails. Returns `None` if the decode engine has to process it, because
     /// there is no prefill engine or no retry is left.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -114,6 +114,8 @@
     pub(crate) sent_at: rc::Rc<cell::Cell<Option<time::Instant>>>,
     /// Whether this request is a retry after a recent refusal.
     is_retry: bool,
+    /// The prompt's KV cache, until it is sent to a decode engine.
+    pub(crate) cache: Option<KvCacheGuard<P>>,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
     /// Retry for the case that an engine refuses the stream after another was given up.
@@ -140,6 +142,7 @@
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
+            cache: None,
             trial: None,
             spare: None,
         }
@@ -230,16 +233,22 @@
             .target(&engine)
             .ok_or(StartError::NotExecuted("gone"))?;
         let zone = self.pool.decode_pool.borrow().zone(&engine).cloned();
-        let assignment = self
-            .pool
-            .assign_prefill(job.request.prompt_tokens(), zone.as_deref());
+        let assignment = match self.has_cache() {
+            true => None,
+            false => self
+                .pool
+                .assign_prefill(job.request.prompt_tokens(), zone.as_deref()),
+        };
         let expected = assignment
             .as_ref()
             .map_or(time::Duration::ZERO, |(_, t)| *t);
         let mut reservation = self.reserve(&target, need, expected).await?;
         self.check_accepting(&engine)?;
-        let mut cache = self.prefill_with_retry(assignment, zone.as_deref()).await?;
+        if !self.has_cache() {
+            self.cache = self.prefill_with_retry(assignment, zone.as_deref()).await?;
+        }
         self.check_accepting(&engine)?;
+        let mut cache = self.cache.take();
         if !self.take_needed_retry() {
             return Err(StartError::Abandoned);
         }
