--- a/crates/daemon/tests/seat_notice_tests.rs
+++ b/crates/daemon/tests/seat_notice_tests.rs
@@ -177,3 +177,14 @@
     });
     assert_eq!(engine.received_under("/resumable/a").len(), 1);
 }
+
+/// No engine prefills, and the first one that would be ordered to wants no call.
+#[test]
+fn engine_that_wants_no_call_does_not_hold_up_orders_to_others() {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &["decode", "decode", "decode"], 0, 1);
+    cluster.engines[0].set_behaviour(|b| b.retry_after = Some("600"));
+    cluster.start();
+    let orders = |e: &Worker| e.received_under(names::ORDER_PATH).len();
+    cluster.wait_until(|c| c.engines[1..].iter().any(|e| orders(e) > 0));
+}
