Role orders pass over engines that want no call

Streams had their prompts read by decode engines for as long as an engine wanted no call, an hour at most: the balancer chose the same engine each time, whose order was withheld, and no other one changed its role. An engine that wants no call still counts with its role, as it comes back, and isn't chosen.

--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -219,6 +219,7 @@
                 role,
                 load: decode_pool.load(&m.id, now).memory.now() + prefill_pool.backlog(&m.id, now),
                 speed: speeds.get(&m.id).copied(),
+                accepts_calls: notices.allows(&m.id, now),
             })
         })
         .collect()
--- a/crates/pool/src/roles.rs
+++ b/crates/pool/src/roles.rs
@@ -41,6 +41,8 @@
     pub load: u64,
     /// Measured prefill speed in tokens per second.
     pub speed: Option<f64>,
+    /// Whether it may be sent an order now.
+    pub accepts_calls: bool,
 }
 
 /// An order to one engine to change its role.
@@ -143,15 +145,19 @@
 /// with the least load changes.
 fn choose_engine(engines: &[RoleCandidate], role: seam::Role) -> Option<Name> {
     let chosen = match role {
-        seam::Role::Prefill => with_role(engines, seam::Role::Decode).min_by(|a, b| {
-            let by_speed = b.speed.unwrap_or(0.0).total_cmp(&a.speed.unwrap_or(0.0));
-            by_speed.then(a.load.cmp(&b.load))
-        }),
+        seam::Role::Prefill => {
+            let candidates = with_role(engines, seam::Role::Decode).filter(|e| e.accepts_calls);
+            candidates.min_by(|a, b| {
+                let by_speed = b.speed.unwrap_or(0.0).total_cmp(&a.speed.unwrap_or(0.0));
+                by_speed.then(a.load.cmp(&b.load))
+            })
+        }
         seam::Role::Decode => {
             // While some speeds are unknown, the fastest engine might be picked, so
             // none is.
             let all_known = with_role(engines, seam::Role::Prefill).all(|e| e.speed.is_some());
-            let candidates = with_role(engines, seam::Role::Prefill).filter(|_| all_known);
+            let candidates =
+                with_role(engines, seam::Role::Prefill).filter(|e| all_known && e.accepts_calls);
             candidates.min_by(|a, b| {
                 let by_speed = a.speed.unwrap_or(0.0).total_cmp(&b.speed.unwrap_or(0.0));
                 by_speed.then(a.load.cmp(&b.load))
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -371,6 +371,7 @@
             },
             load: 10,
             speed: Some(20_000.0 + i as f64),
+            accepts_calls: true,
         })
         .collect()
 }
