--- a/crates/daemon/tests/seat_notice_tests.rs
+++ b/crates/daemon/tests/seat_notice_tests.rs
@@ -188,3 +188,21 @@
     let orders = |e: &Worker| e.received_under(names::ORDER_PATH).len();
     cluster.wait_until(|c| c.engines[1..].iter().any(|e| orders(e) > 0));
 }
+
+/// Most engines begin to leave at once, as in a rollout, and a stream is granted seats at
+/// many of them before it finds one that stays.
+#[test]
+fn stream_is_not_refused_while_one_engine_stays() {
+    let mut stages = vec!["decode"; 21];
+    stages[0] = "prefill";
+    for _ in 0..3 {
+        let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+        let mut cluster = TracksCluster::new(program, &stages, 0, 1);
+        for engine in &cluster.engines[1..20] {
+            engine.set_behaviour(say_leaving);
+        }
+        cluster.start();
+        stream(&cluster);
+        assert_eq!(cluster.engines[20].received_under("/resumable/").len(), 1);
+    }
+}
