Seats at engines that leave don't use up a stream's attempts

In a rollout, callers got 503 though an engine stayed: each engine that granted a seat and said that it was leaving counted as a failed attempt, six of which end a request. Such an engine was sent no request and isn't picked again, so it doesn't count, as full engines don't.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -29,7 +29,7 @@
 /// take over; otherwise it has the time that is left.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
-/// that were full.
+/// that were full, or gave notice before they were sent the request.
 const MAX_ATTEMPTS: u32 = 6;
 
 /// A stream that an engine has started.
@@ -99,7 +99,7 @@
     pub(crate) pool: rc::Rc<EnginePool>,
     pub(crate) job: rc::Rc<Job>,
     ticket: pool::Ticket,
-    /// Attempts that have failed, without those at engines that were full.
+    /// Attempts that have failed, as [`MAX_ATTEMPTS`] counts them.
     pub(crate) failed_attempts: u32,
     pub(crate) arrivals: pool::Arrivals,
     /// Requests sent to decode engines.
@@ -342,12 +342,14 @@
     }
 
     /// Fails if an engine has begun to leave or wants no call, as it may say when it grants
-    /// a seat, or while the prompt is processed.
-    fn check_accepting(&self, engine: &Name) -> Result<(), StartError> {
-        match self.entry.is_accepting(engine) {
-            true => Ok(()),
-            false => Err(StartError::NotExecuted("draining")),
+    /// a seat, or while the prompt is processed. That does not count as a failed attempt,
+    /// as the engine was not sent the request and is not picked again.
+    fn check_accepting(&mut self, engine: &Name) -> Result<(), StartError> {
+        if self.entry.is_accepting(engine) {
+            return Ok(());
         }
+        self.failed_attempts = self.failed_attempts.saturating_sub(1);
+        Err(StartError::NotExecuted("draining"))
     }
 
     /// Returns whether this request runs apart because it is suspected.
