A late answer to a test call ends no later test

Callers that waited for a host returned to it all at once while a call still tested it: an answer to a test of an earlier pause, which came after its timeout, was taken for the answer to the test that ran. A permit to test now tells its test by its start. The tests of notices name that start where they named the permit alone.

--- a/crates/pool/src/host_notices.rs
+++ b/crates/pool/src/host_notices.rs
@@ -86,8 +86,9 @@
 pub enum Permit {
     /// Nothing speaks against the call.
     Usual,
-    /// The call tests whether the host takes calls again.
-    Probe,
+    /// The call tests whether the host takes calls again. It is told from other tests by
+    /// the time at which it started.
+    Probe(time::Instant),
 }
 
 /// What a notice has changed.
@@ -305,21 +306,25 @@
         }
         let started_at = now;
         pause.probe = Some(Probe { started_at, kind });
-        Ok(Permit::Probe)
+        Ok(Permit::Probe(started_at))
     }
 
     /// Records that a call has ended, after its notice if it brought one. A test with work
     /// that brought no new pause ends the old one.
     pub fn end_call(&mut self, host: &Incarnation, permit: Permit) {
-        let Some(pause) = self.pauses.get_mut(host) else {
+        let Permit::Probe(started_at) = permit else {
+            return;
+        };
+        let probed = self.pauses.get_mut(host);
+        let probed = probed.filter(|p| p.probe.is_some_and(|p| p.started_at == started_at));
+        let Some(pause) = probed else {
             return;
         };
-        match (permit, pause.is_tested()) {
-            (Permit::Probe, true) => {
+        match pause.is_tested() {
+            true => {
                 self.pauses.remove(host);
             }
-            (Permit::Probe, false) => pause.probe = None,
-            (Permit::Usual, _) => {}
+            false => pause.probe = None,
         }
     }
 
--- a/crates/pool/tests/notice_tests.rs
+++ b/crates/pool/tests/notice_tests.rs
@@ -175,7 +175,7 @@
     notices.record(&pause("a", SECOND, now));
     let end = now + SECOND;
     let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
-    assert_eq!(work(&mut notices, end), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, end), Ok(Permit::Probe(end)));
     assert_eq!(work(&mut notices, end), Err(Withheld::Probed));
     assert!(notices.is_probing([Name::from("a")].iter(), end));
     // A call from before the pause ends now: it shows nothing.
@@ -183,11 +183,11 @@
     assert_eq!(work(&mut notices, end), Err(Withheld::Probed));
     // The host wants no call again.
     notices.record(&pause("a", SECOND, end));
-    notices.end_call(&host("a", 1), Permit::Probe);
+    notices.end_call(&host("a", 1), Permit::Probe(end));
     assert_eq!(work(&mut notices, end), Err(Withheld::Paused));
     let end = end + SECOND;
-    assert_eq!(work(&mut notices, end), Ok(Permit::Probe));
-    notices.end_call(&host("a", 1), Permit::Probe);
+    assert_eq!(work(&mut notices, end), Ok(Permit::Probe(end)));
+    notices.end_call(&host("a", 1), Permit::Probe(end));
     assert_eq!(work(&mut notices, end), Ok(Permit::Usual));
 }
 
@@ -198,7 +198,7 @@
     notices.record(&pause("a", SECOND, now));
     let end = now + SECOND;
     let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
-    assert_eq!(work(&mut notices, end), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, end), Ok(Permit::Probe(end)));
     let later = end + pool::PROBE_TIMEOUT;
     assert_eq!(work(&mut notices, later), Ok(Permit::Usual));
     assert_eq!(work(&mut notices, later), Ok(Permit::Usual));
@@ -284,7 +284,8 @@
                         prop_assert!(!leaving_hosts.contains(&started_ms));
                         prop_assert!(until.get(&started_ms).is_none_or(|u| *u <= now));
                         permits.push((current, permit));
-                        if permit == Permit::Probe {
+                        if let Permit::Probe(started_at) = permit {
+                            prop_assert_eq!(started_at, now);
                             let next = notices.start_call(&host("a", started_ms), CallKind::Control, now);
                             prop_assert_eq!(next, Err(Withheld::Probed));
                         }
@@ -330,7 +331,7 @@
     notices.record(&pause("a", SECOND, now));
     let at = now + SECOND + idle;
     let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
-    assert_eq!(work(&mut notices, at), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, at), Ok(Permit::Probe(at)));
     let read_at = at + time::Duration::from_millis(1);
     notices.set_listed([member("a", 1)].iter(), read_at);
     assert_eq!(work(&mut notices, read_at), Err(Withheld::Probed));
@@ -374,7 +375,7 @@
     let permit = control.expect("the pause is over");
     notices.end_call(&host("a", 1), permit);
     let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
-    assert_eq!(work(&mut notices, end), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, end), Ok(Permit::Probe(end)));
     assert_eq!(work(&mut notices, end), Err(Withheld::Probed));
 }
 
@@ -388,6 +389,6 @@
     assert!(control.is_ok());
     let later = end + pool::PROBE_TIMEOUT;
     let work = |n: &mut HostNotices, at| n.start_call(&host("a", 1), CallKind::Work, at);
-    assert_eq!(work(&mut notices, later), Ok(Permit::Probe));
+    assert_eq!(work(&mut notices, later), Ok(Permit::Probe(later)));
     assert_eq!(work(&mut notices, later), Err(Withheld::Probed));
 }
--- a/crates/pool/tests/probe_tests.rs
+++ b/crates/pool/tests/probe_tests.rs
@@ -38,7 +38,7 @@
     notices.record(&pause(now + 2 * SECOND));
     let end = now + 3 * SECOND;
     let second = notices.start_call(&host, CallKind::Work, end);
-    assert_eq!(second, Ok(Permit::Probe));
+    assert_eq!(second, Ok(Permit::Probe(end)));
     notices.end_call(&host, first);
     let third = notices.start_call(&host, CallKind::Work, end);
     assert_eq!(third, Err(Withheld::Probed));
