--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -75,7 +75,7 @@
             let engine = started.engine.clone();
             let silent = (end == StreamEnd::Stalled).then_some(started);
             let resumption = self.resume(silent, &mut events, &sender).await;
-            self.spare = None;
+            (self.spare, self.cache) = (None, None);
             match resumption {
                 Resumption::Moved(next) => started = next,
                 Resumption::WentOn(first, bytes) => {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -30,7 +30,7 @@
 /// another one. As long as the stream can't start elsewhere, it has the time that is left.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
-/// that were full.
+/// that were full, or gave notice before they were sent the request.
 pub(crate) const MAX_ATTEMPTS: u32 = 6;
 
 /// A stream that an engine has started.
@@ -104,8 +104,8 @@
     pub(crate) pool: rc::Rc<EnginePool>,
     pub(crate) job: rc::Rc<Job>,
     ticket: pool::Ticket,
-    /// Attempts that have failed since the stream was last to be started or resumed, without
-    /// those at engines that were full.
+    /// Attempts that have failed since the stream was last to be started or resumed, as
+    /// [`MAX_ATTEMPTS`] counts them.
     pub(crate) failed_attempts: u32,
     pub(crate) arrivals: pool::Arrivals,
     /// Whether the silent engine of a stream that is being resumed may still go on.
@@ -118,6 +118,8 @@
     pub(crate) sent_at: rc::Rc<cell::Cell<Option<time::Instant>>>,
     /// Whether this request is a retry after a recent refusal.
     is_retry: bool,
+    /// The prompt's KV cache, until it is sent to a decode engine.
+    pub(crate) cache: Option<KvCacheGuard<P>>,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
     /// Retry for the case that an engine refuses the stream after another was given up.
@@ -143,6 +145,7 @@
             may_have_run: false,
             sent_at: rc::Rc::default(),
             is_retry,
+            cache: None,
             trial: None,
             spare: None,
         }
@@ -233,18 +236,22 @@
             .target(&engine)
             .ok_or(StartError::NotExecuted("gone"))?;
         let zone = self.pool.decode_pool.borrow().zone(&engine).cloned();
-        let assignment = self
-            .pool
-            .assign_prefill(job.request.prompt_tokens(), zone.as_deref());
+        let assignment = match self.has_cache() {
+            true => None,
+            false => self
+                .pool
+                .assign_prefill(job.request.prompt_tokens(), zone.as_deref()),
+        };
         let expected = assignment
             .as_ref()
             .map_or(time::Duration::ZERO, |(_, t)| *t);
         let mut reservation = self.reserve(&target, need, expected).await?;
-        let mut cache = self.prefill_with_retry(assignment, zone.as_deref()).await?;
-        // The engine may have begun to drain while the prompt was processed.
-        if !self.entry.is_accepting(&engine) {
-            return Err(StartError::NotExecuted("draining"));
+        self.check_accepting(&engine)?;
+        if !self.has_cache() {
+            self.cache = self.prefill_with_retry(assignment, zone.as_deref()).await?;
         }
+        self.check_accepting(&engine)?;
+        let mut cache = self.cache.take();
         if !self.take_needed_retry() {
             return Err(StartError::Abandoned);
         }
@@ -355,6 +362,17 @@
         }
     }
 
+    /// Fails if an engine has begun to leave or wants no call, as it may say when it grants
+    /// a seat, or while the prompt is processed. That does not count as a failed attempt,
+    /// as the engine was not sent the request and is not picked again.
+    fn check_accepting(&mut self, engine: &Name) -> Result<(), StartError> {
+        if self.entry.is_accepting(engine) {
+            return Ok(());
+        }
+        self.failed_attempts = self.failed_attempts.saturating_sub(1);
+        Err(StartError::NotExecuted("draining"))
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
