Take no head that is joined from two answers

Seen: a host that stops inside the head of an earlier answer's copy and then gives the next answer on the same connection. Callers got 503 for requests that had run, as not executed, or a success as a failure, or a failure as a success with a broken seal; a check took a running host for ended.

Cause: cut within a line, the first head goes on with the second one's status line as the rest of its reason or header, and then with its headers. The id that is checked is that of the second answer, the status and the statement that nothing ran are those of the first.

Why it works: every such head holds a status line in its reason or in a header, and no head of one answer does. It counts as the answer to another call, so the request may have run. A header that only names the protocol, as via does, is accepted.

--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod body;
 mod client;
+mod heads;
 mod server;
 
 pub use body::{Body, BodySender, ReadError};
 pub use body::{body_channel, collect_chunks, discard_body, full_body, read_body};
 pub use client::{CONNECT_TIMEOUT, CallError, Client, ClientResponse, FullBody};
+pub use heads::has_joined_heads;
 pub use hyper::body::Incoming;
 pub use hyper::http::request::Parts;
 pub use hyper::{Method, Request, Response, StatusCode, header};
