--- a/crates/daemon/tests/continued_stream_tests.rs
+++ b/crates/daemon/tests/continued_stream_tests.rs
@@ -187,3 +187,23 @@
     };
     assert_answers(vec![script], Expected::Whole);
 }
+
+/// An earlier refusal, given once more behind an unframed stream.
+#[test]
+fn refusal_behind_an_unframed_stream_is_not_part_of_it() {
+    let head = stream_head().replace("transfer-encoding: chunked\r\n", "");
+    let scripts = (1..EVENT_COUNT).flat_map(|count| {
+        let events: String = (1..=count).map(event_text).collect();
+        let bodies = ["full", "full\n\n", "full\n\nagain\n\n"];
+        let refusals = bodies.map(|body| framed("503", "hornbeampitch-not-executed: 1\r\n", body));
+        let head = head.clone();
+        refusals
+            .into_iter()
+            .flatten()
+            .map(move |refusal| StreamScript {
+                first: format!("{head}{events}{refusal}"),
+                second: stream_from(count + 1),
+            })
+    });
+    assert_answers(scripts.collect(), Expected::Whole);
+}
