Take no text behind an event that names no field of one

Seen: an unframed stream behind which the host gave an earlier refusal once more. Its caller got the refusal's head and body as part of the stream, and the stream ended as if it were complete, in the middle.

Cause: text without an id was passed on as an event, except where another engine goes on. Without a length or chunks nothing else shows where the stream ends.

Why it works: an event begins with a field or a comment. A status line, text and JSON do not, and count as out of order once an event has come: the stream goes on at another engine, or is broken off. A body without any event stays as it was.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -137,6 +137,10 @@
     /// Records a complete event; returns false if it doesn't follow the one before it.
     fn record_event(&mut self, event: &[u8]) -> bool {
         let mut lines = event.split(|b| *b == b'\n').filter(|line| !line.is_empty());
+        let is_joined = self.is_continuing || self.event_count > 0;
+        if is_joined && !lines.clone().next().is_none_or(is_field) {
+            return false;
+        }
         let Some(id) = lines.clone().find_map(|line| line.strip_prefix(b"id:")) else {
             // A comment may come at any time. Other text has no place at the point where
             // another engine goes on.
@@ -164,3 +168,13 @@
         !self.partial.is_empty()
     }
 }
+
+/// Returns whether a line can begin an event or a comment. A status line can't, nor can text
+/// or JSON, which an engine in trouble may send behind its last event.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|b| *b == b':') else {
+        return line == b"data";
+    };
+    let is_name_byte = |b: &u8| b.is_ascii_lowercase() || b.is_ascii_digit() || *b == b'-';
+    line[..colon].iter().all(is_name_byte)
+}
