--- a/crates/daemon/tests/cut_answer_tests.rs
+++ b/crates/daemon/tests/cut_answer_tests.rs
@@ -90,3 +90,59 @@
         assert_eq!(*call_count, 1, "after {length} bytes");
     }
 }
+
+/// An answer that is too long to be read before it is passed on.
+#[parameterized(
+    order = { "order" },
+    status = { "status" },
+)]
+fn long_answer_that_is_cut_is_not_complete(route: &str) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let body = "x".repeat(200_000);
+    let head = plain_answer(200, false).replace(BODY, "");
+    let head = head.replace("content-length: 8", "content-length: 200000");
+    let answer = head.clone() + &body;
+    let after_head = [0, 1, 2, 4_096, 65_535, 65_536, 65_537, 199_998, 199_999];
+    let lengths = after_head.map(|length| head.len() + length);
+    let scripts = lengths.map(|length| StreamScript {
+        first: answer[..length].to_owned(),
+        second: answer.clone(),
+    });
+    let site = BreakingSite::start(program, "app", &scripts, Vec::new());
+    for (length, (response, call_count)) in lengths.iter().zip(site.request_all(route)) {
+        let is_cut = response.status == 200 && !response.complete;
+        let is_right = is_cut && body.starts_with(&response.body);
+        assert!(is_right, "after {length} bytes: {}", response.headers);
+        assert_eq!(call_count, 1, "after {length} bytes");
+    }
+}
+
+/// No caller has asked for another protocol, and one that is told of it gets no answer.
+#[parameterized(
+    order = { "app", "order" },
+    status = { "app", "status" },
+    once = { "llm", "once" },
+    resumable = { "llm", "resumable" },
+)]
+fn switch_of_protocols_is_no_answer(service: &str, route: &str) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let head = format!("HTTP/1.1 101 Any\r\n{}: {{id}}\r\n", names::REQUEST_ID);
+    let script = |headers: &str, body: &str| StreamScript {
+        first: format!("{head}{headers}\r\n{body}"),
+        second: stream_head() + &chunk(&event_text(1)) + "0\r\n\r\n",
+    };
+    let scripts = [
+        script("", ""),
+        script("content-length: 4\r\n", "full"),
+        script("connection: upgrade\r\nupgrade: noise\r\n", "noise"),
+    ];
+    let site = BreakingSite::start(program, service, &scripts, Vec::new());
+    for (response, call_count) in site.request_all(route) {
+        let is_repeatable = ["status", "resumable"].contains(&route);
+        let is_right = match is_repeatable {
+            true => response.status == 200 && response.complete,
+            false => matches!(response.status, 502 | 504) && call_count == 1,
+        };
+        assert!(is_right, "{call_count} calls: {response:?}");
+    }
+}
