Take no switch of protocols for an answer

Seen: a host that answers 101, with or without noise behind it. Callers got the 101 as their answer, whole and without a body; a request that may run twice was not sent to another host.

Cause: the client hands on 101 as a final answer, although no request asks for another protocol.

Why it works: such a connection carries no further answers, so it counts as lost after the request was sent: another host is asked where that is allowed, else the outcome is unknown.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -155,7 +155,7 @@
             match tokio::time::timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(CallError::Timeout),
                 Ok(Ok(response)) => {
-                    return Ok(self.client_response(peer, connection, response, true));
+                    return self.client_response(peer, connection, response, true);
                 }
                 Ok(Err(mut error)) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -178,7 +178,7 @@
         let sent = connection.sender.try_send_request(request);
         match tokio::time::timeout_at(deadline.into(), sent).await {
             Err(_) => Err(CallError::Timeout),
-            Ok(Ok(response)) => Ok(self.client_response(peer, connection, response, false)),
+            Ok(Ok(response)) => self.client_response(peer, connection, response, false),
             Ok(Err(mut error)) => match error.take_message() {
                 Some(_) => Err(CallError::NotSent),
                 None => Err(CallError::ConnectionLost),
@@ -261,7 +261,11 @@
         connection: Connection,
         response: hyper::Response<body::Incoming>,
         is_reused: bool,
-    ) -> ClientResponse {
+    ) -> Result<ClientResponse, CallError> {
+        // No request asks for another protocol, so no response can follow.
+        if response.status() == hyper::StatusCode::SWITCHING_PROTOCOLS {
+            return Err(CallError::ConnectionLost);
+        }
         let (head, body) = response.into_parts();
         let keep_alive = keep_alive(&head.headers);
         let lease = PoolLease {
@@ -270,12 +274,12 @@
             connection: Some(connection),
             keep_alive,
         };
-        ClientResponse {
+        Ok(ClientResponse {
             head,
             body,
             lease,
             is_reused,
-        }
+        })
     }
 }
 
