Test of cut answers: whole answers announce the end of their connection

Traced by the entry's log: the workers share an address, and the stand-in closes a connection after a whole answer without saying so. The next request may be sent on it just before the close arrives, and is lost as well. Hosts may close idle connections only after their timeout.

--- a/crates/daemon/tests/cut_answer_tests.rs
+++ b/crates/daemon/tests/cut_answer_tests.rs
@@ -15,7 +15,8 @@
 /// Body of the plain answers.
 const BODY: &str = "the body";
 
-/// Returns a plain answer in chunks or with a length.
+/// Returns a plain answer in chunks or with a length. It announces that its connection ends,
+/// as the next request could be sent on it just before.
 fn plain_answer(status: u16, is_chunked: bool) -> String {
     let (framing, body) = match is_chunked {
         true => {
@@ -25,7 +26,8 @@
         false => (format!("content-length: {}", BODY.len()), BODY.to_owned()),
     };
     format!(
-        "HTTP/1.1 {status} Any\r\n{}: {{id}}\r\n{}: seal\r\n{framing}\r\n\r\n{body}",
+        "HTTP/1.1 {status} Any\r\n{}: {{id}}\r\n{}: seal\r\nconnection: close\r\n\
+        {framing}\r\n\r\n{body}",
         names::REQUEST_ID,
         names::RESPONSE_SEAL,
     )
