--- a/crates/daemon/tests/connection_tests.rs
+++ b/crates/daemon/tests/connection_tests.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic;
 use std::thread;
 use std::time;
+use yare::parameterized;
 
 /// Longest head that an entry may read; above the 400 KB at which its client gives up, with
 /// what the kernel buffers.
@@ -148,3 +149,67 @@
     assert!(matches!(response.status, 502 | 504), "{response:?}");
     cluster.wait_until(|_| ended.load(atomic::Ordering::Relaxed));
 }
+
+/// A peer in trouble sends bytes without end, in a head or a body, in answer to messages.
+#[parameterized(
+    head = { "HTTP/1.1 200 OK\r\nx-noise: " },
+    body = { "HTTP/1.1 200 OK\r\n\r\n" },
+    chunks = { "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffff\r\n" },
+)]
+fn reply_of_a_peer_without_end_is_cut_off(start: &'static str) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &[], 1, 1);
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let ended = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let longest = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let (end_count, max_bytes) = (ended.clone(), longest.clone());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut sent = 0;
+            let mut next = start.as_bytes();
+            let noise = [b'x'; 16 * 1024];
+            while stream.write_all(next).is_ok() {
+                sent += next.len();
+                next = &noise;
+            }
+            max_bytes.fetch_max(sent, atomic::Ordering::Relaxed);
+            end_count.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    });
+    let key = "hornbeampitch/entry/endless-peer";
+    cluster.store.put(key, address.to_string().as_bytes());
+    cluster.start();
+    cluster.wait_until(|_| ended.load(atomic::Ordering::Relaxed) >= 3);
+    assert!(longest.load(atomic::Ordering::Relaxed) < MAX_HEAD_BYTES);
+    let response = cluster.request(0, "GET", "/status/a", "", &[]);
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
+/// The same in a message to the entry.
+#[parameterized(
+    head = { "POST /news HTTP/1.1\r\nx-noise: " },
+    body = { "POST /news HTTP/1.1\r\ncontent-length: 999999999999\r\n\r\n" },
+    chunks = { "POST /news HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nfffffff\r\n" },
+)]
+fn message_of_a_peer_without_end_is_cut_off(start: &str) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &[], 1, 1);
+    cluster.start();
+    let key = "hornbeampitch/entry/entry-0";
+    cluster.wait_until(|c| c.store.value(key).is_some());
+    let item = cluster.store.value(key);
+    let address = String::from_utf8(item.expect("the entry is listed"));
+    let address = address.expect("the address is text");
+    let mut stream = net::TcpStream::connect(address).expect("the entry listens");
+    let mut sent = 0;
+    let mut next = start.as_bytes();
+    let noise = [b'x'; 16 * 1024];
+    while sent < 2 * MAX_HEAD_BYTES && stream.write_all(next).is_ok() {
+        sent += next.len();
+        next = &noise;
+    }
+    assert!(sent < 2 * MAX_HEAD_BYTES, "{sent} bytes");
+    let response = cluster.request(0, "GET", "/status/a", "", &[]);
+    assert_eq!(response.status, 200, "{response:?}");
+}
