--- a/crates/daemon/tests/connection_tests.rs
+++ b/crates/daemon/tests/connection_tests.rs
@@ -18,6 +18,8 @@
 /// Longest head that an entry may read; above the 400 KB at which its client gives up, with
 /// what the kernel buffers.
 const MAX_HEAD_BYTES: usize = 16 * 1024 * 1024;
+/// Longest that an entry may wait for a message; twice its timeout for callers' heads.
+const MAX_MESSAGE_TIME: time::Duration = time::Duration::from_secs(20);
 
 /// Starts an entry with one plain host, whose connections `serve` handles.
 fn start_cluster(
@@ -213,3 +215,37 @@
     let response = cluster.request(0, "GET", "/status/a", "", &[]);
     assert_eq!(response.status, 200, "{response:?}");
 }
+
+/// A peer that is cut off or sends a byte now and then may hold no connection for ever.
+#[parameterized(
+    head = { "POST /news HTTP/1.1\r\nx-noise: ", "x" },
+    body = { "POST /news HTTP/1.1\r\ncontent-length: 9999\r\n\r\n", "x" },
+    silent_head = { "POST /news HTTP/1.1\r\nx-noise: ", "" },
+    silent_body = { "POST /news HTTP/1.1\r\ncontent-length: 9999\r\n\r\n", "" },
+)]
+fn message_of_a_peer_that_does_not_end_is_given_up(start: &str, noise: &str) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &[], 0, 1);
+    cluster.start();
+    let key = "hornbeampitch/entry/entry-0";
+    cluster.wait_until(|c| c.store.value(key).is_some());
+    let address = String::from_utf8(cluster.store.value(key).unwrap_or_default());
+    let address = address.expect("the address is text");
+    let mut stream = net::TcpStream::connect(address).expect("the entry listens");
+    stream.write_all(start.as_bytes()).expect("the entry reads");
+    let interval = Some(time::Duration::from_millis(100));
+    stream.set_read_timeout(interval).expect("a time is given");
+    let begun = time::Instant::now();
+    loop {
+        match stream.read(&mut [0; 512]) {
+            // The entry has answered or closed the connection.
+            Ok(_) => return,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+        assert!(begun.elapsed() < MAX_MESSAGE_TIME, "the connection is open");
+        if stream.write_all(noise.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
