Give up messages of peers that do not end

Seen: a peer that was cut off or stopped inside a message, or sent a byte now and then, held its connection, a task and up to 8 MB at the entry for ever.

Cause: the listener for peers had no timeout for heads and bodies.

Why it works: heads, and the wait for the next one, end after 10 s, and so do bodies.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -49,6 +49,9 @@
 const CONFIG_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
 /// Timeout for the reply to a gossip message.
 const GOSSIP_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Longest wait for the head and for the body of a peer's message, and for the next one on
+/// its connection. Peers close idle connections sooner.
+const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Pause before the next message to a peer that did not reply.
 const PEER_RETRY_DELAY: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum size of a message in bytes.
@@ -83,7 +86,10 @@
             async move { Ok::<_, convert::Infallible>(handle_request(&entry, request).await) }
         });
         tokio::task::spawn_local(async move {
-            let served = http1::Builder::new().serve_connection(rt::TokioIo::new(stream), service);
+            let served = http1::Builder::new()
+                .timer(rt::TokioTimer::new())
+                .header_read_timeout(MESSAGE_TIMEOUT)
+                .serve_connection(rt::TokioIo::new(stream), service);
             // A peer whose connection was lost connects again.
             let _ = served.await;
         });
@@ -102,10 +108,9 @@
         return hyper::Response::new(Body::from(raw));
     }
     let limited = http_body_util::Limited::new(request.into_body(), MAX_MESSAGE_BYTES);
-    let body = limited.collect().await.map(|b| b.to_bytes());
-    let message = body
-        .ok()
-        .and_then(|b| serde_json::from_slice::<GossipMessage>(&b).ok());
+    let body = tokio::time::timeout(MESSAGE_TIMEOUT, limited.collect()).await;
+    let body = body.ok().and_then(Result::ok).map(|b| b.to_bytes());
+    let message = body.and_then(|b| serde_json::from_slice::<GossipMessage>(&b).ok());
     let Some(message) = message else {
         trace::LogLine::new("news_unreadable").info();
         let mut response = hyper::Response::new(Body::Full(None));
