--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod resume;
 mod retries;
 mod role_orders;
+mod send;
 mod serve;
 mod shutdown;
 mod store_sync;
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,7 +4,6 @@
 use crate::admit::Job;
 use crate::body::Body;
 use crate::caller::Exchange;
-use crate::crashes;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
@@ -17,7 +16,6 @@
 use http::StatusCode;
 use seam::Upstreams;
 use std::cell;
-use std::pin;
 use std::rc;
 use std::time;
 use world::Name;
@@ -26,9 +24,6 @@
 /// number of the route's latency targets, this number of its targets for the pause
 /// between two events, and this time.
 const CALLER_TIMEOUT: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
-/// How long an engine may take to send the head of its response before it is given up for
-/// another one. As long as the stream can't start elsewhere, it has the time that is left.
-const HEAD_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
 /// Maximum number of failed attempts for one request, without those at engines
 /// that were full, or gave notice before they were sent the request.
 pub(crate) const MAX_ATTEMPTS: u32 = 6;
@@ -274,34 +269,7 @@
         let now = time::Instant::now();
         let response = match result {
             Ok(response) => response,
-            Err(error) => {
-                if !error.cause.may_have_arrived() {
-                    self.arrivals.withdraw();
-                }
-                if error.cause != seam::FailureCause::Withheld {
-                    let mut decode_pool = self.pool.decode_pool.borrow_mut();
-                    decode_pool.record_failure(&engine, now);
-                }
-                if error.cause == seam::FailureCause::ConnectionLost {
-                    let progress = pool::Progress::Unclear;
-                    let check =
-                        self.entry
-                            .check_for_crash(&job, &target, progress, self.is_trial());
-                    // After a time-out the check goes on by itself.
-                    let _ = tokio::time::timeout(crashes::MAX_CHECK_WAIT, check).await;
-                }
-                let reason = match error.cause {
-                    seam::FailureCause::ConnectFailed => "unconnected",
-                    seam::FailureCause::TimedOut => "late",
-                    seam::FailureCause::ConnectionLost => "broken",
-                    seam::FailureCause::WrongRequest => "crossed",
-                    seam::FailureCause::Withheld => "withheld",
-                };
-                return Err(match error.may_have_run {
-                    true => StartError::Unknown(reason),
-                    false => StartError::NotExecuted(reason),
-                });
-            }
+            Err(error) => return Err(self.record_unsent(&target, error).await),
         };
         if response.not_executed {
             self.pool
@@ -338,30 +306,6 @@
         })
     }
 
-    /// Sends the request. A late engine is given up only if the stream can start at another
-    /// one.
-    async fn send(
-        &self,
-        target: &seam::Target,
-        options: &seam::SendOptions,
-    ) -> Result<seam::Response<<P::Upstreams as Upstreams>::Body>, seam::SendError> {
-        let (upstreams, job) = (&self.entry.upstreams, &self.job);
-        let sent = upstreams.send(target, &job.request, options, job.deadline);
-        let mut sent = pin::pin!(sent);
-        loop {
-            match tokio::time::timeout(HEAD_TIMEOUT, &mut sent).await {
-                Ok(result) => return result,
-                Err(_) if job.route.retry.is_repeatable() && self.can_retry() => {
-                    return Err(seam::SendError {
-                        may_have_run: true,
-                        cause: seam::FailureCause::TimedOut,
-                    });
-                }
-                Err(_) => {}
-            }
-        }
-    }
-
     /// Fails if an engine has begun to leave or wants no call, as it may say when it grants
     /// a seat, or while the prompt is processed. That does not count as a failed attempt,
     /// as the engine was not sent the request and is not picked again.
