Take back longer reservations

That a caller lost anything by the shorter ones was never shown.

Memory that is kept for prompts which come to nothing is missing to others for longer.

--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -9,17 +9,12 @@
 use std::time;
 
 /// A prompt times out after this multiple of its expected time.
-const PREFILL_TIME_FACTOR: u32 = 3;
+pub(crate) const PREFILL_TIME_FACTOR: u32 = 3;
 /// Shortest timeout of a prompt.
 const MIN_PREFILL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Maximum number of prefill engines that a prompt is sent to for one seat.
 const MAX_PREFILL_ATTEMPTS: u32 = 2;
 
-/// Returns the timeout of a prompt that is expected to take this time.
-pub(crate) fn prefill_timeout(expected: time::Duration) -> time::Duration {
-    (expected * PREFILL_TIME_FACTOR).max(MIN_PREFILL_TIMEOUT)
-}
-
 impl<P: seam::Platform> StreamRunner<P> {
     /// Returns whether the prompt was processed for an earlier seat and need not be again.
     /// A KV cache that has become too old is dropped.
@@ -69,10 +64,8 @@
             .target(&engine)
             .ok_or(StartError::NotExecuted("gone"))?;
         let started_at = time::Instant::now();
-        let deadline = self
-            .job
-            .deadline
-            .min(started_at + prefill_timeout(expected));
+        let timeout = (expected * PREFILL_TIME_FACTOR).max(MIN_PREFILL_TIMEOUT);
+        let deadline = self.job.deadline.min(started_at + timeout);
         let options = seam::SendOptions {
             tenant: self.job.tenant.clone(),
             timeout: Some(self.job.time_left()),
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -1,7 +1,7 @@
 //! Reserves memory and a slot at decode engines.
 
 use crate::guards::ReservationGuard;
-use crate::prefill;
+use crate::prefill::PREFILL_TIME_FACTOR;
 use crate::stream::StartError;
 use crate::stream::StreamRunner;
 use crate::telemetry;
@@ -49,11 +49,7 @@
         expected: time::Duration,
     ) -> Result<ReservationGuard<P>, StartError> {
         let max_reservation = self.pool.spec.borrow().max_reservation;
-        let prompt_time = match expected.is_zero() {
-            true => expected,
-            false => prefill::prefill_timeout(expected),
-        };
-        let ttl = (prompt_time + RESERVE_MARGIN).min(max_reservation);
+        let ttl = (expected * PREFILL_TIME_FACTOR + RESERVE_MARGIN).min(max_reservation);
         let deadline = time::Instant::now() + RESERVE_TIMEOUT;
         let outcome = self
             .entry
