An entry's metrics have Prometheus's names, units and descriptions

Cause: the platform's path served 13 metrics without HELP, unit or prefix, and without a content type, which Prometheus 3 refuses. Requests were not counted, only refusals and cut answers; no stage but the first event had a time; nothing told of reservations, pauses, prompts read for nothing, store calls, retries or the errors of the estimates. Recorded times were kept in memory until a scrape.

Change: crates/direct/src/metric.rs lists all metrics with name, unit and help; a handle can be had from a definition only, which describes it. Handles are registered once (meters.rs), so an event costs an atomic add, a time a push to the recorder's buffer. Exceptions: a retry and the two gauges of a pool, which are set once a second, look their service up. Label values are fixed lists with `other` for the rest; the only open label is the service, as before. A request is counted once, when its exchange is dropped (request_meter.rs). Store calls are counted around the client (metered_store.rs). Times are added up every 15 s. No decision is changed.

An engine does not say that it preempted a stream, so pauses stand for it.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -5,7 +5,11 @@
 use crate::caller::Exchange;
 use crate::crashes;
 use crate::entry::Entry;
+use crate::meters;
 use crate::plain_service;
+use crate::refusal::Refusal;
+use crate::request_meter::RequestKind;
+use crate::request_meter::RequestMeter;
 use crate::stream;
 use crate::telemetry;
 use http::StatusCode;
@@ -52,52 +56,12 @@
     pub(crate) elements: rc::Rc<pool::ElementSet>,
     /// Whether it runs, alone, to test the verdict on it.
     pub(crate) is_test: bool,
+    /// How the request ends, for the metrics.
+    pub(crate) meter: rc::Rc<RequestMeter>,
     /// What the organisation was charged, until it is given back.
     charge: cell::Cell<Option<pool::Charge>>,
 }
 
-/// A reply that refuses a request, and what used up the organisation's allowance
-/// if that is the reason.
-struct Refusal {
-    reply: seam::Reply,
-    excess: Option<Box<(Name, pool::ExcessUse)>>,
-}
-
-impl From<seam::Reply> for Refusal {
-    fn from(reply: seam::Reply) -> Self {
-        Self {
-            reply,
-            excess: None,
-        }
-    }
-}
-
-impl Refusal {
-    fn log(&self, id: &str, config_version: u64) {
-        let mut line = trace::LogLine::new("refused")
-            .with("request", id)
-            .with("status", self.reply.status.as_u16())
-            .with("reason", self.reply.reason)
-            .with(
-                "again_ms",
-                self.reply.retry_after.map_or(0, telemetry::millis),
-            )
-            .with("version", config_version);
-        if let Some(excess) = &self.excess {
-            let (tenant, excess) = &**excess;
-            line = line
-                .with("organisation", tenant)
-                .with("units", excess.units)
-                .with("own", excess.own.round())
-                .with("peers", excess.peers.round())
-                .with("assumed", excess.assumed.round())
-                .with("limit", excess.limit.round())
-                .with("report_age_ms", telemetry::millis(excess.report_age));
-        }
-        line.info();
-    }
-}
-
 impl Job {
     /// Gives back what the organisation was charged, because the request has not run
     /// and won't.
@@ -123,7 +87,8 @@
 
     /// Counts an answer that ends before it is complete, and starts its log line.
     pub(crate) fn log_cut(&self, cause: &'static str, upstream: &str) -> trace::LogLine {
-        metrics::counter!("answers_cut", "cause" => cause).increment(1);
+        meters::meters().answers_cut.add(cause, 1);
+        self.meter.cut(cause);
         self.log_line("answer_cut")
             .with("upstream", upstream)
             .with("cause", cause)
@@ -162,6 +127,7 @@
     let arrived_at = exchange.arrived_at;
     let (head, incoming) = request.into_parts();
     if P::is_readiness_probe(&head) {
+        exchange.meter.set_kind(RequestKind::Probe);
         return readiness_response(&entry);
     }
     let request = match P::decode_head(&head) {
@@ -179,6 +145,7 @@
                 retry_after: None,
                 reason: "head",
             };
+            exchange.meter.refuse(reply.reason);
             return reply_response::<P>(&reply);
         }
     };
@@ -202,15 +169,17 @@
                 retry_after: None,
                 reason: "body",
             };
+            exchange.meter.refuse(reply.reason);
             return reply_response::<P>(&reply);
         }
     };
     let request = seam::Request { body, ..request };
-    let job = match admit(&entry, request, arrived_at).await {
+    let job = match admit(&entry, request, arrived_at, &exchange.meter).await {
         Ok(job) => job,
         Err(refusal) => {
             refusal.log(&id, entry.config_version());
-            metrics::counter!("refused", "reason" => refusal.reply.reason).increment(1);
+            meters::meters().refusals.add(refusal.reply.reason, 1);
+            exchange.meter.refuse(refusal.reply.reason);
             return reply_response::<P>(&refusal.reply);
         }
     };
@@ -254,6 +223,7 @@
     entry: &Entry<P>,
     request: seam::Request,
     arrived_at: time::Instant,
+    meter: &rc::Rc<RequestMeter>,
 ) -> Result<Job, Refusal> {
     let refuse = |status, retry_after, reason| seam::Reply {
         status,
@@ -270,6 +240,10 @@
     let Some(route) = config.find_route(&request.host, request.path()) else {
         return Err(refuse(StatusCode::NOT_FOUND, None, "no_route").into());
     };
+    meter.set_kind(match route.retry.is_stream() {
+        true => RequestKind::Stream,
+        false => RequestKind::Plain,
+    });
     let tenant = match (&config.tenants, route.allow_anonymous) {
         (None, _) | (_, true) => None,
         (Some(_), false) => {
@@ -324,6 +298,7 @@
         digest,
         elements: rc::Rc::new(elements),
         is_test,
+        meter: meter.clone(),
         charge: cell::Cell::new(charge),
         request,
     };
@@ -342,11 +317,11 @@
     units: f64,
     held_until: time::Instant,
 ) -> Result<Option<pool::Charge>, pool::ExcessUse> {
-    let now = time::Instant::now();
+    let started_at = time::Instant::now();
     entry
         .rate_limiter
         .borrow_mut()
-        .record_demand(tenant, units, now);
+        .record_demand(tenant, units, started_at);
     loop {
         let now = time::Instant::now();
         let charged = entry.rate_limiter.borrow_mut().charge(tenant, units, now);
@@ -354,7 +329,11 @@
             Err(excess) if now + excess.wait.max(HOLD_INTERVAL) <= held_until => {
                 tokio::time::sleep(HOLD_INTERVAL).await;
             }
-            charged => return charged,
+            charged => {
+                let held = now.saturating_duration_since(started_at);
+                meters::meters().admission_hold.record(held.as_secs_f64());
+                return charged;
+            }
         }
     }
 }
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -6,6 +6,8 @@
 use crate::body::BodyAborted;
 use crate::entry::Entry;
 use crate::guards::ActiveRequest;
+use crate::meters;
+use crate::request_meter::RequestMeter;
 use crate::telemetry;
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -44,6 +46,8 @@
     pub(crate) arrived_at: time::Instant,
     /// Whether the request is answered without its body having been read to its end.
     body_unread: cell::Cell<bool>,
+    /// How the request ends, for the metrics.
+    pub(crate) meter: rc::Rc<RequestMeter>,
 }
 
 impl<P: seam::Platform> Exchange<P> {
@@ -53,6 +57,7 @@
             id: cell::OnceCell::new(),
             arrived_at: time::Instant::now(),
             body_unread: cell::Cell::new(false),
+            meter: rc::Rc::new(RequestMeter::new()),
         }
     }
 
@@ -165,7 +170,8 @@
             return;
         };
         let cause = self.cause.get();
-        metrics::counter!("connections_cut", "cause" => cause).increment(1);
+        meters::meters().connections_cut.add(cause, 1);
+        exchange.meter.cut(cause);
         trace::LogLine::new("connection_cut")
             .with("request", exchange.id.get().map_or("", |id| id))
             .with("age_ms", telemetry::millis(exchange.arrived_at.elapsed()))
--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -3,6 +3,7 @@
 
 use crate::admit::Job;
 use crate::entry::Entry;
+use crate::meters;
 use crate::telemetry;
 use crate::verdict_store;
 use seam::Upstreams;
@@ -149,9 +150,11 @@
         for verdict in &changes.lifted {
             log_verdict("condemned_lifted", verdict, now);
         }
-        metrics::counter!("verdicts", "kind" => "condemned").increment(changes.added.len() as u64);
-        metrics::counter!("verdicts", "kind" => "lifted").increment(changes.lifted.len() as u64);
-        metrics::gauge!("verdicts_in_force").set(in_force as f64);
+        let meters = meters::meters();
+        let (added, lifted) = (changes.added.len() as u64, changes.lifted.len() as u64);
+        meters.verdicts.add("condemned", added);
+        meters.verdicts.add("lifted", lifted);
+        meters.verdicts_in_force.set(in_force as f64);
         let stored = changes.lifted.iter().filter_map(|v| Some((v, v.revision?)));
         let keys = stored.map(|(v, revision)| (verdict_store::key_of(v), revision));
         self.outdated_keys.borrow_mut().extend(keys);
@@ -246,7 +249,7 @@
 }
 
 fn log_crash(host: &str, from: &str, age: time::Duration) {
-    metrics::counter!("crashes").increment(1);
+    meters::meters().crashes.increment(1);
     trace::LogLine::new("crash")
         .with("upstream", host)
         .with("from", from)
--- a/crates/direct/src/engine_pool.rs
+++ b/crates/direct/src/engine_pool.rs
@@ -3,6 +3,8 @@
 //! A seat is room for one stream at a decode engine.
 
 use crate::entry::Entry;
+use crate::meters;
+use crate::metric;
 use rand::Rng;
 use std::cell;
 use std::collections;
@@ -83,6 +85,7 @@
     pub(crate) fn set_paused(&mut self, paused: bool) {
         if self.is_paused != paused {
             self.is_paused = paused;
+            meters::meters().pauses.increment(u64::from(paused));
             let mut decode_pool = self.pool.decode_pool.borrow_mut();
             decode_pool.set_paused(&self.engine, paused);
         }
@@ -169,8 +172,9 @@
             let (decode_pool, prefill_pool) =
                 (pool.decode_pool.borrow(), pool.prefill_pool.borrow());
             let (fill, waiting) = (decode_pool.fill_ratio(now), pool.queue.borrow().len());
-            metrics::gauge!("pool_fill", "service" => service.to_string()).set(fill);
-            metrics::gauge!("pool_waiting", "service" => service.to_string()).set(waiting as f64);
+            let labels = [("service", &*service)];
+            metric::POOL_FILL.gauge(&labels).set(fill);
+            metric::POOL_WAITING.gauge(&labels).set(waiting as f64);
             if waiting == 0 {
                 continue;
             }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -4,6 +4,8 @@
 use crate::engine_pool::EnginePools;
 use crate::gate::HostGate;
 use crate::gossip::GossipMessage;
+use crate::metered_store::MeteredStore;
+use crate::meters;
 use crate::plain_service::PlainServices;
 use std::cell;
 use std::collections;
@@ -21,7 +23,7 @@
 pub struct Entry<P: seam::Platform> {
     /// Settings of this process.
     pub settings: seam::Settings,
-    pub(crate) store: P::Store,
+    pub(crate) store: MeteredStore<P::Store>,
     pub(crate) upstreams: HostGate<P::Upstreams>,
     /// What upstream hosts have said of themselves.
     pub(crate) notices: pool::SharedNotices,
@@ -124,7 +126,7 @@
         let notices = pool::HostNotices::new(settings.host.clone());
         let notices = pool::SharedNotices::new(notices.into());
         rc::Rc::new(Self {
-            store,
+            store: MeteredStore::new(store),
             upstreams: HostGate::new(upstreams, notices.clone()),
             peer_client,
             config: cell::RefCell::default(),
@@ -206,7 +208,7 @@
             .with("version", config.version)
             .with("routes", config.routes.len())
             .info();
-        metrics::gauge!("configuration_version").set(config.version as f64);
+        meters::meters().config_version.set(config.version as f64);
         self.config_fetch.borrow_mut().record_applied();
         let idle_limit = config.limits.idle_timeout;
         self.idle_limit
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -1,5 +1,6 @@
 //! Splits a server-sent event stream into complete events.
 
+use crate::meters;
 use std::time;
 use world::Name;
 
@@ -95,7 +96,7 @@
             }
             None => {
                 let first = now.saturating_duration_since(arrived_at);
-                metrics::histogram!("first_event_seconds").record(first.as_secs_f64());
+                meters::meters().first_event.record(first.as_secs_f64());
                 self.first_arrival = Some(now);
             }
         }
--- a/crates/direct/src/gate.rs
+++ b/crates/direct/src/gate.rs
@@ -1,5 +1,6 @@
 //! Makes the calls to upstream hosts, and withholds those that a host does not want.
 
+use crate::meters;
 use std::net;
 use std::time;
 
@@ -41,7 +42,9 @@
                     .with("call", kind)
                     .with("why", withheld)
                     .info();
-                metrics::counter!("calls_withheld", "why" => withheld.to_string()).increment(1);
+                meters::meters()
+                    .calls_withheld
+                    .add(withheld_label(withheld), 1);
                 return None;
             }
         };
@@ -65,10 +68,18 @@
     }
 }
 
+fn withheld_label(withheld: pool::Withheld) -> &'static str {
+    match withheld {
+        pool::Withheld::Leaving => "leaving",
+        pool::Withheld::Paused => "paused",
+        pool::Withheld::Probed => "probed",
+    }
+}
+
 /// Logs and counts that a host is leaving by its own word, which came in an answer or from
 /// a peer.
 pub(crate) fn log_leaving(host: &pool::Incarnation, from: &str) {
-    metrics::counter!("host_notices", "kind" => "leaving").increment(1);
+    meters::meters().host_notices.add("leaving", 1);
     trace::LogLine::new("host_leaving")
         .with("upstream", &host.id)
         .with("started", host.started_ms)
@@ -77,7 +88,7 @@
 }
 
 fn log_pause(notice: &seam::HostNotice, pause: time::Duration, asked: &seam::RetryAfter) {
-    metrics::counter!("host_notices", "kind" => "pause").increment(1);
+    meters::meters().host_notices.add("pause", 1);
     let line = trace::LogLine::new("host_pause")
         .with("upstream", &notice.host.id)
         .with("started", notice.host.started_ms)
--- a/crates/direct/src/guards.rs
+++ b/crates/direct/src/guards.rs
@@ -1,6 +1,8 @@
 //! Guards that release resources when a request ends early.
 
 use crate::entry::Entry;
+use crate::meters;
+use std::cell;
 use std::rc;
 use std::time;
 use world::Name;
@@ -52,14 +54,23 @@
     source: Option<seam::KvSource>,
     /// When the prefill was complete.
     ready_at: time::Instant,
+    prompt_tokens: u64,
+    /// Why the prompt was read for nothing if no decode engine fetches the KV cache.
+    waste_cause: cell::Cell<&'static str>,
 }
 
 impl<P: seam::Platform> KvCacheGuard<P> {
-    pub(crate) fn new(entry: &rc::Rc<Entry<P>>, source: seam::KvSource) -> Self {
+    pub(crate) fn new(
+        entry: &rc::Rc<Entry<P>>,
+        source: seam::KvSource,
+        prompt_tokens: u64,
+    ) -> Self {
         Self {
             entry: entry.clone(),
             source: Some(source),
             ready_at: time::Instant::now(),
+            prompt_tokens,
+            waste_cause: cell::Cell::new("unused"),
         }
     }
 
@@ -73,7 +84,13 @@
     pub(crate) fn is_usable(&self, ttl: time::Duration) -> bool {
         let holder = self.source.as_ref().map(|s| &s.holder);
         let is_listed = holder.is_some_and(|h| self.entry.target(&h.id).as_ref() == Some(h));
-        is_listed && self.ready_at.elapsed() < ttl / 2
+        let is_fresh = self.ready_at.elapsed() < ttl / 2;
+        if !is_listed {
+            self.waste_cause.set("holder_lost");
+        } else if !is_fresh {
+            self.waste_cause.set("expired");
+        }
+        is_listed && is_fresh
     }
 
     /// Keeps the KV cache on drop, because a decode engine has fetched it.
@@ -87,6 +104,10 @@
         let Some(source) = self.source.take() else {
             return;
         };
+        let cause = self.waste_cause.get();
+        meters::meters()
+            .wasted_tokens
+            .add(cause, self.prompt_tokens);
         let entry = self.entry.clone();
         tokio::task::spawn_local(async move {
             seam::Upstreams::free_cache(&entry.upstreams, &source).await;
--- a/crates/direct/src/plain_call.rs
+++ b/crates/direct/src/plain_call.rs
@@ -6,6 +6,7 @@
 use crate::admit::Job;
 use crate::entry::Entry;
 use crate::forward::Answer;
+use crate::meters;
 use crate::plain_attempt;
 use crate::plain_attempt::AttemptOutcome;
 use crate::plain_service;
@@ -167,7 +168,11 @@
         let may_send = !attempts.is_retry() || {
             let entries = entry.entry_count();
             let mut retry_budget = entry.retry_budget.borrow_mut();
-            retry_budget.try_take(&job.service, entries, now)
+            let granted = retry_budget.try_take(&job.service, entries, now);
+            if granted {
+                meters::count_retry(&job.service);
+            }
+            granted
         };
         match may_send {
             true => NextStep::Send(target),
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -6,6 +6,7 @@
 use crate::caller::Exchange;
 use crate::entry::Entry;
 use crate::forward;
+use crate::meters;
 use crate::plain_call::PlainCall;
 use crate::telemetry;
 use http::StatusCode;
@@ -83,8 +84,13 @@
     };
     match call.run().await {
         Ok(answer) => {
-            metrics::histogram!("answer_seconds", "kind" => "plain")
-                .record(job.arrived_at.elapsed().as_secs_f64());
+            let took = job.arrived_at.elapsed();
+            meters::meters().plain_answer.record(took.as_secs_f64());
+            match answer.response.status.is_server_error() {
+                true => job.meter.fail(),
+                false if took <= job.route.latency_target => job.meter.answer("on_time"),
+                false => job.meter.answer("late"),
+            }
             forward::forward_response(answer, exchange, job)
         }
         Err(reply) => refusal_response(&entry, &job, &reply),
@@ -130,7 +136,8 @@
         .with("again_ms", reply.retry_after.map_or(0, telemetry::millis))
         .with("list", entry.host_list.borrow().revision())
         .info();
-    metrics::counter!("refused", "reason" => reply.reason).increment(1);
+    meters::meters().refusals.add(reply.reason, 1);
+    job.meter.refuse(reply.reason);
     if implies_not_executed(reply.status) {
         job.refund(&entry.rate_limiter);
     }
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -2,6 +2,7 @@
 
 use crate::engine_pool::PendingPrefill;
 use crate::guards::KvCacheGuard;
+use crate::meters;
 use crate::stream::StartError;
 use crate::stream::StreamRunner;
 use crate::telemetry;
@@ -95,6 +96,7 @@
             .with("took_ms", telemetry::millis(took))
             .with("ready", matches!(outcome, seam::PrefillOutcome::Ready(_)))
             .info();
+        count_outcome(&outcome, self.job.request.prompt_tokens(), expected, took);
         match &outcome {
             seam::PrefillOutcome::Ready(_) => self.arrivals.record_prefill(),
             seam::PrefillOutcome::Failed(cause) if !cause.may_have_arrived() => {
@@ -106,7 +108,8 @@
         match outcome {
             seam::PrefillOutcome::Ready(source) => {
                 prefill_pool.record_prefill(&engine, self.job.request.prompt_tokens(), took);
-                Ok(KvCacheGuard::new(&self.entry, source))
+                let tokens = self.job.request.prompt_tokens();
+                Ok(KvCacheGuard::new(&self.entry, source, tokens))
             }
             seam::PrefillOutcome::Refused => {
                 prefill_pool.record_failure(&engine, now);
@@ -128,3 +131,29 @@
         }
     }
 }
+
+/// Counts how a prefill ended, and the tokens that a failed one may have read.
+fn count_outcome(
+    outcome: &seam::PrefillOutcome,
+    tokens: u64,
+    expected: time::Duration,
+    took: time::Duration,
+) {
+    let meters = meters::meters();
+    meters.prefill.record(took.as_secs_f64());
+    match outcome {
+        seam::PrefillOutcome::Ready(_) if !expected.is_zero() => {
+            let ratio = took.as_secs_f64() / expected.as_secs_f64();
+            meters.prefill_error.record(ratio);
+        }
+        seam::PrefillOutcome::Failed(seam::FailureCause::TimedOut) => {
+            meters.wasted_tokens.add("prefill_late", tokens);
+        }
+        seam::PrefillOutcome::Failed(cause) if cause.may_have_arrived() => {
+            meters.wasted_tokens.add("prefill_broken", tokens);
+        }
+        seam::PrefillOutcome::Ready(_)
+        | seam::PrefillOutcome::Refused
+        | seam::PrefillOutcome::Failed(_) => {}
+    }
+}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,8 +1,10 @@
 //! Forwards events from engines to callers.
 
+use crate::admit::Job;
 use crate::body::Chunk;
 use crate::crashes;
 use crate::events::EventSplitter;
+use crate::meters;
 use crate::resume::Resumption;
 use crate::stream::StartedStream;
 use crate::stream::StreamRunner;
@@ -75,9 +77,14 @@
             let engine = started.engine.clone();
             let silent = (end == StreamEnd::Stalled).then_some(started);
             let resumption = self.resume(silent, &mut events, &sender).await;
+            meters::meters().resumptions.add(resumption.label(), 1);
             (self.spare, self.cache) = (None, None);
             match resumption {
-                Resumption::Moved(next) => started = next,
+                Resumption::Moved(next) => {
+                    let tokens = self.job.request.prompt_tokens();
+                    meters::meters().wasted_tokens.add("interrupted", tokens);
+                    started = next;
+                }
                 Resumption::WentOn(first, bytes) => {
                     self.pool
                         .decode_pool
@@ -125,8 +132,9 @@
     ) {
         self.entry.record_answer(&self.job.elements);
         self.record_stream(&started.seat, events);
-        metrics::histogram!("answer_seconds", "kind" => "stream")
-            .record(self.job.arrived_at.elapsed().as_secs_f64());
+        let took = self.job.arrived_at.elapsed().as_secs_f64();
+        meters::meters().stream_answer.record(took);
+        self.job.meter.answer(lateness(&self.job, events));
         // A caller that reads slowly keeps no engine.
         drop(started);
         // The caller may have disconnected, so a failure to send the end is ignored.
@@ -136,6 +144,8 @@
     /// Logs an answer that ends before it is complete. Dropping the sender then aborts
     /// it, so that the caller notices.
     fn log_cut(&self, end: StreamEnd, engine: &str, events: &EventSplitter) {
+        let tokens = self.job.request.prompt_tokens();
+        meters::meters().wasted_tokens.add("answer_cut", tokens);
         self.job
             .log_cut(end.label(), engine)
             .with("events", events.event_count)
@@ -197,6 +207,7 @@
         progress: pool::StreamProgress,
     ) -> StreamEnd {
         let end = self.read_events(started, events, sender, progress).await;
+        meters::meters().engine_streams.add(end.label(), 1);
         let first_delay = events
             .first_arrival
             .map(|first| first.saturating_duration_since(self.job.arrived_at));
@@ -296,6 +307,17 @@
     }
 }
 
+/// Returns whether a stream kept its route's targets, or which one it missed first.
+fn lateness(job: &Job, events: &EventSplitter) -> &'static str {
+    let first_at = events.first_arrival.unwrap_or_else(time::Instant::now);
+    let first_delay = first_at.saturating_duration_since(job.arrived_at);
+    match () {
+        () if first_delay > job.route.latency_target => "late_first_event",
+        () if events.max_gap > job.route.max_gap => "late_pause",
+        () => "on_time",
+    }
+}
+
 /// How forwarding from one engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -1,6 +1,7 @@
 //! Reserves memory and a slot at decode engines.
 
 use crate::guards::ReservationGuard;
+use crate::meters;
 use crate::prefill;
 use crate::stream::StartError;
 use crate::stream::StreamRunner;
@@ -54,13 +55,15 @@
             false => prefill::prefill_timeout(expected),
         };
         let ttl = (prompt_time + RESERVE_MARGIN).min(max_reservation);
-        let deadline = time::Instant::now() + RESERVE_TIMEOUT;
+        let asked_at = time::Instant::now();
+        let deadline = asked_at + RESERVE_TIMEOUT;
         let outcome = self
             .entry
             .upstreams
             .reserve(target, need, ttl, deadline)
             .await;
         let now = time::Instant::now();
+        count_outcome(&outcome, now.saturating_duration_since(asked_at));
         let mut decode_pool = self.pool.decode_pool.borrow_mut();
         match outcome {
             seam::ReserveOutcome::Granted(name) => {
@@ -99,3 +102,16 @@
         }
     }
 }
+
+/// Counts an answer to a reservation call, or the lack of one.
+fn count_outcome(outcome: &seam::ReserveOutcome, took: time::Duration) {
+    let meters = meters::meters();
+    let label = match outcome {
+        seam::ReserveOutcome::Granted(_) => "granted",
+        seam::ReserveOutcome::Full => "full",
+        seam::ReserveOutcome::Failed(seam::FailureCause::Withheld) => "withheld",
+        seam::ReserveOutcome::Failed(_) => "failed",
+    };
+    meters.reservations.add(label, 1);
+    meters.reservation.record(took.as_secs_f64());
+}
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -44,6 +44,19 @@
     CallerGone,
 }
 
+impl<S> Resumption<S> {
+    /// Returns the name of the outcome in the metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Resumption::Moved(_) => "moved",
+            Resumption::WentOn(..) => "went_on",
+            Resumption::Ended(_) => "ended",
+            Resumption::Refused(_) => "refused",
+            Resumption::CallerGone => "caller_left",
+        }
+    }
+}
+
 /// What a silent engine did while the start elsewhere was prepared.
 enum Sign {
     Read(Option<Result<bytes::Bytes, seam::FailureCause>>),
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -1,6 +1,7 @@
 //! Counts what is sent for a stream, and takes its retries from the budget of its service.
 
 use crate::entry::Entry;
+use crate::meters;
 use crate::stream::StreamRunner;
 use std::rc;
 use std::time;
@@ -32,6 +33,7 @@
         if let Some(service) = self.service.take() {
             let mut retry_budget = self.entry.retry_budget.borrow_mut();
             retry_budget.take_reserved(&service, time::Instant::now());
+            meters::count_retry(&service);
         }
     }
 }
@@ -87,7 +89,11 @@
         let now = time::Instant::now();
         let entries = self.entry.entry_count();
         let mut retry_budget = self.entry.retry_budget.borrow_mut();
-        retry_budget.try_take(&self.job.service, entries, now)
+        let granted = retry_budget.try_take(&self.job.service, entries, now);
+        if granted {
+            meters::count_retry(&self.job.service);
+        }
+        granted
     }
 
     /// Takes the retry that was kept back, which is meant for the time after the silent
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::caller;
 use crate::entry::Entry;
+use crate::meters;
 use crate::peers;
 use crate::reload;
 use crate::role_orders;
@@ -30,11 +31,18 @@
 /// Port of the metrics endpoint, which the deployment file refers to.
 const METRICS_PORT: u16 = 9_464;
 
+/// Interval at which recorded times are added up, which bounds their memory between scrapes.
+const UPKEEP_INTERVAL: time::Duration = time::Duration::from_secs(15);
+/// Content type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
 /// Runs the entry until the process is told to stop and all requests have been
 /// answered, at most for the grace period. Returns an error if a listener for callers,
 /// probes or peers can't be bound.
 pub async fn run<P: seam::Platform>(entry: rc::Rc<Entry<P>>, signals: Signals) -> io::Result<()> {
     let metrics_handle = telemetry::install_recorder();
+    // All counters are served from the start, with 0.
+    meters::meters();
     let settings = entry.settings.clone();
     let (closing, closed) = watch::channel(false);
     let listener = listen(settings.listen)?;
@@ -44,6 +52,7 @@
         tokio::task::spawn_local(accept(entry.clone(), listener, closed.clone()));
     }
     if let Some(handle) = metrics_handle {
+        tokio::task::spawn_local(keep_metrics(handle.clone()));
         let address = net::SocketAddr::new(settings.ip, METRICS_PORT);
         match listen(address) {
             Ok(listener) => {
@@ -111,6 +120,13 @@
     }
 }
 
+async fn keep_metrics(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 async fn serve_metrics(listener: aio::TcpListener, handle: PrometheusHandle) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -122,7 +138,11 @@
             let text = handle.render();
             async move {
                 let body = crate::body::Body::from(bytes::Bytes::from(text));
-                Ok::<_, convert::Infallible>(hyper::Response::new(body))
+                let mut response = hyper::Response::new(body);
+                let content_type = http::HeaderValue::from_static(METRICS_TYPE);
+                let headers = response.headers_mut();
+                headers.insert(http::header::CONTENT_TYPE, content_type);
+                Ok::<_, convert::Infallible>(response)
             }
         });
         tokio::task::spawn_local(async move {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -8,6 +8,7 @@
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
 use crate::guards::KvCacheGuard;
+use crate::meters;
 use crate::plain_service;
 use crate::retries::SpareRetry;
 use crate::trials;
@@ -217,13 +218,15 @@
             },
             queued_at: time::Instant::now(),
         };
-        let zone = self.entry.settings.zone.clone();
+        let (zone, queued_at) = (self.entry.settings.zone.clone(), queued.queued_at);
         let seat = tokio::select! {
             biased;
             seat = self.pool.wait_for_seat(self.ticket, queued, &zone) => seat,
             // A stream that may have begun can't be refused any more.
             () = self.pool.all_paused.notified(), if !self.may_have_run => None,
         };
+        let waited = queued_at.elapsed().as_secs_f64();
+        meters::meters().seat_wait.record(waited);
         let mut seat = seat.ok_or(StartError::Abandoned)?;
         let engine = seat.engine.clone();
         let target = self
@@ -285,6 +288,8 @@
             cache.disarm();
         }
         if plain_service::implies_not_executed(response.status) {
+            let tokens = job.request.prompt_tokens();
+            meters::meters().wasted_tokens.add("decode_failed", tokens);
             return Err(StartError::Unknown("status_ambiguous"));
         }
         self.pool.decode_pool.borrow_mut().record_success(&engine);
--- a/crates/direct/src/stream_memory.rs
+++ b/crates/direct/src/stream_memory.rs
@@ -2,6 +2,7 @@
 
 use crate::engine_pool::Seat;
 use crate::events::EventSplitter;
+use crate::meters;
 use crate::stream::StreamRunner;
 use std::time;
 
@@ -43,9 +44,12 @@
     pub(crate) fn record_stream(&self, seat: &Seat, events: &EventSplitter) {
         let request = &self.job.request;
         let mut responses = self.pool.responses.borrow_mut();
+        let (_, max) = request.token_counts.unwrap_or_default();
+        let expected = responses.estimate(max, request.length_hint).median;
         responses.record(events.event_count, events.duration(), request.length_hint);
         let made = events.event_count as f64 * responses.tokens_per_event();
         drop(responses);
+        meters::meters().length_error.record(made / expected);
         let used = request.prompt_tokens() + (made / 2.0) as u64;
         self.entry
             .record_stream(&self.job.service, used, seat.assigned_at.elapsed());
--- a/crates/direct/src/telemetry.rs
+++ b/crates/direct/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Metrics recorder and formatting helpers for logs.
 
+use crate::metric;
+use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::time;
@@ -7,11 +9,18 @@
 /// Upper bounds of the latency histograms' buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 2.0, 5.0, 14.0];
 
+/// Upper bounds of the buckets of an actual value divided by its estimate.
+const RATIO_BUCKETS: [f64; 11] = [0.1, 0.25, 0.5, 0.7, 0.9, 1.1, 1.4, 2.0, 3.0, 5.0, 10.0];
+
 /// Installs the metrics recorder and returns the handle that renders its metrics,
 /// or `None` if another recorder is installed already.
 pub(crate) fn install_recorder() -> Option<PrometheusHandle> {
     PrometheusBuilder::new()
         .set_buckets(&LATENCY_BUCKETS)
+        .and_then(|builder| {
+            let ratios = Matcher::Suffix(metric::RATIO_SUFFIX.to_owned());
+            builder.set_buckets_for_metric(ratios, &RATIO_BUCKETS)
+        })
         .and_then(PrometheusBuilder::install_recorder)
         .ok()
 }
--- a/crates/direct/src/unstarted.rs
+++ b/crates/direct/src/unstarted.rs
@@ -31,6 +31,7 @@
     let Some(bytes) = body else {
         return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
     };
+    job.meter.fail();
     let mut forwarded = hyper::Response::new(Body::from(bytes));
     *forwarded.status_mut() = response.status;
     *forwarded.headers_mut() = response.headers;
