--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -335,7 +335,7 @@
                     let has = |s: &&fake::tracks::MetricSample| {
                         s.labels.get(key).is_some_and(|v| v == value)
                     };
-                    let exists = samples.iter().any(|s| has(s));
+                    let exists = samples.iter().any(has);
                     assert!(exists, "{name} {key}={value} in {query}");
                 }
             }
--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -154,7 +154,7 @@
         let (added, lifted) = (changes.added.len() as u64, changes.lifted.len() as u64);
         meters.verdicts.add("condemned", added);
         meters.verdicts.add("lifted", lifted);
-        meters.verdicts_in_force.set(in_force as f64);
+        meters.active_verdicts.set(in_force as f64);
         let stored = changes.lifted.iter().filter_map(|v| Some((v, v.revision?)));
         let keys = stored.map(|(v, revision)| (verdict_store::key_of(v), revision));
         self.outdated_keys.borrow_mut().extend(keys);
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -189,7 +189,7 @@
     pub(crate) host_notices: CounterSet,
     pub(crate) crashes: Counter,
     pub(crate) verdicts: CounterSet,
-    pub(crate) verdicts_in_force: Gauge,
+    pub(crate) active_verdicts: Gauge,
     pub(crate) config_version: Gauge,
 }
 
@@ -246,7 +246,7 @@
             host_notices: set(&metric::HOST_NOTICES, "kind", &["leaving", "pause"]),
             crashes: metric::CRASHES.counter(&[]),
             verdicts: set(&metric::VERDICTS, "kind", &["condemned", "lifted"]),
-            verdicts_in_force: metric::VERDICTS_IN_FORCE.gauge(&[]),
+            active_verdicts: metric::VERDICTS_IN_FORCE.gauge(&[]),
             config_version: metric::CONFIG_VERSION.gauge(&[]),
         }
     }
