--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -48,6 +48,10 @@
     pub(crate) verdicts_changed: sync::Notify,
     /// Asks for a message to the peers ahead of time.
     pub(crate) gossip_due: sync::Notify,
+    /// Messages from other zones that wait to be passed on to the own zone.
+    pub(crate) relay_queue: cell::RefCell<pool::RelayQueue<GossipMessage>>,
+    /// Asks for a message to the own zone ahead of time.
+    pub(crate) relay_due: sync::Notify,
     /// Recently refused requests, to recognise their retries.
     pub(crate) refusals: cell::RefCell<pool::RecentRefusals<route::Digest>>,
     /// Demand of this entry's callers, by service.
@@ -55,6 +59,8 @@
     pub(crate) role_changes: cell::RefCell<RoleChanges>,
     /// The other entries, by host name.
     pub(crate) peers: cell::RefCell<collections::BTreeMap<Name, Peer>>,
+    /// When this process started.
+    pub(crate) started_at: time::Instant,
     /// Lease of this entry's key in the store.
     pub(crate) lease: cell::Cell<Option<seam::LeaseId>>,
     /// When to read a newer configuration from a peer.
@@ -95,8 +101,12 @@
 #[derive(Debug)]
 pub(crate) struct Peer {
     pub(crate) address: net::SocketAddr,
-    /// The last message and when it was received.
-    pub(crate) last_message: Option<(time::Instant, GossipMessage)>,
+    /// Availability zone, once the peer has told it.
+    pub(crate) zone: Option<Name>,
+    /// The last message and how it came.
+    pub(crate) last_message: Option<(pool::Heard, GossipMessage)>,
+    /// Recognises messages that are older than the last one.
+    pub(crate) order: pool::UpdateOrder,
     /// When to send again to a peer that did not reply.
     pub(crate) retry_at: Option<time::Instant>,
 }
@@ -145,10 +155,13 @@
             outdated_keys: cell::RefCell::default(),
             verdicts_changed: sync::Notify::new(),
             gossip_due: sync::Notify::new(),
+            relay_queue: cell::RefCell::default(),
+            relay_due: sync::Notify::new(),
             refusals: cell::RefCell::default(),
             demand: cell::RefCell::default(),
             role_changes: cell::RefCell::default(),
             peers: cell::RefCell::default(),
+            started_at: time::Instant::now(),
             lease: cell::Cell::new(None),
             config_fetch: cell::RefCell::default(),
             bounds: cell::Cell::new(bounds),
@@ -340,8 +353,7 @@
     pub(crate) fn peer_is_holder(&self, now: time::Instant) -> bool {
         let peers = self.peers.borrow();
         let messages = peers.values().filter_map(|p| p.last_message.as_ref());
-        let mut fresh =
-            messages.filter(|(at, _)| now.saturating_duration_since(*at) < HOLDER_MESSAGE_TTL);
+        let mut fresh = messages.filter(|(heard, _)| heard.is_valid(HOLDER_MESSAGE_TTL, now));
         fresh.any(|(_, message)| message.is_holder)
     }
 
@@ -353,6 +365,13 @@
         (preceding, peers.len() + 1)
     }
 
+    /// Returns this entry's place among those that read the lists for the others.
+    pub(crate) fn reader_position(&self) -> pool::Position {
+        let peers = self.peers.borrow();
+        let zones = peers.iter().map(|(name, p)| (name, p.zone.as_ref()));
+        pool::Position::find((&self.settings.host, &self.settings.zone), zones)
+    }
+
     /// Records that an engine was found to be changing its role, or to have another
     /// role than the membership list shows.
     pub(crate) fn mark_role_change(&self, id: &Name, role: seam::Role, now: time::Instant) {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -19,6 +19,21 @@
     /// Address on which the sender receives messages.
     #[serde(default)]
     pub(crate) address: Option<net::SocketAddr>,
+    /// Availability zone of the sender.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) zone: Option<Name>,
+    /// Milliseconds since the start of the sending process.
+    #[serde(default)]
+    pub(crate) uptime_ms: u64,
+    /// Whether the receiver passes the message on to its zone.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "pool::Forwarding::is_never")]
+    pub(crate) forwarding: pool::Forwarding,
+    /// Messages from other zones that the sender passes on.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) relayed: Vec<RelayedMessage>,
     /// Version of the sender's configuration.
     pub(crate) version: u64,
     /// Store revision of the sender's membership list.
@@ -66,6 +81,14 @@
     pub(crate) role_changes: collections::BTreeMap<Name, (seam::Role, u64)>,
 }
 
+/// A message that a relay passes on to its zone.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub(crate) struct RelayedMessage {
+    /// Milliseconds for which the relay has held the message.
+    pub(crate) held_ms: u64,
+    pub(crate) message: GossipMessage,
+}
+
 /// Reply to a gossip message, with what the receiver has newer than the sender.
 #[derive(Debug, Default, serde::Serialize, serde::Deserialize)]
 pub(crate) struct GossipReply {
@@ -82,6 +105,18 @@
     pub(crate) age_ms: Option<u64>,
 }
 
+impl GossipMessage {
+    /// Returns what identifies the message among those of its sender.
+    fn id(&self, heard: pool::Heard) -> pool::UpdateId {
+        let uptime = time::Duration::from_millis(self.uptime_ms);
+        pool::UpdateId {
+            run: self.usage.run,
+            started_at: heard.sent_at.checked_sub(uptime).unwrap_or(heard.sent_at),
+            number: self.usage.number,
+        }
+    }
+}
+
 impl<P: seam::Platform> Entry<P> {
     /// Builds the message for the peers; with `full` it includes the prefill
     /// speeds, which rarely change.
@@ -89,6 +124,8 @@
         let mut message = GossipMessage {
             entry: self.settings.host.clone(),
             address: Some(self.settings.peer_listen),
+            zone: Some(self.settings.zone.clone()),
+            uptime_ms: now.saturating_duration_since(self.started_at).as_millis() as u64,
             version: self.config_version(),
             list_revision: self.host_list.borrow().revision(),
             age_ms: u64::try_from(self.list_age(now).as_millis()).unwrap_or(u64::MAX),
@@ -123,37 +160,99 @@
         message
     }
 
-    /// Applies a peer's message, and returns what this entry has newer than the peer.
-    pub(crate) fn apply_gossip(&self, message: GossipMessage, now: time::Instant) -> GossipReply {
+    /// Applies a peer's message and those that it passes on, and returns what this entry
+    /// has newer than the peer.
+    pub(crate) fn receive_gossip(
+        &self,
+        mut message: GossipMessage,
+        now: time::Instant,
+    ) -> GossipReply {
+        let reply = self.gossip_reply(&message);
+        for relayed in std::mem::take(&mut message.relayed) {
+            let held = time::Duration::from_millis(relayed.held_ms);
+            self.apply_gossip(relayed.message, pool::Heard::by_relay(held, now));
+        }
+        let forwarding = std::mem::take(&mut message.forwarding);
+        let copy = (!forwarding.is_never()).then(|| message.clone());
+        let is_new = self.apply_gossip(message, now.into());
+        if let Some(copy) = copy.filter(|_| is_new) {
+            self.keep_for_zone(copy, forwarding, now);
+        }
+        reply
+    }
+
+    /// Keeps a message that this entry passes on to its zone, unless it comes from there.
+    fn keep_for_zone(
+        &self,
+        message: GossipMessage,
+        forwarding: pool::Forwarding,
+        now: time::Instant,
+    ) {
+        if message.zone.as_ref() == Some(&self.settings.zone) {
+            return;
+        }
+        let mut queue = self.relay_queue.borrow_mut();
+        queue.push(message.entry.clone(), message, now);
+        if forwarding == pool::Forwarding::Now {
+            self.relay_due.notify_one();
+        }
+    }
+
+    /// Takes the messages that this entry passes on to its zone.
+    pub(crate) fn take_relayed(&self, now: time::Instant) -> Vec<RelayedMessage> {
+        let waiting = self.relay_queue.borrow_mut().take(now);
+        let relayed = waiting.into_iter().map(|(held, message)| RelayedMessage {
+            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+            message,
+        });
+        relayed.collect()
+    }
+
+    /// Returns whether a message is newer than all others of its sender.
+    fn is_new(&self, message: &GossipMessage, heard: pool::Heard) -> bool {
+        let mut peers = self.peers.borrow_mut();
+        let known = peers.get_mut(&message.entry);
+        known.is_none_or(|p| p.order.record(message.id(heard)))
+    }
+
+    /// Applies a peer's message. Returns whether it was newer than all others of that
+    /// peer; otherwise it changes nothing.
+    fn apply_gossip(&self, message: GossipMessage, heard: pool::Heard) -> bool {
+        let is_own = message.entry == self.settings.host;
+        if (is_own && heard.is_relayed) || !self.is_new(&message, heard) {
+            return false;
+        }
+        let (now, sent_at) = (heard.received_at, heard.sent_at);
         let peer = message.entry.clone();
         for (_, pool) in self.pools.all() {
             let mut decode_pool = pool.decode_pool.borrow_mut();
-            decode_pool.update_peer(&peer, message.decode_loads.clone(), now);
+            decode_pool.update_peer(&peer, message.decode_loads.clone(), heard);
             decode_pool
                 .failures
-                .update_peer(&peer, &message.failures, now);
+                .update_peer(&peer, &message.failures, heard);
             drop(decode_pool);
             let mut prefill_pool = pool.prefill_pool.borrow_mut();
-            prefill_pool.update_peer(&peer, message.prefill_tokens.clone(), now);
+            prefill_pool.update_peer(&peer, message.prefill_tokens.clone(), heard);
             prefill_pool.add_peer_speeds(&message.speeds);
             prefill_pool
                 .failures
-                .update_peer(&peer, &message.failures, now);
+                .update_peer(&peer, &message.failures, heard);
         }
         for (_, plain) in self.plain_services.all() {
             let mut balancer = plain.balancer.borrow_mut();
-            balancer.update_peer(&peer, message.calls.clone(), now);
-            balancer.failures.update_peer(&peer, &message.failures, now);
+            balancer.update_peer(&peer, message.calls.clone(), heard);
+            balancer
+                .failures
+                .update_peer(&peer, &message.failures, heard);
         }
         let mut rate_limiter = self.rate_limiter.borrow_mut();
-        rate_limiter.update_peer(&peer, &message.usage, now);
+        rate_limiter.update_peer(&peer, &message.usage, heard);
         drop(rate_limiter);
-        self.apply_crash_update(&message.crash_update, &peer, now);
-        self.apply_role_changes(&message, now);
+        self.apply_crash_update(&message.crash_update, &peer, sent_at);
+        self.apply_role_changes(&message, heard);
         self.apply_leaving(&message, now);
-        let reply = self.gossip_reply(&message);
-        self.record_peer(&peer, message.address, message, now);
-        reply
+        self.record_peer(&peer, message, heard);
+        true
     }
 
     /// Applies that upstream hosts are leaving, as they have told a peer.
@@ -169,32 +268,25 @@
 
     /// Stores a peer's message. A peer that the store has not listed yet is
     /// added by its first message.
-    fn record_peer(
-        &self,
-        peer: &Name,
-        address: Option<net::SocketAddr>,
-        message: GossipMessage,
-        now: time::Instant,
-    ) {
+    fn record_peer(&self, peer: &Name, mut message: GossipMessage, heard: pool::Heard) {
         let mut peers = self.peers.borrow_mut();
         if let Some(known) = peers.get_mut(peer) {
-            let mut message = message;
             if let Some((_, old)) = known.last_message.take()
                 && message.speeds.is_empty()
             {
                 message.speeds = old.speeds;
             }
-            known.last_message = Some((now, message));
-        } else if let Some(address) = address.filter(|_| *peer != self.settings.host) {
+            known.zone = message.zone.clone();
+            known.last_message = Some((heard, message));
+        } else if let Some(address) = message.address.filter(|_| *peer != self.settings.host) {
             trace::LogLine::new("peer")
                 .with("peer", peer)
                 .with("address", address)
                 .info();
-            let added = Peer {
-                address,
-                last_message: Some((now, message)),
-                retry_at: None,
-            };
+            let mut added = Peer::new(address);
+            added.order.record(message.id(heard));
+            added.zone = message.zone.clone();
+            added.last_message = Some((heard, message));
             peers.insert(peer.clone(), added);
         }
     }
@@ -207,7 +299,8 @@
             ..GossipReply::default()
         };
         let age = time::Duration::from_millis(message.age_ms);
-        if !pool::shares_member_list(self.position().0, age) {
+        let same_zone = message.zone.as_ref() == Some(&self.settings.zone);
+        if !pool::shares_member_list(self.reader_position(), same_zone, age) {
             return reply;
         }
         let own_age = self.list_age(time::Instant::now());
@@ -255,12 +348,12 @@
 
     /// Adds a peer's role changes. Changes that are known already stay as they are,
     /// because the entry that ordered one knows best when it ends.
-    fn apply_role_changes(&self, message: &GossipMessage, now: time::Instant) {
+    fn apply_role_changes(&self, message: &GossipMessage, heard: pool::Heard) {
         let mut role_changes = self.role_changes.borrow_mut();
         let before = role_changes.len();
-        role_changes.retain(|_, (_, until)| *until > now);
+        role_changes.retain(|_, (_, until)| *until > heard.received_at);
         for (id, (role, remaining_ms)) in &message.role_changes {
-            let until = now + time::Duration::from_millis(*remaining_ms);
+            let until = heard.sent_at + time::Duration::from_millis(*remaining_ms);
             role_changes.entry(id.clone()).or_insert((*role, until));
         }
         let changed = role_changes.len() != before;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod gate;
 mod gossip;
+mod gossip_sender;
 mod guards;
 mod member_log;
 mod peers;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,10 +1,11 @@
-//! Finds the other entries through the store and exchanges gossip with them.
+//! Finds the other entries through the store and receives their gossip.
 
 use crate::body::Body;
 use crate::entry::Entry;
 use crate::entry::Peer;
 use crate::gossip::GossipMessage;
-use crate::gossip::GossipReply;
+use crate::gossip_sender;
+use crate::gossip_sender::ConfigSource;
 use crate::serve;
 use crate::usage_store;
 use crate::verdict_store;
@@ -36,26 +37,15 @@
 /// A peer that sent a message within this time is kept even if the store does
 /// not list it.
 const MESSAGE_TTL: time::Duration = time::Duration::from_secs(3);
-/// Every eighth message also includes the prefill speeds, which rarely change.
-const FULL_MESSAGE_PERIOD: u32 = 8;
-/// Time between two messages to a peer.
-const GOSSIP_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Path under which an entry receives gossip.
-const GOSSIP_PATH: &str = "/news";
+pub(crate) const GOSSIP_PATH: &str = "/news";
 /// Path under which an entry returns its configuration.
-const CONFIG_PATH: &str = "/agreement";
-/// Timeout for reading a peer's configuration, which may be large and share a
-/// small link with other traffic.
-const CONFIG_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
-/// Timeout for the reply to a gossip message.
-const GOSSIP_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+pub(crate) const CONFIG_PATH: &str = "/agreement";
 /// Longest wait for the head and for the body of a peer's message, and for the next one on
 /// its connection. Peers close idle connections sooner.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-/// Pause before the next message to a peer that did not reply.
-const PEER_RETRY_DELAY: time::Duration = time::Duration::from_millis(1_000);
 /// Maximum size of a message in bytes.
-const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 /// Pause after a failed call to the store or a failed accept.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
@@ -68,7 +58,7 @@
     tokio::task::spawn_local(discover(entry.clone()));
     tokio::task::spawn_local(usage_store::keep_usage(entry.clone()));
     tokio::task::spawn_local(verdict_store::keep_verdicts(entry.clone()));
-    tokio::task::spawn_local(gossip_to_all(entry));
+    tokio::task::spawn_local(gossip_sender::gossip_to_all(entry));
     Ok(())
 }
 
@@ -97,7 +87,7 @@
 }
 
 async fn handle_request<P: seam::Platform>(
-    entry: &Entry<P>,
+    entry: &rc::Rc<Entry<P>>,
     request: hyper::Request<Incoming>,
 ) -> hyper::Response<Body> {
     if request.uri().path() == CONFIG_PATH {
@@ -117,7 +107,12 @@
         *response.status_mut() = http::StatusCode::BAD_REQUEST;
         return response;
     };
-    let reply = entry.apply_gossip(message, time::Instant::now());
+    let outdated = newest_relayed(&message).filter(|n| n.version > entry.config_version());
+    let now = time::Instant::now();
+    let reply = entry.receive_gossip(message, now);
+    if let Some(source) = outdated {
+        gossip_sender::learn_version(entry, source, now);
+    }
     let text = serde_json::to_vec(&reply).unwrap_or_default();
     hyper::Response::new(Body::from(bytes::Bytes::from(text)))
 }
@@ -179,11 +174,7 @@
                         .with("peer", &name)
                         .with("address", address)
                         .info();
-                    Peer {
-                        address,
-                        last_message: None,
-                        retry_at: None,
-                    }
+                    Peer::new(address)
                 });
                 peer.address = address;
             }
@@ -192,17 +183,26 @@
             drop((rate_limiter, peers));
             verdict_store::apply_stored(&entry, &page);
         }
-        tokio::time::sleep(pool::discovery_interval(entry.position())).await;
+        tokio::time::sleep(pool::discovery_interval(entry.reader_position())).await;
     }
 }
 
 impl Peer {
+    /// Creates a peer that has sent no message yet.
+    pub(crate) fn new(address: net::SocketAddr) -> Self {
+        Self {
+            address,
+            zone: None,
+            last_message: None,
+            order: pool::UpdateOrder::default(),
+            retry_at: None,
+        }
+    }
+
     /// Returns whether the peer has sent a message within [`MESSAGE_TTL`].
     fn has_recent_message(&self, now: time::Instant) -> bool {
         let message = self.last_message.as_ref();
-        message.is_some_and(|(received_at, _)| {
-            now.saturating_duration_since(*received_at) < MESSAGE_TTL
-        })
+        message.is_some_and(|(heard, _)| heard.is_valid(MESSAGE_TTL, now))
     }
 }
 
@@ -213,129 +213,18 @@
     Some((Name::from(name), address))
 }
 
-/// Sends this entry's state to all peers at intervals.
-async fn gossip_to_all<P: seam::Platform>(entry: rc::Rc<Entry<P>>) {
-    let (mut message_count, mut sent_speed_count) = (0_u32, 0);
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(GOSSIP_INTERVAL) => {}
-            () = entry.gossip_due.notified() => {}
-        }
-        message_count = message_count.wrapping_add(1);
-        // The first role orders depend on the prefill speeds, so new speeds are
-        // sent at once.
-        let speed_count = entry.known_speed_count();
-        let full =
-            message_count.is_multiple_of(FULL_MESSAGE_PERIOD) || speed_count != sent_speed_count;
-        sent_speed_count = speed_count;
-        let now = time::Instant::now();
-        let due: Vec<(Name, net::SocketAddr)> = entry
-            .peers
-            .borrow()
-            .iter()
-            .filter(|(_, p)| p.retry_at.is_none_or(|at| at <= now))
-            .map(|(n, p)| (n.clone(), p.address))
-            .collect();
-        if due.is_empty() {
-            continue;
-        }
-        let text = serde_json::to_vec(&entry.gossip_message(full, now)).unwrap_or_default();
-        let text = bytes::Bytes::from(text);
-        for (name, address) in due {
-            tokio::task::spawn_local(gossip_to(entry.clone(), name, address, text.clone()));
-        }
-    }
-}
-
-/// Sends a gossip message to one peer and applies its reply.
-async fn gossip_to<P: seam::Platform>(
-    entry: rc::Rc<Entry<P>>,
-    name: Name,
-    address: net::SocketAddr,
-    text: bytes::Bytes,
-) {
-    let sent = time::Instant::now();
-    let revision = entry.host_list.borrow().revision();
-    let reply = exchange_gossip(&entry, address, text).await;
-    let now = time::Instant::now();
-    if let Some(peer) = entry.peers.borrow_mut().get_mut(&name) {
-        let lost = reply.is_none();
-        if lost != peer.retry_at.is_some() {
-            let event = if lost { "peer_lost" } else { "peer_regained" };
-            trace::LogLine::new(event).with("peer", &name).info();
-        }
-        peer.retry_at = lost.then(|| now + PEER_RETRY_DELAY);
-    }
-    let Some(reply) = reply else {
-        return;
+/// Returns the newest configuration among the senders of relayed messages, and where to
+/// read it: at the relay, if it has that version, or else at its origin.
+fn newest_relayed(message: &GossipMessage) -> Option<ConfigSource> {
+    let origins = message.relayed.iter().map(|r| &r.message);
+    let newest = origins.max_by_key(|m| m.version)?;
+    let holder = match message.version >= newest.version {
+        true => message,
+        false => newest,
     };
-    let version = entry.config_version();
-    if reply.version > version
-        && entry
-            .config_fetch
-            .borrow_mut()
-            .record_newer(version == 0, now)
-    {
-        tokio::task::spawn_local(fetch_config(entry.clone(), name.clone(), address));
-    }
-    if let Some(members) = reply.member_list {
-        entry.apply_members(members, &name);
-    }
-    if let Some(age) = reply.age_ms {
-        // The time since sending is added to the age, so that the list is never
-        // considered newer than it is.
-        let age = time::Duration::from_millis(age) + now.saturating_duration_since(sent);
-        entry.host_list.borrow_mut().confirm(revision, age, now);
-    }
-}
-
-/// Reads a newer configuration from a peer.
-async fn fetch_config<P: seam::Platform>(
-    entry: rc::Rc<Entry<P>>,
-    name: Name,
-    address: net::SocketAddr,
-) {
-    let deadline = time::Instant::now() + CONFIG_TIMEOUT;
-    let raw = post(&entry, address, CONFIG_PATH, bytes::Bytes::new(), deadline).await;
-    entry.config_fetch.borrow_mut().finish_request();
-    match raw {
-        Some(raw) => entry.apply_config(raw, &name),
-        None => trace::LogLine::new("configuration_untold")
-            .with("peer", &name)
-            .info(),
-    }
-}
-
-/// Sends a gossip message; returns `None` if no readable reply arrives in time.
-async fn exchange_gossip<P: seam::Platform>(
-    entry: &Entry<P>,
-    address: net::SocketAddr,
-    text: bytes::Bytes,
-) -> Option<GossipReply> {
-    let deadline = time::Instant::now() + GOSSIP_TIMEOUT;
-    let body = post(entry, address, GOSSIP_PATH, text, deadline).await?;
-    serde_json::from_slice(&body).ok()
-}
-
-/// Sends a request to a peer; returns `None` if no complete response arrives in
-/// time.
-async fn post<P: seam::Platform>(
-    entry: &Entry<P>,
-    address: net::SocketAddr,
-    path: &str,
-    text: bytes::Bytes,
-    deadline: time::Instant,
-) -> Option<bytes::Bytes> {
-    let request = hyper::Request::builder()
-        .method(http::Method::POST)
-        .uri(path)
-        .header(http::header::HOST, address.to_string())
-        .body(web::FullBody::from(text))
-        .ok()?;
-    let response = entry
-        .peer_client
-        .call(address, request, deadline)
-        .await
-        .ok()?;
-    response.read_all(MAX_MESSAGE_BYTES, deadline).await
+    Some(ConfigSource {
+        peer: holder.entry.clone(),
+        address: holder.address?,
+        version: newest.version,
+    })
 }
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -240,10 +240,10 @@
         .copied()
         .unwrap_or_default();
     for peer in entry.peers.borrow().values() {
-        let Some((received_at, message)) = &peer.last_message else {
+        let Some((heard, message)) = &peer.last_message else {
             continue;
         };
-        if now.saturating_duration_since(*received_at) < MESSAGE_TTL {
+        if heard.is_valid(MESSAGE_TTL, now) {
             let peer_demand = message.demand.get(service).copied().unwrap_or_default();
             total.prompt += peer_demand.prompt;
             total.stream += peer_demand.stream;
--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -56,7 +56,7 @@
 ) -> Result<(), seam::StoreError> {
     let mut after = after;
     loop {
-        let wait = pool::watch_timeout(entry.position().0);
+        let wait = pool::watch_timeout(entry.reader_position());
         match entry.store.watch(P::CONFIG_KEY, after, wait).await? {
             seam::WatchResult::Compacted => return Ok(()),
             seam::WatchResult::Changes(items, revision) => {
@@ -74,7 +74,7 @@
     let mut retry = StoreRetry::new("members");
     loop {
         let age = entry.list_age(time::Instant::now());
-        if !pool::reads_member_list(entry.position().0, age) {
+        if !pool::reads_member_list(entry.reader_position(), age) {
             tokio::time::sleep(AGE_CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/pool/src/decode.rs
+++ b/crates/pool/src/decode.rs
@@ -8,6 +8,7 @@
 
 use crate::failures::HostFailures;
 use crate::forecast::MemoryForecast;
+use crate::heard::Heard;
 use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
@@ -273,9 +274,9 @@
         &mut self,
         peer: &Name,
         loads: collections::BTreeMap<Name, EngineLoad>,
-        now: time::Instant,
+        heard: impl Into<Heard>,
     ) {
-        self.peer_loads.update(peer, loads, now);
+        self.peer_loads.update(peer, loads, heard.into());
     }
 
     /// Returns the load of this entry's and its peers' streams at an engine.
--- a/crates/pool/src/failures.rs
+++ b/crates/pool/src/failures.rs
@@ -8,6 +8,7 @@
 //! one peer, or by a peer that sees most hosts fail, is ignored, since that
 //! peer may itself be disconnected.
 
+use crate::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
@@ -123,10 +124,12 @@
         &mut self,
         peer: &Name,
         failed: &collections::BTreeMap<Name, u64>,
-        now: time::Instant,
+        heard: impl Into<Heard>,
     ) {
+        let heard = heard.into();
+        let margin = REPORTED_MARGIN + heard.delay();
         let end = |remaining: u64| {
-            now + time::Duration::from_millis(remaining).min(MAX_BACKOFF) + REPORTED_MARGIN
+            heard.sent_at + time::Duration::from_millis(remaining).min(MAX_BACKOFF) + margin
         };
         let reported: collections::BTreeMap<Name, time::Instant> = failed
             .iter()
--- a/crates/pool/src/host_balancer.rs
+++ b/crates/pool/src/host_balancer.rs
@@ -6,6 +6,7 @@
 //! failures receives fewer calls.
 
 use crate::failures::HostFailures;
+use crate::heard::Heard;
 use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
@@ -181,8 +182,8 @@
         &mut self,
         peer: &Name,
         calls: collections::BTreeMap<Name, u32>,
-        now: time::Instant,
+        heard: impl Into<Heard>,
     ) {
-        self.peer_calls.update(peer, calls, now);
+        self.peer_calls.update(peer, calls, heard.into());
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -14,6 +14,8 @@
 mod discovery;
 mod failures;
 mod forecast;
+mod gossip_paths;
+mod heard;
 mod heavy_use;
 mod host_balancer;
 mod host_list;
@@ -41,9 +43,13 @@
 pub use crashes::{Progress, Standing, Verdict, VerdictChanges, VerdictReport};
 pub use decode::{DecodePool, EngineLoad};
 pub use demand::{Demand, DemandRate};
-pub use discovery::{discovery_interval, reads_member_list, shares_member_list, watch_timeout};
+pub use discovery::{
+    Position, discovery_interval, reads_member_list, shares_member_list, watch_timeout,
+};
 pub use failures::HostFailures;
 pub use forecast::{LengthEstimate, MemoryForecast};
+pub use gossip_paths::{Forwarding, GossipPaths, KnownPeer, RelayQueue, UpdateId, UpdateOrder};
+pub use heard::{Heard, RELAY_DELAY};
 pub use heavy_use::HeavyUse;
 pub use host_balancer::HostBalancer;
 pub use host_list::HostList;
--- a/crates/pool/src/peer_loads.rs
+++ b/crates/pool/src/peer_loads.rs
@@ -1,5 +1,6 @@
 //! The load of upstream hosts that peers, the other entries, have reported.
 
+use crate::heard::Heard;
 use std::collections;
 use std::ops;
 use std::time;
@@ -10,7 +11,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerLoads<T> {
     expiry: time::Duration,
-    peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, T>)>,
+    peers: collections::BTreeMap<Name, (Heard, collections::BTreeMap<Name, T>)>,
 }
 
 impl<T: Copy + Default + ops::Add<Output = T>> PeerLoads<T> {
@@ -27,9 +28,9 @@
         &mut self,
         peer: &Name,
         loads: collections::BTreeMap<Name, T>,
-        now: time::Instant,
+        heard: Heard,
     ) {
-        self.peers.insert(peer.clone(), (now, loads));
+        self.peers.insert(peer.clone(), (heard, loads));
     }
 
     /// Returns the load that all peers together cause at one host.
@@ -52,9 +53,7 @@
     fn valid(&self, now: time::Instant) -> impl Iterator<Item = &collections::BTreeMap<Name, T>> {
         let reports = self.peers.values();
         reports
-            .filter(move |(received_at, _)| {
-                now.saturating_duration_since(*received_at) < self.expiry
-            })
+            .filter(move |(heard, _)| heard.is_valid(self.expiry, now))
             .map(|(_, loads)| loads)
     }
 }
--- a/crates/pool/src/prefill.rs
+++ b/crates/pool/src/prefill.rs
@@ -7,6 +7,7 @@
 //! uses the others only where these are clearly faster.
 
 use crate::failures::HostFailures;
+use crate::heard::Heard;
 use crate::host_notices::SharedNotices;
 use crate::peer_loads::PeerLoads;
 use std::collections;
@@ -231,9 +232,9 @@
         &mut self,
         peer: &Name,
         backlogs: collections::BTreeMap<Name, u64>,
-        now: time::Instant,
+        heard: impl Into<Heard>,
     ) {
-        self.peer_backlogs.update(peer, backlogs, now);
+        self.peer_backlogs.update(peer, backlogs, heard.into());
     }
 
     /// Returns the number of engines that accept prompts.
--- a/crates/pool/src/rate_limiter.rs
+++ b/crates/pool/src/rate_limiter.rs
@@ -12,6 +12,7 @@
 use crate::charge::Charge;
 use crate::charge::ExcessUse;
 use crate::charge::Tolerance;
+use crate::heard::Heard;
 use crate::heavy_use::HeavyUse;
 use crate::restart::RestartState;
 use crate::tenant_use::TenantUse;
@@ -21,7 +22,7 @@
 use std::time;
 use world::Name;
 
-/// A peer that is silent for longer than this is assumed to use its equal share.
+/// A peer that is silent for longer than this, and than its relays take, is assumed to use its equal share.
 const PEER_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// A peer that is silent for this time and that the store doesn't list is no longer
 /// counted: its host is gone.
@@ -114,6 +115,7 @@
         let unknown = self.restart.unknown_use(&allowance, lead, now);
         let assumed = self.silent_use(limit, now) + unknown;
         let report_age = self.report_age(now);
+        let relay_delay = self.relay_delay();
         let use_of = self.tenant_use(&tenant.name);
         let own = use_of.own(now);
         let mut excess = ExcessUse {
@@ -126,7 +128,7 @@
             wait: time::Duration::ZERO,
         };
         let room = excess.room();
-        if use_of.may_take(units, room, now) {
+        if use_of.may_take(units, room, relay_delay, now) {
             use_of.charge(units, now);
             return Ok(Some(Charge {
                 tenant: tenant.name.clone(),
@@ -156,8 +158,9 @@
         if !self.restart.has_history() {
             return excess.wait + phase;
         }
+        let relay_delay = self.relay_delay();
         self.tenant_use(tenant)
-            .reserve_return(excess, patience, phase, now)
+            .reserve_return(excess, patience, phase, relay_delay, now)
     }
 
     /// Gives back the units of a request that never ran.
@@ -227,7 +230,9 @@
     }
 
     /// Applies a peer's report.
-    pub fn update_peer(&mut self, peer: &Name, report: &UsageReport, now: time::Instant) {
+    pub fn update_peer(&mut self, peer: &Name, report: &UsageReport, heard: impl Into<Heard>) {
+        let heard = heard.into();
+        let now = heard.received_at;
         let mut known = self
             .peers
             .remove(peer)
@@ -235,7 +240,7 @@
         let is_first = known.is_first(report);
         let since_restart = report.since_restart.map(time::Duration::from_millis);
         let is_told = is_first && self.restart.was_told_of(since_restart, now);
-        for growth in known.apply(report, now) {
+        for growth in known.apply(report, heard) {
             let use_of = self.tenant_use(&growth.tenant);
             match is_first {
                 true => use_of.add_first_report(growth.admitted, is_told, now),
@@ -265,9 +270,12 @@
     /// share of the limit, for the part of the window in which they were silent.
     fn silent_use(&self, limit: f64, now: time::Instant) -> f64 {
         let share = limit / (self.peers.len() + 1) as f64;
-        let silences = self.peers.values().map(|p| p.silence(now));
-        silences
-            .filter(|silence| *silence > PEER_SILENCE)
+        let silent = self
+            .peers
+            .values()
+            .filter(|p| p.silence(now) > PEER_SILENCE + p.delay());
+        silent
+            .map(|p| p.silence(now))
             .map(|silence| share * (silence.as_secs_f64() / self.window.as_secs_f64()).min(1.0))
             .sum()
     }
@@ -285,6 +293,12 @@
         ages.max().unwrap_or_default()
     }
 
+    /// Returns by how much later the reports of some peers come than direct ones.
+    fn relay_delay(&self) -> time::Duration {
+        let delays = self.peers.values().map(PeerUsage::delay);
+        delays.max().unwrap_or_default()
+    }
+
     fn tenant_use(&mut self, tenant: &Name) -> &mut TenantUse {
         let window = self.window;
         self.tenants
--- a/crates/pool/src/tenant_use.rs
+++ b/crates/pool/src/tenant_use.rs
@@ -17,7 +17,7 @@
 const HISTORY_STEP: time::Duration = time::Duration::from_millis(250);
 /// Time within which the store has what entries admit.
 const RECORD_LATENCY: time::Duration = time::Duration::from_millis(500);
-/// Time within which a report of what was admitted reaches all peers.
+/// Time within which a report of what was admitted reaches all peers directly.
 const REPORT_LATENCY: time::Duration = time::Duration::from_millis(400);
 /// Time over which an organisation's current demand is taken.
 const DEMAND_SPAN: time::Duration = time::Duration::from_millis(1_000);
@@ -239,11 +239,18 @@
     /// Entries don't see for [`REPORT_LATENCY`] what the others take of the same
     /// room. Where more will be asked for within that time, each entry admits the
     /// same part of the requests, so that all of them together take the room once.
-    pub(crate) fn may_take(&mut self, units: f64, room: f64, now: time::Instant) -> bool {
+    /// Relays add `relay_delay` to that time.
+    pub(crate) fn may_take(
+        &mut self,
+        units: f64,
+        room: f64,
+        relay_delay: time::Duration,
+        now: time::Instant,
+    ) -> bool {
         let is_small = self.is_small(units);
         let (own, peers) = (self.own_demand.sum(now), self.peer_demand.sum(now));
         let small_part = self.small_demand.sum(now) / own.max(1.0);
-        let latency = REPORT_LATENCY.as_secs_f64() / DEMAND_SPAN.as_secs_f64();
+        let latency = (REPORT_LATENCY + relay_delay).as_secs_f64() / DEMAND_SPAN.as_secs_f64();
         // A large request leaves room for the small ones of the next second.
         let (part, room) = match is_small {
             true => (small_part, room),
@@ -276,6 +283,7 @@
         excess: &ExcessUse,
         patience: time::Duration,
         phase: time::Duration,
+        relay_delay: time::Duration,
         now: time::Instant,
     ) -> time::Duration {
         let (units, room) = (excess.units, excess.room());
@@ -284,7 +292,8 @@
         let own = self.own_demand.sum(now);
         let part = own / (own + self.peer_demand.sum(now)).max(units);
         let missing = (before.sum::<f64>() + units) / part - room;
-        let wait = self.time_until_freed(missing, now).max(REPORT_LATENCY) + phase;
+        let latency = REPORT_LATENCY + relay_delay;
+        let wait = self.time_until_freed(missing, now).max(latency) + phase;
         if wait <= patience {
             self.returns.push_back((now + wait, units));
         }
--- a/crates/pool/src/usage_report.rs
+++ b/crates/pool/src/usage_report.rs
@@ -1,5 +1,6 @@
 //! What entries tell each other of the units that they have admitted.
 
+use crate::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
@@ -80,7 +81,7 @@
     pub(crate) has_history: bool,
     /// Whether the store lists the peer.
     pub(crate) is_listed: bool,
-    heard_at: time::Instant,
+    heard: Heard,
 }
 
 impl PeerUsage {
@@ -92,13 +93,18 @@
             used: collections::BTreeMap::new(),
             has_history: true,
             is_listed: false,
-            heard_at: since,
+            heard: since.into(),
         }
     }
 
     /// Returns the time since the peer's last report.
     pub(crate) fn silence(&self, now: time::Instant) -> time::Duration {
-        now.saturating_duration_since(self.heard_at)
+        now.saturating_duration_since(self.heard.sent_at)
+    }
+
+    /// Returns by how much later the peer's reports may come than direct ones.
+    pub(crate) fn delay(&self) -> time::Duration {
+        self.heard.delay()
     }
 
     /// Returns whether a report is the first one of its process.
@@ -109,7 +115,7 @@
     /// Applies a report, and returns by how much the peer's use has grown since the
     /// last one. A report that arrives after a newer one of the same process is
     /// ignored.
-    pub(crate) fn apply(&mut self, report: &UsageReport, now: time::Instant) -> Vec<UsageGrowth> {
+    pub(crate) fn apply(&mut self, report: &UsageReport, heard: Heard) -> Vec<UsageGrowth> {
         if self.is_first(report) {
             self.used.clear();
         } else if report.number <= self.number {
@@ -136,7 +142,7 @@
         self.run = Some(report.run);
         self.number = report.number;
         self.has_history = report.has_history;
-        self.heard_at = now;
+        self.heard = heard;
         growths
     }
 }
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -567,7 +567,8 @@
     entry_without_list = { 300, u32::MAX, true },
 )]
 fn member_list_is_read_from_store(index: usize, age_ms: u32, expected: bool) {
-    assert_eq!(pool::reads_member_list(index, MS * age_ms), expected);
+    let position = pool::Position::among_all(index, 350);
+    assert_eq!(pool::reads_member_list(position, MS * age_ms), expected);
 }
 
 #[parameterized(
@@ -578,7 +579,11 @@
     others_share_old_list = { 9, 1_300, true },
 )]
 fn member_list_is_shared_with_peer(index: usize, age_ms: u32, expected: bool) {
-    assert_eq!(pool::shares_member_list(index, MS * age_ms), expected);
+    let position = pool::Position::among_all(index, 350);
+    for same_zone in [true, false] {
+        let shares = pool::shares_member_list(position, same_zone, MS * age_ms);
+        assert_eq!(shares, expected);
+    }
 }
 
 fn failure_report(ids: &[(&str, u64)]) -> collections::BTreeMap<Name, u64> {
@@ -688,7 +693,8 @@
     single_entry = { 9, 1, 1_500 },
 )]
 fn entries_are_discovered_at_interval(index: usize, count: usize, interval_ms: u32) {
-    assert_eq!(pool::discovery_interval((index, count)), MS * interval_ms);
+    let position = pool::Position::among_all(index, count);
+    assert_eq!(pool::discovery_interval(position), MS * interval_ms);
 }
 
 #[parameterized(
