--- a/crates/pool/src/decode.rs
+++ b/crates/pool/src/decode.rs
@@ -9,6 +9,7 @@
 use crate::failures::HostFailures;
 use crate::forecast::MemoryForecast;
 use crate::host_notices::SharedNotices;
+use crate::peer_loads::AddLoad;
 use crate::peer_loads::PeerLoads;
 use std::collections;
 use std::ops;
@@ -56,12 +57,18 @@
     fn add(self, other: Self) -> Self {
         Self {
             memory: self.memory + other.memory,
-            streams: self.streams + other.streams,
-            paused: self.paused + other.paused,
+            streams: self.streams.saturating_add(other.streams),
+            paused: self.paused.saturating_add(other.paused),
         }
     }
 }
 
+impl AddLoad for EngineLoad {
+    fn add_load(self, other: Self) -> Self {
+        self + other
+    }
+}
+
 /// The decode engines of one service, with their load and failures.
 #[derive(Clone, Debug)]
 pub struct DecodePool {
@@ -289,9 +296,12 @@
     pub fn fill_ratio(&self, now: time::Instant) -> f64 {
         let peer_loads = self.peer_loads.by_host(now);
         let ready = self.engines.iter().filter(|(_, e)| e.ready);
-        let (used, capacity) = ready.fold((0, 0), |(used, capacity), (id, e)| {
+        let (used, capacity) = ready.fold((0_u64, 0_u64), |(used, capacity), (id, e)| {
             let load = e.own_load + peer_loads.get(&**id).copied().unwrap_or_default();
-            (used + load.memory.peak(), capacity + e.capacity_tokens)
+            (
+                used.saturating_add(load.memory.peak()),
+                capacity.saturating_add(e.capacity_tokens),
+            )
         });
         used as f64 / (capacity.max(1)) as f64
     }
--- a/crates/pool/src/forecast.rs
+++ b/crates/pool/src/forecast.rs
@@ -81,7 +81,8 @@
     pub fn peak(&self) -> u64 {
         let deviation = (self.variance as f64 * VARIANCE_UNIT).sqrt() * DEVIATIONS;
         let later = self.at[1..].iter().max().copied().unwrap_or_default();
-        self.now().max(later + deviation as u64).min(self.most)
+        let likely = later.saturating_add(deviation as u64);
+        self.now().max(likely).min(self.most)
     }
 
     /// Returns this forecast without the part of another one.
@@ -106,7 +107,7 @@
     type Output = Self;
 
     fn add(self, other: Self) -> Self {
-        self.combine(other, ops::Add::add)
+        self.combine(other, u64::saturating_add)
     }
 }
 
--- a/crates/pool/src/host_balancer.rs
+++ b/crates/pool/src/host_balancer.rs
@@ -98,7 +98,8 @@
         let (peer_calls, backed_off) =
             (self.peer_calls.by_host(now), self.failures.backed_off(now));
         let cost = |id: &Name, h: &Host| {
-            let calls = h.own_calls + peer_calls.get(&**id).copied().unwrap_or_default();
+            let by_peers = peer_calls.get(&**id).copied().unwrap_or_default();
+            let calls = h.own_calls.saturating_add(by_peers);
             let same_zone = h.zone.as_deref() == Some(zone);
             let failures = (h.failure_rate - USUAL_FAILURE_RATE).max(0.0) * FAILURE_COST;
             let avoid = h.full_until.is_some_and(|f| f > now) || backed_off.contains(&**id);
--- a/crates/pool/src/peer_loads.rs
+++ b/crates/pool/src/peer_loads.rs
@@ -1,10 +1,28 @@
 //! The load of upstream hosts that peers, the other entries, have reported.
 
 use std::collections;
-use std::ops;
 use std::time;
 use world::Name;
 
+/// Load that can be added up. Peers may report any numbers, so a sum that is too large is the
+/// largest number.
+pub(crate) trait AddLoad {
+    /// Returns the sum.
+    fn add_load(self, other: Self) -> Self;
+}
+
+impl AddLoad for u32 {
+    fn add_load(self, other: Self) -> Self {
+        self.saturating_add(other)
+    }
+}
+
+impl AddLoad for u64 {
+    fn add_load(self, other: Self) -> Self {
+        self.saturating_add(other)
+    }
+}
+
 /// The last report of each peer, with the load that it causes at each host.
 /// Reports expire after a fixed time.
 #[derive(Clone, Debug)]
@@ -13,7 +31,7 @@
     peers: collections::BTreeMap<Name, (time::Instant, collections::BTreeMap<Name, T>)>,
 }
 
-impl<T: Copy + Default + ops::Add<Output = T>> PeerLoads<T> {
+impl<T: Copy + Default + AddLoad> PeerLoads<T> {
     /// Starts without reports; each report is valid for `expiry`.
     pub(crate) fn new(expiry: time::Duration) -> Self {
         Self {
@@ -35,7 +53,7 @@
     /// Returns the load that all peers together cause at one host.
     pub(crate) fn at_host(&self, id: &str, now: time::Instant) -> T {
         let loads = self.valid(now).filter_map(|loads| loads.get(id));
-        loads.fold(T::default(), |sum, load| sum + *load)
+        loads.fold(T::default(), |sum, load| sum.add_load(*load))
     }
 
     /// Returns the load that all peers together cause, by host. This takes one
@@ -44,7 +62,7 @@
         let mut sums: collections::BTreeMap<&str, T> = collections::BTreeMap::new();
         for (id, load) in self.valid(now).flatten() {
             let sum = sums.entry(id).or_default();
-            *sum = *sum + *load;
+            *sum = sum.add_load(*load);
         }
         sums
     }
--- a/crates/pool/src/prefill.rs
+++ b/crates/pool/src/prefill.rs
@@ -23,6 +23,12 @@
 /// Shortest prefill time that is counted, in seconds, so that tiny prompts
 /// hardly change the measured speed.
 const MIN_PREFILL_SECONDS: f64 = 0.02;
+/// Slowest speed that is believed, in tokens per second. No engine is as slow.
+const MIN_SPEED: f64 = 1.0;
+/// Fastest speed that is believed, in tokens per second.
+const MAX_SPEED: f64 = 1e9;
+/// Longest time that is expected of a prompt, in seconds.
+const MAX_PROMPT_SECONDS: f64 = 86_400.0;
 /// Time of the call itself and of the engine's first step, in seconds.
 const CALL_SECONDS: f64 = 0.015;
 /// An engine that this entry doesn't prefer is picked only if it finishes sooner
@@ -135,8 +141,10 @@
             .filter(|(id, _)| notices.allows(id, now))
             .map(|(id, e)| {
                 let by_peers = peer_backlogs.get(&**id).copied().unwrap_or_default();
-                let backlog = e.own_backlog + by_peers + prompt_tokens;
+                let backlog = e.own_backlog.saturating_add(by_peers);
+                let backlog = backlog.saturating_add(prompt_tokens);
                 let seconds = backlog as f64 / e.speed.unwrap_or(INITIAL_SPEED) + CALL_SECONDS;
+                let seconds = seconds.min(MAX_PROMPT_SECONDS);
                 let other_zone = zone.is_some_and(|z| z != &*e.zone);
                 let zone_cost = if other_zone { OTHER_ZONE_SECONDS } else { 0.0 };
                 let preference_cost = if e.preferred {
@@ -154,7 +162,7 @@
     /// receives no other prompt until this one has shown whether it works again.
     pub fn start_prompt(&mut self, id: &str, prompt_tokens: u64, now: time::Instant) {
         if let Some(engine) = self.engines.get_mut(id) {
-            engine.own_backlog += prompt_tokens;
+            engine.own_backlog = engine.own_backlog.saturating_add(prompt_tokens);
             self.failures.record_attempt(id, now);
         }
     }
@@ -171,19 +179,23 @@
     ///
     /// The engine may have processed other prompts at the same time, so each
     /// measurement is a lower bound, which is close to the true speed if the
-    /// engine was otherwise idle. Higher measurements therefore weigh more.
+    /// engine was otherwise idle. Higher measurements therefore weigh more. A prompt
+    /// without tokens, as of a request that states none, is no measurement.
     pub fn record_prefill(&mut self, id: &str, prompt_tokens: u64, took: time::Duration) {
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
+        self.failures.record_success(id);
+        if prompt_tokens == 0 {
+            return;
+        }
         let seconds = (took.as_secs_f64() - CALL_SECONDS).max(MIN_PREFILL_SECONDS);
-        let measured = prompt_tokens as f64 / seconds;
+        let measured = (prompt_tokens as f64 / seconds).clamp(MIN_SPEED, MAX_SPEED);
         engine.speed = Some(match engine.speed {
             Some(known) if measured > known => known + FASTER_WEIGHT * (measured - known),
             Some(known) => known + SLOWER_WEIGHT * (measured - known),
             None => measured,
         });
-        self.failures.record_success(id);
     }
 
     /// Records that an engine has refused a prompt or failed.
@@ -195,7 +207,7 @@
     /// and that it has not finished.
     pub fn backlog(&self, id: &str, now: time::Instant) -> u64 {
         let own = self.engines.get(id).map_or(0, |e| e.own_backlog);
-        own + self.peer_backlogs.at_host(id, now)
+        own.saturating_add(self.peer_backlogs.at_host(id, now))
     }
 
     /// Returns the speeds of the engines in tokens per second, where known.
@@ -207,9 +219,10 @@
     }
 
     /// Adopts speeds that a peer has measured, for engines whose speed is not
-    /// known here.
+    /// known here. What can't be a speed is left out.
     pub fn add_peer_speeds(&mut self, speeds: &collections::BTreeMap<Name, f64>) {
-        for (id, speed) in speeds {
+        let speeds = speeds.iter();
+        for (id, speed) in speeds.filter(|(_, s)| (MIN_SPEED..=MAX_SPEED).contains(*s)) {
             if let Some(engine) = self.engines.get_mut(id) {
                 engine.speed.get_or_insert(*speed);
             }
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -95,7 +95,8 @@
 
     /// Returns the engine memory that all queued streams need, in tokens.
     pub fn queued_tokens(&self) -> u64 {
-        self.streams.values().map(|s| s.memory.peak()).sum()
+        let peaks = self.streams.values().map(|s| s.memory.peak());
+        peaks.fold(0, u64::saturating_add)
     }
 }
 
