--- a/crates/pool/tests/number_tests.rs
+++ b/crates/pool/tests/number_tests.rs
@@ -120,3 +120,42 @@
     balancer.start_call("a");
     assert_eq!(balancer.pick("ruahine", &[], now), Some(Name::from("b")));
 }
+
+/// A peer tells an entry that has restarted what was admitted, by its age.
+#[parameterized(
+    huge = { vec![u64::MAX, u64::MAX] },
+    long = { vec![1; 200_000] },
+)]
+fn history_of_a_peer_is_bounded(by_age: Vec<u64>) {
+    let now = time::Instant::now();
+    let tolerance = pool::Tolerance {
+        window: 8 * time::Duration::from_secs(1),
+        overage: 0.1,
+        slack: 0.0,
+    };
+    let mut limiter = pool::RateLimiter::new(tolerance, 1);
+    limiter.record_restart(now);
+    let report = pool::UsageReport {
+        run: 2,
+        number: 1,
+        has_history: true,
+        history: Some(by_engine(by_age)),
+        ..pool::UsageReport::default()
+    };
+    limiter.update_peer(&Name::from("p"), &report, now);
+    assert!(limiter.has_history());
+    let tenant = seam::Tenant {
+        name: Name::from("a"),
+        keys: collections::BTreeSet::new(),
+        priority: None,
+        rate: Some(10.0),
+        burst: 10.0,
+        default_units: None,
+    };
+    // 33 steps of a quarter of a second are in the window, at most with a unit each.
+    let is_huge = report
+        .history
+        .is_some_and(|h| h[&Name::from("a")].len() == 2);
+    let charged = limiter.charge(&tenant, 50.0, now);
+    assert_eq!(charged.is_err(), is_huge, "{charged:?}");
+}
