--- a/crates/pool/src/tenant_use.rs
+++ b/crates/pool/src/tenant_use.rs
@@ -172,7 +172,7 @@
     /// Takes over what all entries have admitted, by its age in steps, as a peer
     /// tells an entry that has restarted.
     pub(crate) fn take_history(&mut self, by_age: &[u64], now: time::Instant) {
-        let total: u64 = by_age.iter().sum();
+        let total = by_age.iter().copied().fold(0, u64::saturating_add);
         let known = self.own.sum(now) + self.others.sum(now);
         self.unattributed = (total as f64 - known).max(0.0);
         self.past = SlidingWindow::new(self.window);
