--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -133,8 +133,11 @@
         let mut complete = match self.partial.is_empty() && bytes.ends_with(EVENT_END) {
             true => bytes,
             false => {
+                // What was there holds no end, but may hold its first byte.
+                let known = self.partial.len().saturating_sub(EVENT_END.len() - 1);
                 self.partial.extend_from_slice(&bytes);
-                let end = self.partial.windows(2).rposition(|w| w == EVENT_END)?;
+                let new = &self.partial[known..];
+                let end = known + new.windows(2).rposition(|w| w == EVENT_END)?;
                 self.partial.split_to(end + EVENT_END.len()).freeze()
             }
         };
