--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -1,6 +1,5 @@
 //! Splits a server-sent event stream into complete events.
 
-use crate::meters;
 use std::time;
 use world::Name;
 
@@ -84,23 +83,20 @@
         self.is_misordered
     }
 
-    /// Records that bytes have arrived now, for the first delay and the longest
-    /// pause.
-    pub(crate) fn record_arrival(&mut self, arrived_at: time::Instant) {
+    /// Records that bytes have arrived now, for the longest pause. Returns whether they are
+    /// the first.
+    pub(crate) fn record_arrival(&mut self) -> bool {
         let now = time::Instant::now();
-        match self.first_arrival {
-            Some(_) => {
-                self.max_gap = self
-                    .max_gap
-                    .max(now.saturating_duration_since(self.last_arrival))
-            }
-            None => {
-                let first = now.saturating_duration_since(arrived_at);
-                meters::meters().first_event.record(first.as_secs_f64());
-                self.first_arrival = Some(now);
+        let is_first = self.first_arrival.is_none();
+        match is_first {
+            true => self.first_arrival = Some(now),
+            false => {
+                let gap = now.saturating_duration_since(self.last_arrival);
+                self.max_gap = self.max_gap.max(gap);
             }
         }
         self.last_arrival = now;
+        is_first
     }
 
     /// Returns the time since the last bytes.
@@ -134,12 +130,10 @@
         let mut complete = match self.partial.is_empty() && bytes.ends_with(EVENT_END) {
             true => bytes,
             false => {
-                // What was there holds no end, but may hold its first byte.
-                let known = self.partial.len().saturating_sub(EVENT_END.len() - 1);
+                let known = self.partial.len();
                 self.partial.extend_from_slice(&bytes);
-                let new = &self.partial[known..];
-                let end = known + new.windows(2).rposition(|w| w == EVENT_END)?;
-                self.partial.split_to(end + EVENT_END.len()).freeze()
+                let end = last_end(&self.partial, known)?;
+                self.partial.split_to(end).freeze()
             }
         };
         let mut start = 0;
@@ -191,6 +185,15 @@
     }
 }
 
+/// Returns the end of the last complete event in `bytes`. The first `known` bytes hold none,
+/// so that only what follows is searched; they may hold the first byte of one.
+pub(crate) fn last_end(bytes: &[u8], known: usize) -> Option<usize> {
+    let start = known.saturating_sub(EVENT_END.len() - 1);
+    let mut windows = bytes[start..].windows(EVENT_END.len());
+    let end = windows.rposition(|w| w == EVENT_END)?;
+    Some(start + end + EVENT_END.len())
+}
+
 /// Returns whether a line can begin an event or a comment. A status line can't, nor can text
 /// or JSON, which an engine in trouble may send behind its last event.
 fn is_field(line: &[u8]) -> bool {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -251,7 +251,7 @@
                 Err(_) => continue,
             };
             started.seat.set_paused(false);
-            events.record_arrival(self.job.arrived_at);
+            record_arrival(&self.job, events);
             self.update_forecast(&mut started.seat, events);
             let complete = started.push(events, bytes);
             progress.record_read(complete.is_some(), time::Instant::now());
@@ -276,6 +276,14 @@
     }
 }
 
+/// Records that bytes have arrived now; the first ones count for the delay of the stream.
+pub(crate) fn record_arrival(job: &Job, events: &mut EventSplitter) {
+    if events.record_arrival() {
+        let delay = job.arrived_at.elapsed();
+        meters::meters().first_event.record(delay.as_secs_f64());
+    }
+}
+
 impl<S: ByteStream> StartedStream<S> {
     /// Adds bytes of this engine, and returns all events that are complete now.
     pub(crate) fn push(
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -8,6 +8,7 @@
 use crate::admit::Job;
 use crate::body::Chunk;
 use crate::events::EventSplitter;
+use crate::relay;
 use crate::retries::SpareRetry;
 use crate::stream;
 use crate::stream::StartError;
@@ -209,7 +210,7 @@
         Sign::Read(None) if first.is_whole(events) => SilentState::Alive(Resumption::Ended(first)),
         Sign::HandedOver | Sign::Read(None | Some(Err(_))) => SilentState::GivenUp,
         Sign::Read(Some(Ok(bytes))) => {
-            events.record_arrival(job.arrived_at);
+            relay::record_arrival(job, events);
             if let Some(complete) = first.push(events, bytes) {
                 job.log_line("stream_went_on")
                     .with("upstream", &first.engine)
