--- a/crates/direct/tests/event_tests.rs
+++ b/crates/direct/tests/event_tests.rs
@@ -6,6 +6,7 @@
 mod events;
 
 use events::EventSplitter;
+use proptest::prelude::*;
 use std::time;
 
 /// Bytes of an event that takes long to come in small pieces, of which each is read.
@@ -28,3 +29,51 @@
     let took = started_at.elapsed();
     assert!(took < time::Duration::from_secs(2), "{took:?}");
 }
+
+proptest! {
+    #![proptest_config(seeded::config(2_000))]
+
+    /// Whatever an engine sends, whole events are passed on in order, once, and as they came;
+    /// how the bytes were cut makes no difference.
+    #[test]
+    fn random_bytes_are_passed_on_as_whole_events(
+        parts in prop::collection::vec(prop_oneof![
+            4 => (0_u64..9).prop_map(|id| format!("id: {id}\ndata: x\n\n").into_bytes()),
+            1 => Just(b"id: 18446744073709551615\n\n".to_vec()),
+            1 => Just(b": comment\n\n".to_vec()),
+            1 => "[a-z:\n ]{0,12}".prop_map(String::into_bytes),
+            2 => prop::collection::vec(any::<u8>(), 0..20),
+        ], 0..12),
+        piece in 1_usize..40,
+    ) {
+        let sent = parts.concat();
+        let read = |piece: usize| {
+            let mut splitter = EventSplitter::new(None);
+            let pieces = sent.chunks(piece);
+            let events = pieces.filter_map(|p| splitter.push(bytes::Bytes::copy_from_slice(p)));
+            let events = events.collect::<Vec<_>>().concat();
+            (events, splitter.last_id, splitter.is_misordered())
+        };
+        let (events, last_id, is_misordered) = read(piece);
+        prop_assert!(sent.starts_with(&events));
+        prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
+        // An empty line more has a test of its own.
+        if !sent.windows(3).any(|w| w == b"\n\n\n") {
+            prop_assert_eq!((events, last_id, is_misordered), read(1));
+        }
+    }
+}
+
+/// An engine that ends its events with an empty line more has sent whole events.
+#[test]
+fn surplus_empty_line_is_read_alike_in_any_pieces() {
+    let text = b"id: 0\ndata: x\n\n\n";
+    let partial = |piece: usize| {
+        let mut splitter = EventSplitter::new(None);
+        for part in text.chunks(piece) {
+            splitter.push(bytes::Bytes::copy_from_slice(part));
+        }
+        splitter.has_partial()
+    };
+    assert_eq!(partial(1), partial(text.len()));
+}
