--- a/crates/pool/tests/prompt_history_tests.rs
+++ b/crates/pool/tests/prompt_history_tests.rs
@@ -65,7 +65,7 @@
         let mut peer: Option<(Name, u64, time::Instant)> = None;
         let list = |pool: &mut pool::PrefillPool, listed: &[bool]| {
             let all = (0..ENGINES).filter(|i| listed[*i]);
-            let members: Vec<_> = all.map(|i| engine(i)).collect();
+            let members: Vec<_> = all.map(engine).collect();
             pool.set_engines(members.iter());
         };
         list(&mut pool, &listed);
--- a/crates/pool/tests/seat_history_tests.rs
+++ b/crates/pool/tests/seat_history_tests.rs
@@ -112,7 +112,7 @@
             switch_time: time::Duration::ZERO,
         };
         let all = (0..ENGINES).filter(|i| self.listed[*i]);
-        let members: Vec<_> = all.map(|i| engine(i)).collect();
+        let members: Vec<_> = all.map(engine).collect();
         self.pool.set_engines(members.iter(), &spec);
     }
 
