Test gossip through relays with real entries of two zones

Two zones of three entries and one store, as processes on loopback. The fake store gets a second address with a mode of its own, so that it is away for some entries only, and a watch that waits when it goes away now fails too.

--- a/crates/fake/src/tracks/store.rs
+++ b/crates/fake/src/tracks/store.rs
@@ -1,5 +1,6 @@
 //! Fake of the platform's metadata store, limited to the calls that the system makes.
 
+use crate::ports::free_address;
 use crate::test_server::TestServer;
 use crate::tracks::names;
 use base64::Engine;
@@ -31,15 +32,16 @@
 /// ends them.
 pub struct TracksStore {
     server: TestServer,
+    mode: SharedMode,
     shared: SharedState,
     changed: watch::Sender<u64>,
 }
 
 type SharedState = sync::Arc<sync::Mutex<State>>;
+type SharedMode = sync::Arc<sync::Mutex<TracksStoreMode>>;
 
 #[derive(Default)]
 struct State {
-    mode: TracksStoreMode,
     revision: u64,
     /// First revision whose changes are kept.
     first_revision: u64,
@@ -66,15 +68,28 @@
     pub fn start(address: net::SocketAddr) -> Self {
         let shared = SharedState::default();
         shared.lock().expect("the mutex is not poisoned").revision = 1;
-        let (changed, changes) = watch::channel(1);
+        Self::serve(address, shared, watch::channel(1).0)
+    }
+
+    /// Starts a second address of this store, with the same contents and a mode of its
+    /// own, so that the store can be away for some entries only.
+    pub fn branch(&self) -> Self {
+        let (shared, changed) = (self.shared.clone(), self.changed.clone());
+        Self::serve(free_address(), shared, changed)
+    }
+
+    fn serve(address: net::SocketAddr, shared: SharedState, changed: watch::Sender<u64>) -> Self {
+        let mode = SharedMode::default();
         let handler = StoreHandler {
+            mode: mode.clone(),
             shared: shared.clone(),
+            changes: changed.subscribe(),
             changed: changed.clone(),
-            changes,
         };
         let server = TestServer::start(address, handler);
         Self {
             server,
+            mode,
             shared,
             changed,
         }
@@ -87,7 +102,7 @@
 
     /// Sets how the store responds from now on.
     pub fn set_mode(&self, mode: TracksStoreMode) {
-        self.state().mode = mode;
+        *self.mode.lock().expect("the mutex is not poisoned") = mode;
     }
 
     /// Writes a key without a lease, as an operator or an upstream host would.
@@ -241,6 +256,7 @@
 }
 
 struct StoreHandler {
+    mode: SharedMode,
     shared: SharedState,
     changed: watch::Sender<u64>,
     changes: watch::Receiver<u64>,
@@ -255,11 +271,8 @@
         let body = web::read_body(body, 16 << 20).await?;
         let call = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let query = Query::parse(head.uri.query().unwrap_or_default());
-        let mode = {
-            let mut state = self.shared.lock().expect("the mutex is not poisoned");
-            state.calls += 1;
-            state.mode
-        };
+        self.shared.lock().expect("the mutex is not poisoned").calls += 1;
+        let mode = *self.mode.lock().expect("the mutex is not poisoned");
         match mode {
             TracksStoreMode::Normal | TracksStoreMode::DropResponses => {}
             TracksStoreMode::Busy => return Some(json_response(503, &Value::Null)),
@@ -269,8 +282,12 @@
             names::WATCH_PATH => self.watch(&query).await,
             path => self.handle_call(path, &query, &call),
         };
+        // A watch may wait until the store is away.
+        let is_away =
+            *self.mode.lock().expect("the mutex is not poisoned") == TracksStoreMode::Unavailable;
         match mode {
             TracksStoreMode::DropResponses => None,
+            _ if is_away => None,
             _ => Some(json_response(status, &value)),
         }
     }
