--- a/crates/daemon/tests/handover_tests.rs
+++ b/crates/daemon/tests/handover_tests.rs
@@ -49,7 +49,7 @@
     silent_ms: u64,
     plan: impl FnOnce(&SilentWorker),
 ) -> CallRecord {
-    request_silent(site, 6, |other| {
+    request_silent(site, 6, |_, other| {
         plan(other);
         other.gate.plan(Silence {
             point: SilencePoint::BeforeHead,
@@ -63,9 +63,10 @@
 fn request_silent(
     site: &mut SilentSite,
     events: u64,
-    plan: impl FnOnce(&SilentWorker),
+    plan: impl FnOnce(&SilentSite, &SilentWorker),
 ) -> CallRecord {
     site.cluster.start();
+    let site = &*site;
     let first_silence = Silence {
         point: SilencePoint::BetweenEvents(events),
         duration: FIRST_SILENCE,
@@ -82,7 +83,7 @@
         let mut workers = site.workers.iter().take(2);
         let other = workers.find(|w| w.received_ids().is_empty());
         let other = other.expect("one engine has the stream");
-        plan(other);
+        plan(site, other);
         caller.join().expect("the caller does not panic")
     });
     thread::sleep(LOG_DELAY);
@@ -127,7 +128,7 @@
     budget_slack: &str,
 ) {
     let mut site = prepare_site(budget_slack);
-    let record = request_silent(&mut site, EVENT_COUNT, |other| {
+    let record = request_silent(&mut site, EVENT_COUNT, |_, other| {
         other.gate.plan(Silence {
             point,
             duration: time::Duration::from_millis(silent_ms),
@@ -212,34 +213,16 @@
 #[test]
 fn stream_is_whole_after_a_quick_and_a_late_refusal_with_one_retry() {
     let mut site = prepare_site("4");
-    site.cluster.start();
-    let first_silence = Silence {
-        point: SilencePoint::BetweenEvents(6),
-        duration: FIRST_SILENCE,
-    };
-    site.workers.iter().for_each(|w| w.gate.plan(first_silence));
-    let address = site.cluster.entries[0].caller_address;
-    let request = request();
-    let record = thread::scope(|scope| {
-        let caller = scope.spawn(|| {
-            let mut caller = KeptCaller::connect(address).expect("the entry listens");
-            caller.call(&request)
-        });
-        site.cluster.wait_until(|_| site.has_received(&request.id));
-        let mut workers = site.workers.iter();
-        let other = workers.find(|w| w.received_ids().is_empty());
-        let other = other.expect("one engine has the stream");
+    let id = request().id;
+    let record = request_silent(&mut site, 6, |site, other| {
         other.refuse_runs(true);
-        let refused = |site: &SilentSite| site.log_of_request(&request.id).contains("why=refused");
-        while !refused(&site) {
+        while !site.log_of_request(&id).contains("why=refused") {
             thread::sleep(time::Duration::from_millis(2));
         }
         other.gate.plan(Silence {
             point: SilencePoint::BeforeHead,
             duration: time::Duration::from_millis(900),
         });
-        caller.join().expect("the caller does not panic")
     });
-    thread::sleep(LOG_DELAY);
     assert_whole(&site, &record);
 }
