Log and count lists of hosts that are ignored as older than the known one

Nothing said that lists were read and thrown away after the store came back from a copy, so that the hypotheses of docs/incidents/store-restored.md could not be told apart. One line for each revision, and a counter; no decision is changed.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -34,6 +34,8 @@
     pub(crate) idle_limit: sync::watch::Sender<time::Duration>,
     /// The upstream hosts, decoded from the membership list.
     pub(crate) host_list: cell::RefCell<pool::HostList>,
+    /// Revision of the last list that was ignored as older than the known one.
+    pub(crate) outdated_list: cell::Cell<Option<u64>>,
     /// The membership list as it was read, for forwarding to peers.
     pub(crate) member_list: cell::RefCell<Option<rc::Rc<MemberList>>>,
     pub(crate) pools: EnginePools,
@@ -142,6 +144,7 @@
             config: cell::RefCell::default(),
             idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
             host_list: cell::RefCell::default(),
+            outdated_list: cell::Cell::default(),
             member_list: cell::RefCell::default(),
             pools: EnginePools::new(notices.clone()),
             plain_services: PlainServices::new(notices.clone()),
@@ -209,6 +212,7 @@
         };
         let current_version = self.active_config().map_or(0, |c| c.config.version);
         if config.version <= current_version {
+            meters::meters().outdated.add("configuration", 1);
             trace::LogLine::new("configuration_older")
                 .with("from", from)
                 .with("version", config.version)
@@ -233,6 +237,11 @@
     /// Applies a membership list from the store or a peer unless it is older than
     /// the current one; hosts that can't be decoded are logged and left out.
     pub(crate) fn apply_members(&self, member_list: MemberList, from: &str) {
+        let current_revision = self.host_list.borrow().revision();
+        if member_list.revision < current_revision {
+            self.log_outdated_list(member_list.revision, current_revision, from);
+            return;
+        }
         let now = time::Instant::now();
         let mut members = Vec::with_capacity(member_list.members.len());
         for (key, raw) in &member_list.members {
@@ -244,10 +253,6 @@
                     .info(),
             }
         }
-        let current_revision = self.host_list.borrow().revision();
-        if member_list.revision < current_revision {
-            return;
-        }
         let before = self.member_states();
         let removed = self
             .host_list
--- a/crates/direct/src/member_log.rs
+++ b/crates/direct/src/member_log.rs
@@ -1,6 +1,7 @@
 //! Logs changes of the membership list.
 
 use crate::entry::Entry;
+use crate::meters;
 use crate::telemetry;
 use std::collections;
 use world::Name;
@@ -17,6 +18,19 @@
             .collect()
     }
 
+    /// Logs and counts a list that is ignored because it is older than the known one. Reads
+    /// of one revision are logged once.
+    pub(crate) fn log_outdated_list(&self, revision: u64, known: u64, from: &str) {
+        meters::meters().outdated.add("members", 1);
+        if self.outdated_list.replace(Some(revision)) != Some(revision) {
+            trace::LogLine::new("members_older")
+                .with("from", from)
+                .with("revision", revision)
+                .with("known", known)
+                .info();
+        }
+    }
+
     /// Logs what has changed since `before`.
     pub(crate) fn log_member_changes(
         &self,
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -184,6 +184,11 @@
     Unit::Count,
     "Calls to the platform's store that have ended, by kind and outcome.",
 );
+pub(crate) const OUTDATED: Metric = Metric::new(
+    "hornbeampitch_outdated_total",
+    Unit::Count,
+    "Lists of hosts and configurations that were ignored as older than the known ones.",
+);
 pub(crate) const LENGTH_ERROR: Metric = Metric::new(
     "hornbeampitch_response_length_error_ratio",
     Unit::Count,
