--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -38,6 +38,6 @@
 pub use silent_answer::{Framing, body_bytes, event_text};
 pub use silent_site::SilentSite;
 pub use silent_worker::{CallFault, SilentWorker};
-pub use store::{TracksStore, TracksStoreMode};
+pub use store::{TracksStore, TracksStoreCopy, TracksStoreMode};
 pub use worker::Worker;
 pub use worker_behaviour::WorkerBehaviour;
--- a/crates/fake/src/tracks/names.rs
+++ b/crates/fake/src/tracks/names.rs
@@ -38,6 +38,9 @@
 /// Response header: seal with which the host shows that it answered the request.
 pub const RESPONSE_SEAL: &str = "hornbeampitch-response-seal";
 
+/// Response header of the store: how often it came back from a copy.
+pub const STORE_ERA: &str = "store-era";
+
 /// Prefix of the paths of all internal calls, as opposed to requests of callers.
 pub const INTERNAL_PREFIX: &str = "/hornbeampitch/";
 /// Path that reserves a slot on an engine.
--- a/crates/fake/src/tracks/store.rs
+++ b/crates/fake/src/tracks/store.rs
@@ -40,8 +40,14 @@
 type SharedState = sync::Arc<sync::Mutex<State>>;
 type SharedMode = sync::Arc<sync::Mutex<TracksStoreMode>>;
 
-#[derive(Default)]
+/// A copy of a store's contents, from which it can come back.
+#[derive(Clone)]
+pub struct TracksStoreCopy(State);
+
+#[derive(Clone, Default)]
 struct State {
+    /// Number of times that the store came back from a copy.
+    era: u64,
     revision: u64,
     /// First revision whose changes are kept.
     first_revision: u64,
@@ -63,6 +69,13 @@
     lease: u64,
 }
 
+impl TracksStoreCopy {
+    /// Writes a key as it will have been written before the store answers again.
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.0.put(key, value.to_vec(), 0);
+    }
+}
+
 impl TracksStore {
     /// Starts an empty store at revision 1.
     pub fn start(address: net::SocketAddr) -> Self {
@@ -152,6 +165,31 @@
         state.ended_leases.extend(granted);
     }
 
+    /// Copies the contents as they are now.
+    pub fn copy(&self) -> TracksStoreCopy {
+        TracksStoreCopy(self.state().clone())
+    }
+
+    /// Comes back from a copy: what has happened since is gone, and its revisions and lease
+    /// ids are given out again. Waiting watches go on to wait.
+    pub fn restore(&self, copy: &TracksStoreCopy) {
+        let mut state = self.state();
+        let (era, calls) = (state.era + 1, state.calls);
+        *state = copy.0.clone();
+        (state.era, state.calls) = (era, calls);
+    }
+
+    /// Writes a key with a new lease, as another user of the store would.
+    pub fn put_leased(&self, key: &str, value: &[u8]) {
+        let mut state = self.state();
+        state.lease_count += 1;
+        let lease = state.lease_count;
+        state.put(key, value.to_vec(), lease);
+        let revision = state.revision;
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
     /// Returns the value of a key.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.state().entries.get(key).map(|e| e.value.clone())
@@ -197,6 +235,16 @@
         }
     }
 
+    /// Ends a lease and removes its keys.
+    fn end_lease(&mut self, lease: u64) {
+        self.ended_leases.insert(lease);
+        let of_lease = self.entries.iter().filter(|(_, e)| e.lease == lease);
+        let keys: Vec<String> = of_lease.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
     fn list(&self, prefix: &str) -> Value {
         let entries: Vec<Value> = self
             .entries
@@ -271,11 +319,18 @@
         let body = web::read_body(body, 16 << 20).await?;
         let call = serde_json::from_slice(&body).unwrap_or(Value::Null);
         let query = Query::parse(head.uri.query().unwrap_or_default());
+        let respond = |status: u16, value: &Value| {
+            let era = self.shared.lock().expect("the mutex is not poisoned").era;
+            let mut response = json_response(status, value);
+            let headers = response.headers_mut();
+            headers.insert(names::STORE_ERA, era.into());
+            Some(response)
+        };
         self.shared.lock().expect("the mutex is not poisoned").calls += 1;
         let mode = *self.mode.lock().expect("the mutex is not poisoned");
         match mode {
             TracksStoreMode::Normal | TracksStoreMode::DropResponses => {}
-            TracksStoreMode::Busy => return Some(json_response(503, &Value::Null)),
+            TracksStoreMode::Busy => return respond(503, &Value::Null),
             TracksStoreMode::Unavailable => return None,
         }
         let (status, value) = match head.uri.path() {
@@ -288,7 +343,7 @@
         match mode {
             TracksStoreMode::DropResponses => None,
             _ if is_away => None,
-            _ => Some(json_response(status, &value)),
+            _ => respond(status, &value),
         }
     }
 }
@@ -323,7 +378,7 @@
                 }
                 Some((names::LEASE_END_PATH, lease)) => {
                     let lease = lease.parse().unwrap_or(0);
-                    state.ended_leases.insert(lease);
+                    state.end_lease(lease);
                     (200, Value::Null)
                 }
                 _ => (400, Value::Null),
@@ -346,10 +401,11 @@
             changes.mark_unchanged();
             {
                 let state = self.shared.lock().expect("the mutex is not poisoned");
-                if query.number("after") + 1 < state.first_revision {
+                let after = query.number("after");
+                if after + 1 < state.first_revision || after > state.revision {
                     return (410, Value::Null);
                 }
-                let events = state.events_after(query.text("prefix"), query.number("after"));
+                let events = state.events_after(query.text("prefix"), after);
                 if !events.is_empty() || tokio::time::Instant::now() >= end {
                     let body = json!({"events": events, "current_rev": state.revision});
                     return (200, body);
