Numbers of the store carry the era in which it gave them

The class: a number that the store gives (revision, lease id) was taken to rise for ever and to name one thing.

Verdicts that a copy lacks are written again instead of being lifted; so is the use of allowances. The hosts that a copy lacks are kept as after an outage, counted from the first list of the era.

--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -265,6 +265,6 @@
         .with("crashes", verdict.crashes.len())
         .with("hosts", verdict.hosts())
         .with("last_crash_ms", telemetry::millis(age))
-        .with("stored", verdict.revision.unwrap_or(0))
+        .with("stored", verdict.revision.unwrap_or_default())
         .warn();
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -35,7 +35,7 @@
     /// The upstream hosts, decoded from the membership list.
     pub(crate) host_list: cell::RefCell<pool::HostList>,
     /// Revision of the last list that was ignored as older than the known one.
-    pub(crate) outdated_list: cell::Cell<Option<u64>>,
+    pub(crate) outdated_list: cell::Cell<Option<seam::Revision>>,
     /// The membership list as it was read, for forwarding to peers.
     pub(crate) member_list: cell::RefCell<Option<rc::Rc<MemberList>>>,
     pub(crate) pools: EnginePools,
@@ -47,7 +47,9 @@
     /// Suspected elements of the requests that run alone.
     pub(crate) trials: cell::RefCell<pool::ElementSet>,
     /// Keys of verdicts that are to be removed from the store, with their revisions.
-    pub(crate) outdated_keys: cell::RefCell<Vec<(String, u64)>>,
+    pub(crate) outdated_keys: cell::RefCell<Vec<(String, seam::Revision)>>,
+    /// Era of the store in which verdicts were last read.
+    pub(crate) verdict_era: cell::Cell<seam::Era>,
     /// Wakes those that wait for a change of the verdicts.
     pub(crate) verdicts_changed: sync::Notify,
     /// Asks for a message to the peers ahead of time.
@@ -91,12 +93,14 @@
 pub(crate) struct ActiveConfig {
     pub(crate) config: seam::Config,
     pub(crate) raw: bytes::Bytes,
+    /// The latest era in which the store was seen to have it.
+    pub(crate) era: cell::Cell<seam::Era>,
 }
 
 /// The membership list of upstream hosts as the store returned it.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub(crate) struct MemberList {
-    pub(crate) revision: u64,
+    pub(crate) revision: seam::Revision,
     /// Store key and undecoded value of each host.
     pub(crate) members: Vec<(String, String)>,
 }
@@ -158,6 +162,7 @@
             quarantine: cell::RefCell::default(),
             trials: cell::RefCell::default(),
             outdated_keys: cell::RefCell::default(),
+            verdict_era: cell::Cell::default(),
             verdicts_changed: sync::Notify::new(),
             gossip_due: sync::Notify::new(),
             relay_queue: cell::RefCell::default(),
@@ -194,10 +199,12 @@
         self.peers.borrow().len() + 1
     }
 
-    /// Applies a configuration from the store or a peer if it is newer than the
-    /// one in force; one that can't be decoded is logged and ignored.
-    pub(crate) fn apply_config(&self, raw: bytes::Bytes, from: &str) {
-        if self.active_config().is_some_and(|c| c.raw == raw) {
+    /// Applies a configuration that the store had in this era, from it or a peer, if it is
+    /// newer than the one in force; one that can't be decoded is logged and ignored.
+    pub(crate) fn apply_config(&self, raw: bytes::Bytes, era: seam::Era, from: &str) {
+        if let Some(active) = self.active_config().filter(|c| c.raw == raw) {
+            active.era.set(active.era.get().max(era));
+            self.config_fetch.borrow_mut().record_applied();
             return;
         }
         let config = match P::decode_config(&raw) {
@@ -210,8 +217,9 @@
                 return;
             }
         };
-        let current_version = self.active_config().map_or(0, |c| c.config.version);
-        if config.version <= current_version {
+        let current_version = self.config_version();
+        let number = config.version;
+        if (pool::ConfigVersion { number, era }) <= current_version {
             meters::meters().outdated.add("configuration", 1);
             trace::LogLine::new("configuration_older")
                 .with("from", from)
@@ -230,7 +238,11 @@
         let idle_limit = config.limits.idle_timeout;
         self.idle_limit
             .send_if_modified(|l| std::mem::replace(l, idle_limit) != idle_limit);
-        *self.config.borrow_mut() = Some(rc::Rc::new(ActiveConfig { config, raw }));
+        *self.config.borrow_mut() = Some(rc::Rc::new(ActiveConfig {
+            config,
+            raw,
+            era: cell::Cell::new(era),
+        }));
         self.update_pools();
     }
 
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -35,10 +35,10 @@
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) relayed: Vec<RelayedMessage>,
     /// Version of the sender's configuration.
-    pub(crate) version: u64,
+    pub(crate) version: pool::ConfigVersion,
     /// Store revision of the sender's membership list.
     #[serde(rename = "listed")]
-    pub(crate) list_revision: u64,
+    pub(crate) list_revision: seam::Revision,
     /// Age of that list in milliseconds.
     pub(crate) age_ms: u64,
     /// Load of the sender's streams, by decode engine.
@@ -94,7 +94,7 @@
 pub(crate) struct GossipReply {
     /// Version of the receiver's configuration.
     #[serde(default)]
-    pub(crate) version: u64,
+    pub(crate) version: pool::ConfigVersion,
     /// The receiver's membership list, if it is newer than the sender's.
     #[serde(rename = "listing")]
     pub(crate) member_list: Option<MemberList>,
@@ -327,9 +327,13 @@
         known.sum()
     }
 
-    /// Returns the version of the configuration in force; 0 if there is none.
-    pub(crate) fn config_version(&self) -> u64 {
-        self.active_config().map_or(0, |c| c.config.version)
+    /// Returns the version of the configuration in force; the lowest if there is none.
+    pub(crate) fn config_version(&self) -> pool::ConfigVersion {
+        let active = self.active_config();
+        active.map_or_else(pool::ConfigVersion::default, |c| pool::ConfigVersion {
+            number: c.config.version,
+            era: c.era.get(),
+        })
     }
 
     /// Returns the role changes that are still expected, for the peers.
--- a/crates/direct/src/gossip_sender.rs
+++ b/crates/direct/src/gossip_sender.rs
@@ -174,7 +174,7 @@
 pub(crate) struct ConfigSource {
     pub(crate) peer: Name,
     pub(crate) address: net::SocketAddr,
-    pub(crate) version: u64,
+    pub(crate) version: pool::ConfigVersion,
 }
 
 /// Reads a configuration that a peer has, if it is newer and due.
@@ -185,24 +185,21 @@
 ) {
     let version = entry.config_version();
     let mut fetch = entry.config_fetch.borrow_mut();
-    if source.version > version && fetch.record_newer(version == 0, now) {
-        tokio::task::spawn_local(fetch_config(entry.clone(), source.peer, source.address));
+    if source.version > version && fetch.record_newer(version.number == 0, now) {
+        tokio::task::spawn_local(fetch_config(entry.clone(), source));
     }
 }
 
 /// Reads a newer configuration from a peer.
-async fn fetch_config<P: seam::Platform>(
-    entry: rc::Rc<Entry<P>>,
-    name: Name,
-    address: net::SocketAddr,
-) {
+async fn fetch_config<P: seam::Platform>(entry: rc::Rc<Entry<P>>, source: ConfigSource) {
     let deadline = time::Instant::now() + CONFIG_TIMEOUT;
-    let raw = post(&entry, address, CONFIG_PATH, bytes::Bytes::new(), deadline).await;
+    let body = bytes::Bytes::new();
+    let raw = post(&entry, source.address, CONFIG_PATH, body, deadline).await;
     entry.config_fetch.borrow_mut().finish_request();
     match raw {
-        Some(raw) => entry.apply_config(raw, &name),
+        Some(raw) => entry.apply_config(raw, source.version.era, &source.peer),
         None => trace::LogLine::new("configuration_untold")
-            .with("peer", &name)
+            .with("peer", &source.peer)
             .info(),
     }
 }
--- a/crates/direct/src/member_log.rs
+++ b/crates/direct/src/member_log.rs
@@ -3,6 +3,7 @@
 use crate::entry::Entry;
 use crate::meters;
 use crate::telemetry;
+use seam::Revision;
 use std::collections;
 use world::Name;
 
@@ -20,7 +21,7 @@
 
     /// Logs and counts a list that is ignored because it is older than the known one. Reads
     /// of one revision are logged once.
-    pub(crate) fn log_outdated_list(&self, revision: u64, known: u64, from: &str) {
+    pub(crate) fn log_outdated_list(&self, revision: Revision, known: Revision, from: &str) {
         meters::meters().outdated.add("members", 1);
         if self.outdated_list.replace(Some(revision)) != Some(revision) {
             trace::LogLine::new("members_older")
@@ -36,7 +37,7 @@
         &self,
         before: &collections::BTreeMap<Name, (seam::MemberState, Option<seam::Role>)>,
         from: &str,
-        revision: u64,
+        revision: Revision,
     ) {
         let after = self.member_states();
         for (id, state) in &after {
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -101,6 +101,7 @@
     "refused",
     "no_response",
     "invalid_response",
+    "outdated",
 ];
 
 /// Counters of one metric for the values of a label. Their number is bounded, as a value
@@ -181,6 +182,7 @@
     pub(crate) resumptions: CounterSet,
     pub(crate) wasted_tokens: CounterSet,
     store_calls: Vec<CounterSet>,
+    pub(crate) store_returns: Counter,
     pub(crate) outdated: CounterSet,
     pub(crate) length_error: Histogram,
     pub(crate) prefill_error: Histogram,
@@ -235,6 +237,7 @@
             ),
             wasted_tokens: set(&metric::WASTED_TOKENS, "cause", WASTE_CAUSES),
             store_calls: store_calls.collect(),
+            store_returns: metric::STORE_RETURNS.counter(&[]),
             outdated: set(&metric::OUTDATED, "what", &["members", "configuration"]),
             length_error: metric::LENGTH_ERROR.histogram(&[]),
             prefill_error: metric::PREFILL_ERROR.histogram(&[]),
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -184,6 +184,11 @@
     Unit::Count,
     "Calls to the platform's store that have ended, by kind and outcome.",
 );
+pub(crate) const STORE_RETURNS: Metric = Metric::new(
+    "hornbeampitch_store_returns_total",
+    Unit::Count,
+    "Times that the platform's store came back from an older copy.",
+);
 pub(crate) const OUTDATED: Metric = Metric::new(
     "hornbeampitch_outdated_total",
     Unit::Count,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -149,7 +149,7 @@
     let current = entry.store.get(&key).await.ok()?;
     let lease = entry.store.grant_lease(ENTRY_TTL).await.ok()?;
     let value = entry.settings.peer_listen.to_string();
-    let revision = current.item.map_or(0, |i| i.revision);
+    let revision = current.item.map(|i| i.revision);
     let swapped = entry
         .store
         .compare_and_swap(&key, revision, value.as_bytes(), Some(lease))
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -21,7 +21,7 @@
 
 impl Refusal {
     /// Logs the refusal of a request.
-    pub(crate) fn log(&self, id: &str, config_version: u64) {
+    pub(crate) fn log(&self, id: &str, config_version: pool::ConfigVersion) {
         let mut line = trace::LogLine::new("refused")
             .with("request", id)
             .with("status", self.reply.status.as_u16())
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -46,7 +46,7 @@
         entry.is_holder.set(lease_state.lease().is_some());
         for (service, pool) in entry.pools.all() {
             let now = time::Instant::now();
-            let Some(fence) = lease_state.fencing_number(ORDER_TIMEOUT, now) else {
+            let Some(fence) = lease_state.fence(ORDER_TIMEOUT, now) else {
                 break;
             };
             let engines = role_candidates(&entry, &service, &pool, now);
@@ -127,7 +127,7 @@
     let host = entry.settings.host.as_bytes();
     let swapped = entry
         .store
-        .compare_and_swap(HOLDER_KEY, 0, host, Some(lease))
+        .compare_and_swap(HOLDER_KEY, None, host, Some(lease))
         .await;
     let now = time::Instant::now();
     match swapped {
@@ -149,7 +149,7 @@
     entry: &Entry<P>,
     lease_state: &mut pool::OrderLease,
     change: &pool::RoleChange,
-    fence: u64,
+    fence: seam::Revision,
 ) -> bool {
     let Some(target) = entry.target(&change.id) else {
         return false;
@@ -172,7 +172,7 @@
         }
         Err(_) => return false,
     }
-    if lease_state.fencing_number(ORDER_TIMEOUT, time::Instant::now()) != Some(fence) {
+    if lease_state.fence(ORDER_TIMEOUT, time::Instant::now()) != Some(fence) {
         return false;
     }
     let order = seam::RoleOrder {
--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -27,8 +27,8 @@
         let read = entry.store.get(P::CONFIG_KEY).await;
         let after = match read {
             Ok(found) => {
-                if let Some(raw) = found.item.and_then(|i| i.value) {
-                    entry.apply_config(raw, "store");
+                if let Some(item) = found.item {
+                    apply_item(&entry, item, "store");
                 }
                 found.revision
             }
@@ -38,10 +38,10 @@
             }
         };
         retry.reset();
-        if after == 0 {
+        let Some(after) = after else {
             tokio::time::sleep(FIRST_RETRY_DELAY).await;
             continue;
-        }
+        };
         if let Err(error) = watch_changes(&entry, after).await {
             retry.wait_after_failure(error).await;
         }
@@ -52,7 +52,7 @@
 /// revision, or a call fails.
 async fn watch_changes<P: seam::Platform>(
     entry: &Entry<P>,
-    after: u64,
+    after: seam::Revision,
 ) -> Result<(), seam::StoreError> {
     let mut after = after;
     loop {
@@ -60,8 +60,8 @@
         match entry.store.watch(P::CONFIG_KEY, after, wait).await? {
             seam::WatchResult::Compacted => return Ok(()),
             seam::WatchResult::Changes(items, revision) => {
-                for raw in items.into_iter().filter_map(|i| i.value) {
-                    entry.apply_config(raw, "watch");
+                for item in items {
+                    apply_item(&entry, item, "watch");
                 }
                 after = after.max(revision);
             }
@@ -69,6 +69,13 @@
     }
 }
 
+/// Applies a configuration that was read, unless it was deleted.
+fn apply_item<P: seam::Platform>(entry: &Entry<P>, item: seam::Item, from: &str) {
+    if let Some(raw) = item.value {
+        entry.apply_config(raw, item.revision.era, from);
+    }
+}
+
 /// Reads the membership list at intervals.
 pub(crate) async fn poll_members<P: seam::Platform>(entry: rc::Rc<Entry<P>>) {
     let mut retry = StoreRetry::new("members");
--- a/crates/direct/src/usage_store.rs
+++ b/crates/direct/src/usage_store.rs
@@ -20,9 +20,13 @@
     let mut written = pool::HeavyUse::default();
     while !entry.stopping.get() {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        if entry.position().0 > 0 {
+        // What was written before the store came back from a copy may be gone.
+        let is_lost = revision.is_some_and(|r: seam::Revision| r.era != entry.store.era());
+        if is_lost || entry.position().0 > 0 {
             written = pool::HeavyUse::default();
             revision = None;
+        }
+        if entry.position().0 > 0 {
             continue;
         }
         let heavy = entry
@@ -55,11 +59,11 @@
 async fn write<P: seam::Platform>(
     entry: &Entry<P>,
     heavy: &pool::HeavyUse,
-    revision: Option<u64>,
-) -> Result<u64, WriteError> {
+    revision: Option<seam::Revision>,
+) -> Result<seam::Revision, WriteError> {
     let lease = entry.lease.get().ok_or(WriteError::Failed)?;
     let expected = match revision {
-        Some(revision) => revision,
+        Some(revision) => Some(revision),
         None => read(entry).await?.0,
     };
     let value = serde_json::to_vec(heavy).map_err(|_| WriteError::Failed)?;
@@ -86,8 +90,10 @@
     }
 }
 
-/// Reads the kept use with the key's revision, which is 0 if there is none.
-async fn read<P: seam::Platform>(entry: &Entry<P>) -> Result<(u64, pool::HeavyUse), WriteError> {
+/// Reads the kept use with the key's revision; there is none without the key.
+async fn read<P: seam::Platform>(
+    entry: &Entry<P>,
+) -> Result<(Option<seam::Revision>, pool::HeavyUse), WriteError> {
     let found = entry.store.get(USAGE_KEY).await;
     let found = found.map_err(|error| {
         trace::LogLine::new("usage_unread")
@@ -96,7 +102,7 @@
         WriteError::Failed
     })?;
     let Some(item) = found.item else {
-        return Ok((0, pool::HeavyUse::default()));
+        return Ok((None, pool::HeavyUse::default()));
     };
     let value = item.value.unwrap_or_default();
     let heavy = serde_json::from_slice(&value).unwrap_or_else(|error| {
@@ -106,20 +112,20 @@
             .warn();
         pool::HeavyUse::default()
     });
-    Ok((item.revision, heavy))
+    Ok((Some(item.revision), heavy))
 }
 
 /// Reads the kept use until that has succeeded or a peer has told what was used;
 /// returns the key's revision.
-async fn restore<P: seam::Platform>(entry: &Entry<P>) -> Option<u64> {
+async fn restore<P: seam::Platform>(entry: &Entry<P>) -> Option<seam::Revision> {
     while !entry.rate_limiter.borrow().has_history() {
         if let Ok((revision, heavy)) = read(entry).await {
             entry.rate_limiter.borrow_mut().restore(&heavy);
             trace::LogLine::new("usage_restored")
                 .with("organisations", heavy.leads.len())
-                .with("revision", revision)
+                .with("revision", revision.unwrap_or_default())
                 .info();
-            return Some(revision);
+            return revision;
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
--- a/crates/direct/src/verdict_store.rs
+++ b/crates/direct/src/verdict_store.rs
@@ -33,6 +33,8 @@
 pub(crate) async fn keep_verdicts<P: seam::Platform>(entry: rc::Rc<Entry<P>>) {
     let mut due = collections::BTreeMap::new();
     loop {
+        // What changes during the calls below counts too.
+        let changed = entry.verdicts_changed.notified();
         let now = time::Instant::now();
         for (key, revision) in entry.outdated_keys.take() {
             remove(&entry, &key, revision).await;
@@ -53,7 +55,7 @@
             }
         }
         if unwritten.is_empty() && entry.outdated_keys.borrow().is_empty() {
-            entry.verdicts_changed.notified().await;
+            changed.await;
         } else {
             tokio::time::sleep(CHECK_INTERVAL).await;
         }
@@ -88,6 +90,10 @@
         }
         quarantine.lift_removed(&elements, list.revision);
     });
+    if entry.verdict_era.replace(list.revision.era) != list.revision.era {
+        // Verdicts that a copy of the store lacks are written again.
+        entry.verdicts_changed.notify_waiters();
+    }
     if entry.position().0 == 0 {
         remove_outdated(entry, list, now);
     }
@@ -106,7 +112,8 @@
     let items = list.items.iter().filter(|i| i.key.starts_with(KEY_PREFIX));
     let readable = items.filter(|i| decode(i).is_ok());
     let outdated = readable.filter(|i| !in_force.contains(&i.key));
-    let outdated: Vec<(String, u64)> = outdated.map(|i| (i.key.clone(), i.revision)).collect();
+    let outdated: Vec<(String, seam::Revision)> =
+        outdated.map(|i| (i.key.clone(), i.revision)).collect();
     if !outdated.is_empty() {
         entry.outdated_keys.borrow_mut().extend(outdated);
         entry.verdicts_changed.notify_waiters();
@@ -126,7 +133,7 @@
         return;
     };
     let key = key_of(verdict);
-    let swapped = entry.store.compare_and_swap(&key, 0, &value, None).await;
+    let swapped = entry.store.compare_and_swap(&key, None, &value, None).await;
     match swapped {
         Ok(seam::SwapResult::Done(revision)) => {
             let mut quarantine = entry.quarantine.borrow_mut();
@@ -146,7 +153,7 @@
 }
 
 /// Removes a key. One that another entry has removed or written anew is left alone.
-async fn remove<P: seam::Platform>(entry: &Entry<P>, key: &str, revision: u64) {
+async fn remove<P: seam::Platform>(entry: &Entry<P>, key: &str, revision: seam::Revision) {
     if let Err(error) = entry.store.remove(key, revision).await {
         trace::LogLine::new("verdict_unremoved")
             .with("key", key)
--- a/crates/pool/src/crashes/quarantine.rs
+++ b/crates/pool/src/crashes/quarantine.rs
@@ -11,6 +11,7 @@
 use crate::crashes::verdict::VERDICT_TTL;
 use crate::crashes::verdict::Verdict;
 use crate::crashes::verdict::VerdictReport;
+use seam::Revision;
 use std::collections;
 use std::time;
 
@@ -209,15 +210,23 @@
     }
 
     /// Records that the store holds a verdict with this revision.
-    pub fn record_stored(&mut self, elements: &ElementSet, revision: u64) {
+    pub fn record_stored(&mut self, elements: &ElementSet, revision: Revision) {
         for verdict in self.verdicts.iter_mut().filter(|v| v.elements == *elements) {
             verdict.revision = verdict.revision.max(Some(revision));
         }
     }
 
     /// Lifts the verdicts that were in the store and are no longer among `stored`, because
-    /// an operator removed them; `revision` is that of the list. Returns what was lifted.
-    pub fn lift_removed(&mut self, stored: &[ElementSet], revision: u64) -> Vec<Verdict> {
+    /// an operator removed them; `revision` is that of the list. Those that were written
+    /// before the store came back from a copy are to be written again. Returns what was
+    /// lifted.
+    pub fn lift_removed(&mut self, stored: &[ElementSet], revision: Revision) -> Vec<Verdict> {
+        for verdict in &mut self.verdicts {
+            let is_lost = verdict.revision.is_some_and(|r| r.era < revision.era);
+            if is_lost && !stored.contains(&verdict.elements) {
+                verdict.revision = None;
+            }
+        }
         let is_removed = |v: &Verdict| {
             let written = v.revision.is_some_and(|r| r <= revision);
             written && !stored.contains(&v.elements)
--- a/crates/pool/src/crashes/verdict.rs
+++ b/crates/pool/src/crashes/verdict.rs
@@ -2,6 +2,7 @@
 
 use crate::crashes::evidence::CrashId;
 use crate::crashes::evidence::ElementSet;
+use seam::Revision;
 use std::collections;
 use std::time;
 
@@ -24,7 +25,7 @@
     /// When the last of them happened.
     pub last_crash: time::Instant,
     /// Revision of its key in the store, once it is there.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// When a request was last let through to test it.
     pub(super) tested_at: Option<time::Instant>,
 }
@@ -39,7 +40,7 @@
     /// Milliseconds since the last crash.
     pub age_ms: u64,
     /// Revision of its key in the store, once it is there.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
 }
 
 impl Verdict {
--- a/crates/pool/src/host_list.rs
+++ b/crates/pool/src/host_list.rs
@@ -4,8 +4,10 @@
 //! A host that drains or is missing from the list receives no new work as soon
 //! as that list has been read. After the store was unavailable, hosts whose
 //! keys expired in the meantime stay listed briefly, so that they can register
-//! again.
+//! again. The same holds once the store has come back from a copy, which lacks the
+//! hosts that registered since.
 
+use seam::Revision;
 use std::collections;
 use std::time;
 use world::Name;
@@ -20,7 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostList {
     members: collections::BTreeMap<Name, seam::Member>,
-    revision: u64,
+    revision: Revision,
     read_at: Option<time::Instant>,
     recovered_at: Option<time::Instant>,
 }
@@ -32,13 +34,16 @@
     pub fn update(
         &mut self,
         members: Vec<seam::Member>,
-        revision: u64,
+        revision: Revision,
         now: time::Instant,
     ) -> Vec<seam::Member> {
         if revision < self.revision {
             return Vec::new();
         }
         self.detect_recovery(now);
+        if self.read_at.is_some() && revision.era > self.revision.era {
+            self.recovered_at = Some(now);
+        }
         self.read_at = Some(now);
         self.revision = revision;
         let mut current: collections::BTreeMap<Name, seam::Member> =
@@ -53,19 +58,20 @@
             }
         }
         let previous = std::mem::replace(&mut self.members, current);
-        previous
+        let removed: Vec<seam::Member> = previous
             .into_values()
             .filter(|m| {
                 self.members
                     .get(&m.id)
                     .is_none_or(|n| n.started_ms != m.started_ms)
             })
-            .collect()
+            .collect();
+        removed
     }
 
     /// Records that a peer read the same revision `age` ago. Returns whether
     /// that is newer than this entry's own last update.
-    pub fn confirm(&mut self, revision: u64, age: time::Duration, now: time::Instant) -> bool {
+    pub fn confirm(&mut self, revision: Revision, age: time::Duration, now: time::Instant) -> bool {
         let Some(at) = now.checked_sub(age) else {
             return false;
         };
@@ -94,8 +100,8 @@
         self.members.get(id)
     }
 
-    /// Returns the store revision of the list; 0 before the first update.
-    pub fn revision(&self) -> u64 {
+    /// Returns the store revision of the list; the lowest one before the first update.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/crates/pool/src/order_lease.rs
+++ b/crates/pool/src/order_lease.rs
@@ -1,10 +1,12 @@
 //! The lease that allows one entry to order engines to change their roles.
 //!
 //! One entry at a time holds a leased key in the store; the key's revision is
-//! the fencing number of its orders. Entries may race for the key, be paused or
+//! the fencing token of its orders. Entries may race for the key, be paused or
 //! lose responses from the store. The holder therefore gives no order before its
 //! predecessor's lease has expired, and only on a lease that it has just renewed.
 
+use seam::LeaseId;
+use seam::Revision;
 use std::time;
 
 /// Number of times that the lease is renewed, or the key is read, within the
@@ -37,8 +39,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct HeldLease {
-    lease: seam::LeaseId,
-    fencing_number: u64,
+    lease: LeaseId,
+    fence: Revision,
     /// When the response arrived that confirmed the claim.
     claimed_at: time::Instant,
     /// When the last request that renewed the lease was sent.
@@ -79,18 +81,18 @@
     }
 
     /// Records that this entry claimed the key with a request sent at `sent`. The
-    /// store revision at which the key was written is the fencing number.
+    /// store revision at which the key was written is the fencing token.
     pub fn record_claim(
         &mut self,
-        lease: seam::LeaseId,
-        fencing_number: u64,
+        lease: LeaseId,
+        fence: Revision,
         sent: time::Instant,
         now: time::Instant,
     ) {
         self.free = false;
         self.held = Some(HeldLease {
             lease,
-            fencing_number,
+            fence,
             claimed_at: now,
             renewed_at: sent,
         });
@@ -111,7 +113,7 @@
     }
 
     /// Returns the id of the lease, or `None` if this entry does not hold it.
-    pub fn lease(&self) -> Option<seam::LeaseId> {
+    pub fn lease(&self) -> Option<LeaseId> {
         self.held.map(|h| h.lease)
     }
 
@@ -122,13 +124,13 @@
             .is_some_and(|h| now.saturating_duration_since(h.renewed_at) >= self.ttl)
     }
 
-    /// Returns the fencing number for an order that reaches its engine within
+    /// Returns the fencing token for an order that reaches its engine within
     /// `delivery_time`, or `None` if no order may be given. The order must arrive
     /// in the first half of the lease's time to live, counted from its renewal.
-    pub fn fencing_number(&self, delivery_time: time::Duration, now: time::Instant) -> Option<u64> {
+    pub fn fence(&self, delivery_time: time::Duration, now: time::Instant) -> Option<Revision> {
         let held = self.held?;
         let predecessor_expired = now.saturating_duration_since(held.claimed_at) >= self.ttl;
         let in_time = now.saturating_duration_since(held.renewed_at) + delivery_time < self.ttl / 2;
-        (predecessor_expired && in_time).then_some(held.fencing_number)
+        (predecessor_expired && in_time).then_some(held.fence)
     }
 }
--- a/crates/pool/tests/crash_tests.rs
+++ b/crates/pool/tests/crash_tests.rs
@@ -17,6 +17,11 @@
 /// First part of every request of the route.
 const ROUTE: &str = "5c1e";
 
+/// Returns a revision of the store's first era.
+fn revision(number: u64) -> seam::Revision {
+    seam::Revision::new(seam::Era(1), number)
+}
+
 fn seconds(seconds: u64) -> time::Duration {
     time::Duration::from_secs(seconds)
 }
@@ -356,19 +361,36 @@
     quarantine.record_answer(&request(50, &[ROUTE]), now);
     crash_engines(&mut quarantine, 3, now);
     let elements = ElementSet::from([Element::Part(BAD.into())]);
-    quarantine.record_stored(&elements, 40);
+    quarantine.record_stored(&elements, revision(40));
     // A list that may be older than the write says nothing.
-    assert!(quarantine.lift_removed(&[], 39).is_empty());
+    assert!(quarantine.lift_removed(&[], revision(39)).is_empty());
     assert!(
         quarantine
-            .lift_removed(std::slice::from_ref(&elements), 41)
+            .lift_removed(std::slice::from_ref(&elements), revision(41))
             .is_empty()
     );
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
-    assert_eq!(quarantine.lift_removed(&[], 41).len(), 1);
+    assert_eq!(quarantine.lift_removed(&[], revision(41)).len(), 1);
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Clear);
 }
 
+/// A copy lacks what was written since, which an operator has not removed.
+#[test]
+fn verdict_that_a_returned_store_lacks_is_written_again() {
+    let (mut quarantine, now) = (CrashQuarantine::default(), time::Instant::now());
+    quarantine.record_answer(&request(50, &[ROUTE]), now);
+    crash_engines(&mut quarantine, 3, now);
+    let elements = ElementSet::from([Element::Part(BAD.into())]);
+    quarantine.record_stored(&elements, revision(40));
+    let returned = |number| seam::Revision::new(seam::Era(2), number);
+    assert!(quarantine.lift_removed(&[], returned(41)).is_empty());
+    assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
+    let is_stored = |q: &CrashQuarantine| q.verdicts(now).any(|v| v.revision.is_some());
+    assert!(!is_stored(&quarantine), "it is to be written again");
+    quarantine.record_stored(&elements, returned(42));
+    assert_eq!(quarantine.lift_removed(&[], returned(43)).len(), 1);
+}
+
 #[test]
 fn answer_narrows_a_verdict_and_the_wider_one_is_lifted() {
     let (mut quarantine, now) = (CrashQuarantine::default(), time::Instant::now());
@@ -376,7 +398,7 @@
         record(&mut quarantine, number, request(number, &[ROUTE, BAD]), now);
     }
     let both = ElementSet::from([Element::Part(BAD.into()), Element::Part(ROUTE.into())]);
-    quarantine.record_stored(&both, 40);
+    quarantine.record_stored(&both, revision(40));
     let added = quarantine.take_changes().added;
     assert_eq!(
         added.last().map(pool::Verdict::label).as_deref(),
@@ -385,10 +407,10 @@
     quarantine.record_answer(&request(7, &[ROUTE]), now);
     let changes = quarantine.take_changes();
     assert_eq!(changes.lifted[0].label(), "part:5c1e+part:bad0");
-    assert_eq!(changes.lifted[0].revision, Some(40));
+    assert_eq!(changes.lifted[0].revision, Some(revision(40)));
     assert_eq!(changes.added[0].label(), "part:bad0");
     // The store has the wider one: its list must not lift the narrow one.
-    assert!(quarantine.lift_removed(&[both], 50).is_empty());
+    assert!(quarantine.lift_removed(&[both], revision(50)).is_empty());
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
 }
 
--- a/crates/pool/tests/host_history_tests.rs
+++ b/crates/pool/tests/host_history_tests.rs
@@ -64,6 +64,11 @@
     }
 }
 
+/// Returns a revision of the only era of these histories.
+fn at(number: usize) -> seam::Revision {
+    seam::Revision::new(seam::Era::default(), number as u64)
+}
+
 type Members = collections::BTreeMap<Name, seam::Member>;
 
 /// The store's lists by revision, and what is known of the entry's reads.
@@ -107,7 +112,7 @@
 ) -> Result<(), TestCaseError> {
     let before: Members = list.members().map(|m| (m.id.clone(), m.clone())).collect();
     let listed = site.lists[revision].clone();
-    let removed = list.update(listed.values().cloned().collect(), revision as u64, now);
+    let removed = list.update(listed.values().cloned().collect(), at(revision), now);
     let after: Members = list.members().map(|m| (m.id.clone(), m.clone())).collect();
     if revision < site.revision {
         prop_assert!(removed.is_empty());
@@ -180,18 +185,18 @@
                     read(&mut site, &mut list, revision, now)?;
                 }
                 Event::Confirm(age_ms) => {
-                    let at = now - MILLI * age_ms as u32;
-                    let newer = site.read_at.is_some_and(|r| r < at);
-                    let other = list.revision() + 1;
+                    let read_at = now - MILLI * age_ms as u32;
+                    let newer = site.read_at.is_some_and(|r| r < read_at);
+                    let other = at(site.revision + 1);
                     prop_assert!(!list.confirm(other, MILLI * age_ms as u32, now));
-                    let told = list.confirm(site.revision as u64, MILLI * age_ms as u32, now);
+                    let told = list.confirm(at(site.revision), MILLI * age_ms as u32, now);
                     prop_assert_eq!(told, newer);
                     if told {
-                        site.record_read(at);
+                        site.record_read(read_at);
                     }
                 }
             }
-            prop_assert_eq!(list.revision(), site.revision as u64);
+            prop_assert_eq!(list.revision(), at(site.revision));
             prop_assert_eq!(list.read_at(), site.read_at);
             prop_assert!(list.ready("maps").all(|m| m.state == seam::MemberState::Ready));
             prop_assert_eq!(list.ready("other").count(), 0);
@@ -207,8 +212,8 @@
     let now = time::Instant::now();
     let (ended, successor) = (member(0, 1), member(1, 2));
     let mut list = pool::HostList::default();
-    list.update(vec![ended, successor.clone()], 1, now);
+    list.update(vec![ended, successor.clone()], at(1), now);
     let back = now + MILLI * (OUTAGE_MS as u32 + 1);
-    list.update(Vec::new(), 2, back);
+    list.update(Vec::new(), at(2), back);
     assert_eq!(list.get(&successor.id), Some(&successor));
 }
--- a/crates/pool/tests/order_history_tests.rs
+++ b/crates/pool/tests/order_history_tests.rs
@@ -1,9 +1,13 @@
 //! Histories of entries that share the lease for role orders: answers of the store come late
-//! or not at all, and entries pause. The promises are checked after each step.
+//! or not at all, entries pause, and the store comes back from a copy of any age, so that it
+//! gives revisions and lease ids out again. The promises are checked after each step.
 
 use pool::LeaseStep;
 use pool::RoleCandidate;
 use proptest::prelude::*;
+use seam::Era;
+use seam::LeaseId;
+use seam::Revision;
 use std::collections;
 use std::time;
 use world::Name;
@@ -28,6 +32,8 @@
     },
     Pause(usize, u64),
     Order(usize, u64),
+    /// The store comes back from a copy of this age.
+    Restore(u64),
 }
 
 fn events() -> impl Strategy<Value = Vec<Event>> {
@@ -44,6 +50,7 @@
         }),
         1 => (entry(), 500_u64..9_000).prop_map(|(entry, ms)| Event::Pause(entry, ms)),
         6 => (entry(), 0_u64..1_000).prop_map(|(entry, ms)| Event::Order(entry, ms)),
+        1 => (0_u64..15_000).prop_map(Event::Restore),
     ];
     prop::collection::vec(event, 1..200)
 }
@@ -51,6 +58,7 @@
 /// The store's key with the lease that holds it.
 #[derive(Clone, Debug, Default)]
 struct Store {
+    era: Era,
     revision: u64,
     next_lease: u64,
     /// Ends of the leases.
@@ -66,7 +74,17 @@
         self.key = self.key.filter(|(lease, _)| leases.contains_key(lease));
     }
 
-    fn run(&mut self, step: LeaseStep, lease: Option<seam::LeaseId>, now: time::Instant) -> Answer {
+    /// Comes back from a copy that was taken at `taken_at`; its leases go on from there.
+    fn restore(&mut self, copy: Store, taken_at: time::Instant, now: time::Instant) {
+        let era = Era(self.era.0 + 1);
+        *self = Store { era, ..copy };
+        for end in self.leases.values_mut() {
+            *end += now - taken_at;
+        }
+    }
+
+    /// Runs a call. A lease is known by its number alone, as on the wire.
+    fn run(&mut self, step: LeaseStep, lease: Option<LeaseId>, now: time::Instant) -> Answer {
         self.expire(now);
         match step {
             LeaseStep::Idle => Answer::None,
@@ -77,11 +95,16 @@
                 self.revision += 1;
                 self.leases.insert(self.next_lease, now + TTL);
                 self.key = Some((self.next_lease, self.revision));
-                Answer::Claimed(seam::LeaseId(self.next_lease), self.revision)
+                let lease = LeaseId {
+                    era: self.era,
+                    number: self.next_lease,
+                };
+                Answer::Claimed(lease, Revision::new(self.era, self.revision))
             }
             LeaseStep::Renew => {
-                let end = lease.and_then(|l| self.leases.get_mut(&l.0));
-                Answer::Renewed(end.map(|e| *e = now + TTL).is_some())
+                let end = lease.and_then(|l| self.leases.get_mut(&l.number));
+                let is_renewed = end.map(|e| *e = now + TTL).is_some();
+                Answer::Renewed(is_renewed && lease.is_some_and(|l| l.era == self.era))
             }
         }
     }
@@ -92,7 +115,7 @@
     None,
     Read(bool),
     Taken,
-    Claimed(seam::LeaseId, u64),
+    Claimed(LeaseId, Revision),
     Renewed(bool),
     Lost,
 }
@@ -101,22 +124,33 @@
 #[derive(Clone, Debug)]
 struct Request {
     step: LeaseStep,
-    lease: Option<seam::LeaseId>,
+    lease: Option<LeaseId>,
     sent: time::Instant,
     runs_at: Option<time::Instant>,
     answered_at: time::Instant,
     answer: Answer,
+    /// Era of the answer.
+    era: Era,
 }
 
 struct Entry {
     state: pool::OrderLease,
+    /// The highest era that an answer has shown.
+    era: Era,
     request: Option<Request>,
     paused_until: time::Instant,
 }
 
 impl Entry {
     fn apply(&mut self, request: &Request, now: time::Instant) {
-        match request.answer {
+        let answer = match request.answer {
+            _ if request.era < self.era => Answer::Lost,
+            answer => answer,
+        };
+        if !matches!(answer, Answer::Lost) {
+            self.era = request.era;
+        }
+        match answer {
             Answer::None => {}
             Answer::Read(free) => self.state.record_read(free, now),
             Answer::Claimed(lease, fence) => {
@@ -138,13 +172,16 @@
     store: Store,
     entries: Vec<Entry>,
     /// Arrivals of orders at the engine, with their fences.
-    orders: Vec<(time::Instant, u64)>,
+    orders: Vec<(time::Instant, Revision)>,
+    /// Copies of the store with the times at which they were taken.
+    copies: Vec<(time::Instant, Store)>,
 }
 
 impl Site {
     fn new(now: time::Instant) -> Self {
         let entry = || Entry {
             state: pool::OrderLease::new(TTL),
+            era: Era::default(),
             request: None,
             paused_until: now,
         };
@@ -152,6 +189,7 @@
             store: Store::default(),
             entries: (0..ENTRIES).map(|_| entry()).collect(),
             orders: Vec::new(),
+            copies: vec![(now, Store::default())],
         }
     }
 
@@ -169,6 +207,7 @@
             let request = request.expect("it waits to run");
             let answer = self.store.run(request.step, request.lease, at);
             request.runs_at = None;
+            request.era = self.store.era;
             if !matches!(request.answer, Answer::Lost) {
                 request.answer = answer;
             }
@@ -203,9 +242,16 @@
         if step == LeaseStep::Idle {
             return;
         }
+        let lease = entry.state.lease();
+        if lease.is_some_and(|l| l.era < entry.era) {
+            // No call is made with a lease of an era that is over.
+            entry.state.record_loss(now);
+            return;
+        }
         entry.request = Some(Request {
             step,
-            lease: entry.state.lease(),
+            lease,
+            era: entry.era,
             sent: now,
             runs_at: (loss != 0).then_some(now + there),
             answered_at: now + there + back,
@@ -218,12 +264,21 @@
     }
 
     /// Returns the fences that entries could order with now.
-    fn fences(&self, delivery: time::Duration, now: time::Instant) -> Vec<u64> {
+    fn fences(&self, delivery: time::Duration, now: time::Instant) -> Vec<Revision> {
         let entries = self.entries.iter();
         entries
-            .filter_map(|e| e.state.fencing_number(delivery, now))
+            .filter_map(|e| e.state.fence(delivery, now))
             .collect()
     }
+
+    /// Lets the store come back from the newest copy that is at least this old.
+    fn restore(&mut self, age: time::Duration, now: time::Instant) {
+        self.store.expire(now);
+        let is_old = |(at, _): &&(time::Instant, Store)| now - *at >= age;
+        let copy = self.copies.iter().rev().find(is_old);
+        let (taken_at, copy) = copy.unwrap_or(&self.copies[0]).clone();
+        self.store.restore(copy, taken_at, now);
+    }
 }
 
 proptest! {
@@ -250,19 +305,21 @@
                     site.entries[entry].paused_until = now + MILLI * ms as u32;
                 }
                 Event::Order(entry, delay_ms) => {
-                    let fence = site.entries[entry].state.fencing_number(ORDER_TIMEOUT, now);
+                    let fence = site.entries[entry].state.fence(ORDER_TIMEOUT, now);
                     if let Some(fence) = fence {
                         site.orders.push((now + MILLI * delay_ms as u32, fence));
                     }
                 }
+                Event::Restore(age_ms) => site.restore(MILLI * age_ms as u32, now),
             }
+            site.copies.push((now, site.store.clone()));
             let fences = site.fences(time::Duration::ZERO, now);
             prop_assert!(fences.len() <= 1, "{fences:?} may order");
-            let revision = site.store.revision;
-            prop_assert!(fences.iter().all(|f| *f <= revision));
-            if let Some(fence) = fences.first() {
+            let (era, revision) = (site.store.era, site.store.revision);
+            prop_assert!(fences.iter().all(|f| *f <= Revision::new(era, revision)));
+            if let Some(fence) = fences.first().filter(|f| f.era == era) {
                 // The holder's key is there, so that no other entry can write it.
-                prop_assert_eq!(site.store.key.map(|(_, revision)| revision), Some(*fence));
+                prop_assert_eq!(site.store.key.map(|(_, revision)| revision), Some(fence.number));
             }
         }
         site.orders.sort_by_key(|(at, _)| *at);
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -8,6 +8,17 @@
 const MS: time::Duration = time::Duration::from_millis(1);
 
 /// Returns the start of a test; later times are derived from it.
+/// Lease of an entry that may order engines.
+const LEASE: seam::LeaseId = seam::LeaseId {
+    era: seam::Era(1),
+    number: 7,
+};
+
+/// Returns a revision of the store's first era.
+fn revision(number: u64) -> seam::Revision {
+    seam::Revision::new(seam::Era(1), number)
+}
+
 fn start() -> time::Instant {
     time::Instant::now()
 }
@@ -325,14 +336,14 @@
 fn host_list_excludes_draining_and_missing_hosts() {
     let t = start();
     let mut list = pool::HostList::default();
-    list.update(decode_members(&["a", "b"]), 5, t);
+    list.update(decode_members(&["a", "b"]), revision(5), t);
     let mut next = decode_members(&["a"]);
     next[0].state = seam::MemberState::Draining;
-    let removed = list.update(next, 6, t + MS * 600);
+    let removed = list.update(next, revision(6), t + MS * 600);
     assert_eq!(removed.len(), 1);
     assert_eq!(list.ready("llm").count(), 0);
     // A list of an older revision, as a peer may send, is ignored.
-    list.update(decode_members(&["a", "b"]), 5, t + MS * 700);
+    list.update(decode_members(&["a", "b"]), revision(5), t + MS * 700);
     assert_eq!(list.ready("llm").count(), 0);
 }
 
@@ -340,13 +351,13 @@
 fn host_list_keeps_missing_hosts_briefly_after_outage() {
     let t = start();
     let mut list = pool::HostList::default();
-    list.update(decode_members(&["a", "b"]), 5, t);
+    list.update(decode_members(&["a", "b"]), revision(5), t);
     let recovered = t + MS * 6_000;
-    list.update(Vec::new(), 9, recovered);
+    list.update(Vec::new(), revision(9), recovered);
     assert_eq!(list.ready("llm").count(), 2);
-    list.update(decode_members(&["a"]), 10, recovered + MS * 700);
+    list.update(decode_members(&["a"]), revision(10), recovered + MS * 700);
     assert_eq!(list.ready("llm").count(), 2);
-    list.update(decode_members(&["a"]), 11, recovered + MS * 2_000);
+    list.update(decode_members(&["a"]), revision(11), recovered + MS * 2_000);
     assert_eq!(list.ready("llm").count(), 1);
 }
 
@@ -354,10 +365,10 @@
 fn host_list_reports_restart_under_the_same_id() {
     let t = start();
     let mut list = pool::HostList::default();
-    list.update(decode_members(&["a"]), 5, t);
+    list.update(decode_members(&["a"]), revision(5), t);
     let mut next = decode_members(&["a"]);
     next[0].started_ms = 2;
-    assert_eq!(list.update(next, 6, t + MS * 600).len(), 1);
+    assert_eq!(list.update(next, revision(6), t + MS * 600).len(), 1);
     assert_eq!(list.ready("llm").count(), 1);
 }
 
@@ -471,25 +482,25 @@
     assert_eq!(lease.next_step(t), pool::LeaseStep::Idle);
     lease.record_read(true, t + MS * 1_000);
     assert_eq!(lease.next_step(t + MS * 1_000), pool::LeaseStep::Claim);
-    lease.record_claim(seam::LeaseId(7), 41, t + MS * 1_000, t + MS * 1_010);
-    assert_eq!(lease.fencing_number(MS * 300, t + MS * 1_100), None);
+    lease.record_claim(LEASE, revision(41), t + MS * 1_000, t + MS * 1_010);
+    assert_eq!(lease.fence(MS * 300, t + MS * 1_100), None);
     lease.record_renewal(t + MS * 3_900);
-    assert_eq!(lease.fencing_number(MS * 300, t + MS * 4_009), None);
-    assert_eq!(lease.fencing_number(MS * 300, t + MS * 4_010), Some(41));
+    assert_eq!(lease.fence(MS * 300, t + MS * 4_009), None);
+    assert_eq!(lease.fence(MS * 300, t + MS * 4_010), Some(revision(41)));
 }
 
 #[test]
 fn order_lease_expires_by_own_clock() {
     let t = start();
     let mut lease = pool::OrderLease::new(MS * 3_000);
-    lease.record_claim(seam::LeaseId(7), 41, t, t);
+    lease.record_claim(LEASE, revision(41), t, t);
     lease.record_renewal(t + MS * 3_000);
     let now = t + MS * 3_100;
-    assert_eq!(lease.fencing_number(MS * 300, now), Some(41));
+    assert_eq!(lease.fence(MS * 300, now), Some(revision(41)));
     assert_eq!(lease.next_step(now), pool::LeaseStep::Idle);
     assert_eq!(lease.next_step(t + MS * 4_000), pool::LeaseStep::Renew);
     // After a pause of this entry, the last renewal is too old to give orders.
-    assert_eq!(lease.fencing_number(MS * 300, t + MS * 4_300), None);
+    assert_eq!(lease.fence(MS * 300, t + MS * 4_300), None);
     assert!(lease.is_expired(t + MS * 6_000));
     lease.record_loss(t + MS * 6_000);
     assert_eq!(lease.lease(), None);
@@ -702,12 +713,12 @@
     same_revision_older = { 5, 1_200, false, 0 },
     other_revision = { 6, 200, false, 0 },
 )]
-fn host_list_is_confirmed_by_peer(revision: u64, age_ms: u32, expected: bool, read_ms: u32) {
+fn host_list_is_confirmed_by_peer(number: u64, age_ms: u32, expected: bool, read_ms: u32) {
     let t = start();
     let mut list = pool::HostList::default();
-    list.update(Vec::new(), 5, t);
+    list.update(Vec::new(), revision(5), t);
     assert_eq!(
-        list.confirm(revision, MS * age_ms, t + MS * 1_000),
+        list.confirm(revision(number), MS * age_ms, t + MS * 1_000),
         expected
     );
     assert_eq!(list.read_at(), Some(t + MS * read_ms));
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -11,6 +11,7 @@
 mod member;
 mod notice;
 mod request;
+mod revision;
 mod settings;
 mod store;
 mod upstreams;
@@ -19,8 +20,9 @@
 pub use member::{Member, MemberState, Role};
 pub use notice::{HostNotice, RetryAfter};
 pub use request::{HeadError, Reply, Request};
+pub use revision::{Era, LeaseId, Revision};
 pub use settings::{Bounds, ResourceLimits, Settings};
-pub use store::{GetResult, Item, LeaseId, ListResult, Store, StoreError, SwapResult, WatchResult};
+pub use store::{GetResult, Item, ListResult, Store, StoreError, SwapResult, WatchResult};
 pub use upstreams::{
     ByteStream, EngineStatus, FailureCause, HostState, KvSource, OrderOutcome, PrefillOutcome,
     ReserveOutcome, Response, RoleOrder, SendError, SendOptions, Target, Upstreams,
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -3,6 +3,7 @@
 use crate::HostNotice;
 use crate::Request;
 use crate::Role;
+use crate::revision::Revision;
 use std::net;
 use std::time;
 use world::Name;
@@ -167,9 +168,8 @@
     pub role: Role,
     /// Entry that gives the order; it holds the lease for role orders.
     pub holder: Name,
-    /// Fencing number; it increases with each entry that gains the right to give
-    /// orders.
-    pub fence: u64,
+    /// Fencing token; it increases with each entry that gains the right to give orders.
+    pub fence: Revision,
     /// Number of orders that the engine must have accepted before this one.
     pub expected_count: u64,
 }
