Hosts known to have left do not come back with a copy of the store

A copy from before a host left lists it as ready, for the few heartbeats after which the store removes a silent host. Entries that knew better would have sent to it again, and would have dropped the successor at its address.

The history of returns, silences, stops and restarts fails without each part of it: without the correction, without the state that is kept, and if a host that was only silent stays withheld.

--- a/crates/pool/src/host_list.rs
+++ b/crates/pool/src/host_list.rs
@@ -5,8 +5,9 @@
 //! as that list has been read. After the store was unavailable, hosts whose
 //! keys expired in the meantime stay listed briefly, so that they can register
 //! again. The same holds once the store has come back from a copy, which lacks the
-//! hosts that registered since.
+//! hosts that registered since; those that had left since do not come back with it.
 
+use crate::departures::Departures;
 use seam::Revision;
 use std::collections;
 use std::time;
@@ -25,6 +26,7 @@
     revision: Revision,
     read_at: Option<time::Instant>,
     recovered_at: Option<time::Instant>,
+    departures: Departures,
 }
 
 impl HostList {
@@ -43,11 +45,15 @@
         self.detect_recovery(now);
         if self.read_at.is_some() && revision.era > self.revision.era {
             self.recovered_at = Some(now);
+            self.departures.record_era(now);
         }
         self.read_at = Some(now);
         self.revision = revision;
         let mut current: collections::BTreeMap<Name, seam::Member> =
             members.into_iter().map(|m| (m.id.clone(), m)).collect();
+        if self.departures.may_have_ghosts(now) {
+            self.correct_copied(&mut current);
+        }
         if self.is_recovering(now) {
             for (id, member) in &self.members {
                 // The address may have been reused by a host that is listed now.
@@ -66,9 +72,33 @@
                     .is_none_or(|n| n.started_ms != m.started_ms)
             })
             .collect();
+        self.members
+            .keys()
+            .for_each(|id| self.departures.record_listed(id));
+        for member in &removed {
+            self.departures.record_removed(member, now);
+        }
         removed
     }
 
+    /// Corrects a list that may have been copied before its hosts left: those that are
+    /// known to have ended or to be leaving do not accept work again.
+    fn correct_copied(&self, listed: &mut collections::BTreeMap<Name, seam::Member>) {
+        listed.retain(|_, m| !self.departures.has_left(m));
+        for (id, known) in &self.members {
+            let Some(copied) = listed.get_mut(id) else {
+                continue;
+            };
+            if copied.started_ms < known.started_ms {
+                *copied = known.clone();
+            } else if copied.started_ms == known.started_ms
+                && known.state == seam::MemberState::Draining
+            {
+                copied.state = seam::MemberState::Draining;
+            }
+        }
+    }
+
     /// Records that a peer read the same revision `age` ago. Returns whether
     /// that is newer than this entry's own last update.
     pub fn confirm(&mut self, revision: Revision, age: time::Duration, now: time::Instant) -> bool {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod decode;
 mod demand;
+mod departures;
 mod discovery;
 mod failures;
 mod forecast;
