Odd records in the store name no host and are logged once

A record must now name one host, a number of slots in bounds and an id that can stand in a header; the same for addresses of entries. Odd records are logged once, by bounded text, with a counter; peers are not told them.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -4,8 +4,10 @@
 use crate::engine_pool::EnginePools;
 use crate::gate::HostGate;
 use crate::gossip::GossipMessage;
+use crate::members::MemberList;
 use crate::metered_store::MeteredStore;
 use crate::meters;
+use crate::odd_records::OddRecords;
 use crate::plain_service::PlainServices;
 use std::cell;
 use std::collections;
@@ -36,6 +38,8 @@
     pub(crate) host_list: cell::RefCell<pool::HostList>,
     /// Revision of the last list that was ignored as older than the known one.
     pub(crate) outdated_list: cell::Cell<Option<seam::Revision>>,
+    /// Records in the store that can't be decoded and were logged.
+    pub(crate) odd_records: cell::RefCell<OddRecords>,
     /// The membership list as it was read, for forwarding to peers.
     pub(crate) member_list: cell::RefCell<Option<rc::Rc<MemberList>>>,
     pub(crate) pools: EnginePools,
@@ -97,14 +101,6 @@
     pub(crate) era: cell::Cell<seam::Era>,
 }
 
-/// The membership list of upstream hosts as the store returned it.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
-pub(crate) struct MemberList {
-    pub(crate) revision: seam::Revision,
-    /// Store key and undecoded value of each host.
-    pub(crate) members: Vec<(String, String)>,
-}
-
 /// Another entry.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -149,6 +145,7 @@
             idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
             host_list: cell::RefCell::default(),
             outdated_list: cell::Cell::default(),
+            odd_records: cell::RefCell::default(),
             member_list: cell::RefCell::default(),
             pools: EnginePools::new(notices.clone()),
             plain_services: PlainServices::new(notices.clone()),
@@ -246,42 +243,6 @@
         self.update_pools();
     }
 
-    /// Applies a membership list from the store or a peer unless it is older than
-    /// the current one; hosts that can't be decoded are logged and left out.
-    pub(crate) fn apply_members(&self, member_list: MemberList, from: &str) {
-        let current_revision = self.host_list.borrow().revision();
-        if member_list.revision < current_revision {
-            self.log_outdated_list(member_list.revision, current_revision, from);
-            return;
-        }
-        let now = time::Instant::now();
-        let mut members = Vec::with_capacity(member_list.members.len());
-        for (key, raw) in &member_list.members {
-            match P::decode_member(key, raw.as_bytes()) {
-                Ok(member) => members.push(member),
-                Err(error) => trace::LogLine::new("member_unreadable")
-                    .with("from", from)
-                    .with("fault", error)
-                    .info(),
-            }
-        }
-        let before = self.member_states();
-        let removed = self
-            .host_list
-            .borrow_mut()
-            .update(members, member_list.revision, now);
-        let host_list = self.host_list.borrow();
-        let listed = host_list.members();
-        self.notices.borrow_mut().set_listed(listed, now);
-        drop(host_list);
-        for member in removed {
-            seam::Upstreams::close_connections(&self.upstreams, member.address);
-        }
-        self.log_member_changes(&before, from, member_list.revision);
-        *self.member_list.borrow_mut() = Some(rc::Rc::new(member_list));
-        self.update_pools();
-    }
-
     /// Updates the pools of all services from the configuration and the
     /// membership list. Requests of a service that the configuration no longer has may
     /// still run, wait or be retried, so its pools are updated too.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -3,9 +3,9 @@
 
 use crate::crashes::CrashUpdate;
 use crate::entry::Entry;
-use crate::entry::MemberList;
 use crate::entry::Peer;
 use crate::gate;
+use crate::members::MemberList;
 use std::collections;
 use std::net;
 use std::time;
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -184,6 +184,11 @@
     Unit::Count,
     "Calls to the platform's store that have ended, by kind and outcome.",
 );
+pub(crate) const UNREADABLE: Metric = Metric::new(
+    "hornbeampitch_unreadable_records_total",
+    Unit::Count,
+    "Records in the platform's store that can't be decoded, each counted once.",
+);
 pub(crate) const STORE_RETURNS: Metric = Metric::new(
     "hornbeampitch_store_returns_total",
     Unit::Count,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,6 +6,7 @@
 use crate::gossip::GossipMessage;
 use crate::gossip_sender;
 use crate::gossip_sender::ConfigSource;
+use crate::odd_records::OddRecord;
 use crate::serve;
 use crate::usage_store;
 use crate::verdict_store;
@@ -162,8 +163,7 @@
     loop {
         // While the store is unavailable, the known peers are kept.
         if let Ok(page) = entry.store.list(SYSTEM_PREFIX, true).await {
-            let found = page.items.iter().filter_map(parse_entry);
-            let mut found: collections::BTreeMap<Name, net::SocketAddr> = found.collect();
+            let mut found = find_entries(&entry, &page.items);
             found.remove(&entry.settings.host);
             let mut peers = entry.peers.borrow_mut();
             let now = time::Instant::now();
@@ -206,11 +206,39 @@
     }
 }
 
-fn parse_entry(item: &seam::Item) -> Option<(Name, net::SocketAddr)> {
-    let name = item.key.strip_prefix(ENTRY_PREFIX)?;
-    let value = item.value.as_ref()?;
-    let address = std::str::from_utf8(value).ok()?.parse().ok()?;
-    Some((Name::from(name), address))
+/// Returns the entries among these keys; those that can't be decoded are logged.
+fn find_entries<P: seam::Platform>(
+    entry: &Entry<P>,
+    items: &[seam::Item],
+) -> collections::BTreeMap<Name, net::SocketAddr> {
+    let mut found = collections::BTreeMap::new();
+    let mut odd = Vec::new();
+    for item in items {
+        let name = item.key.strip_prefix(ENTRY_PREFIX);
+        let Some((name, value)) = name.zip(item.value.as_deref()) else {
+            continue;
+        };
+        match parse_address(value) {
+            Ok(address) => drop(found.insert(Name::from(name), address)),
+            Err(fault) => odd.push(OddRecord {
+                key: &item.key,
+                value,
+                fault,
+            }),
+        }
+    }
+    entry.log_odd("entry_unreadable", "store", &odd);
+    found
+}
+
+/// Parses the address of an entry, to which a connection can be opened.
+fn parse_address(value: &[u8]) -> Result<net::SocketAddr, String> {
+    let text = std::str::from_utf8(value).map_err(|e| e.to_string())?;
+    let address: net::SocketAddr = text.parse().map_err(|e| format!("{e}: {text}"))?;
+    match address.port() == 0 || address.ip().is_unspecified() {
+        true => Err(format!("{address} is the address of no host")),
+        false => Ok(address),
+    }
 }
 
 /// Returns the newest configuration among the senders of relayed messages, and where to
--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -2,7 +2,6 @@
 //! platform's store.
 
 use crate::entry::Entry;
-use crate::entry::MemberList;
 use route::Backoff;
 use seam::Store;
 use std::rc;
@@ -88,14 +87,7 @@
         match entry.store.list(P::MEMBER_PREFIX, false).await {
             Ok(page) => {
                 retry.reset();
-                let members = page
-                    .items
-                    .into_iter()
-                    .filter_map(|i| Some((i.key, i.value?)))
-                    .map(|(key, raw)| (key, String::from_utf8_lossy(&raw).into_owned()))
-                    .collect();
-                let revision = page.revision;
-                entry.apply_members(MemberList { revision, members }, "store");
+                entry.apply_listing(page);
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => retry.wait_after_failure(error).await,
--- a/crates/direct/src/verdict_store.rs
+++ b/crates/direct/src/verdict_store.rs
@@ -2,6 +2,7 @@
 //! outlive a restart of all entries. An operator lifts one by deleting its key.
 
 use crate::entry::Entry;
+use crate::odd_records::OddRecord;
 use seam::Store;
 use std::collections;
 use std::rc;
@@ -67,7 +68,7 @@
 pub(crate) fn apply_stored<P: seam::Platform>(entry: &Entry<P>, list: &seam::ListResult) {
     let now = time::Instant::now();
     let items = list.items.iter().filter(|i| i.key.starts_with(KEY_PREFIX));
-    let mut reports = Vec::new();
+    let (mut reports, mut odd) = (Vec::new(), Vec::new());
     for item in items {
         match decode(item) {
             Ok(stored) => {
@@ -77,12 +78,14 @@
                 report.revision = Some(item.revision);
                 reports.push(report);
             }
-            Err(error) => trace::LogLine::new("verdict_unreadable")
-                .with("key", &item.key)
-                .with("fault", error)
-                .warn(),
+            Err(error) => odd.push(OddRecord {
+                key: &item.key,
+                value: item.value.as_deref().unwrap_or_default(),
+                fault: error.to_string(),
+            }),
         }
     }
+    entry.log_odd("verdict_unreadable", "store", &odd);
     let elements: Vec<pool::ElementSet> = reports.iter().map(|r| r.elements.clone()).collect();
     entry.change_quarantine(|quarantine| {
         for report in &reports {
