Only the configuration's own key is watched as the configuration

A watch tells of all keys that begin with its prefix, so that a key such as op/config-draft was applied as the configuration: its callers got 404. The test failed before.

--- a/crates/daemon/tests/odd_record_tests.rs
+++ b/crates/daemon/tests/odd_record_tests.rs
@@ -155,3 +155,16 @@
     let count = log.lines().filter(|l| l.contains("_unreadable")).count();
     assert!(count <= 1, "{log}");
 }
+
+/// A watch returns all keys that begin with its prefix.
+#[test]
+fn key_that_begins_like_the_configurations_is_none() {
+    let cluster = start_cluster();
+    let mut other = cluster.configuration.clone();
+    other["version"] = 99.into();
+    other["routes"] = serde_json::json!([]);
+    let key = format!("{}-draft", names::CONFIGURATION_KEY);
+    cluster.store.put(&key, other.to_string().as_bytes());
+    thread::sleep(READS_TIME);
+    assert_follows(&cluster);
+}
--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -59,7 +59,8 @@
         match entry.store.watch(P::CONFIG_KEY, after, wait).await? {
             seam::WatchResult::Compacted => return Ok(()),
             seam::WatchResult::Changes(items, revision) => {
-                for item in items {
+                // A watch tells of all keys that begin with the one that is watched.
+                for item in items.into_iter().filter(|i| i.key == P::CONFIG_KEY) {
                     apply_item(&entry, item, "watch");
                 }
                 after = after.max(revision);
