A stopping entry refuses unrun what it can't answer before it exits

An operator's report: requests that came late in the grace of a planned stop were taken, passed on and cut at its end.

StopPlan (pure) says until when connections are accepted, from when a request that may last beyond the end must not be passed on (the second half of the grace belongs to answers under way; one that arrived after the accept time gets none of it), and when what still waits is refused. A refusal is 503 with Retry-After and Connection: close, only of what no host was sent; an unknown outcome is 502, at the very end instead of a closed connection. The plan is read anew while a stop lasts, as the grace may change.

The test of a request at the end of the accept time now tells answers from refusals, which its check had taken for whole answers; it also requires that nothing else comes.

--- a/crates/daemon/tests/tracks_tests.rs
+++ b/crates/daemon/tests/tracks_tests.rs
@@ -713,7 +713,14 @@
         callers.into_iter().map(join).collect()
     });
     let passed_on = cluster.engines[0].received_under("/once/").len();
-    let whole = answers.iter().filter(|a| a.ends_with("0\r\n\r\n"));
+    let is_refused = |a: &str| a.starts_with("HTTP/1.1 503") && a.contains("retry-after");
+    let (answered, others): (Vec<_>, Vec<_>) =
+        answers.iter().partition(|a| a.starts_with("HTTP/1.1 200"));
+    let whole = answered.iter().filter(|a| a.ends_with("0\r\n\r\n"));
     assert_eq!(whole.count(), passed_on, "{answers:#?}");
+    assert!(
+        others.iter().all(|a| a.is_empty() || is_refused(a)),
+        "{answers:#?}"
+    );
     assert!(passed_on > 0, "no request was read in time: {answers:#?}");
 }
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -10,6 +10,7 @@
 use crate::refusal::Refusal;
 use crate::request_meter::RequestKind;
 use crate::request_meter::RequestMeter;
+use crate::stopping;
 use crate::stream;
 use crate::telemetry;
 use http::StatusCode;
@@ -155,7 +156,21 @@
         .active_config()
         .map_or(seam::Limits::default(), |c| c.config.limits)
         .body_bytes;
-    let body = match read_body(incoming, max_bytes).await {
+    let body = tokio::select! {
+        body = read_body(incoming, max_bytes) => body,
+        () = entry.wait_for_last_refusal() => {
+            exchange.leave_body();
+            trace::LogLine::new("body_refused")
+                .with("request", &id)
+                .with("status", StatusCode::SERVICE_UNAVAILABLE.as_u16())
+                .info();
+            let reply = stopping::reply_unread(id);
+            meters::meters().refusals.add(reply.reason, 1);
+            exchange.meter.refuse(reply.reason);
+            return reply_response::<P>(&reply);
+        }
+    };
+    let body = match body {
         Ok(body) => body,
         Err(status) => {
             exchange.leave_body();
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -276,7 +276,7 @@
     activity.start_answer(exchange.clone());
     let mut response = admit::handle_request(entry.clone(), request, exchange.clone()).await;
     activity.body_unread.set(exchange.body_unread.get());
-    if entry.stopping.get() || exchange.body_unread.get() {
+    if entry.is_stopping() || exchange.body_unread.get() {
         // The caller's next request then goes to another entry.
         let headers = response.headers_mut();
         headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -79,8 +79,8 @@
     pub(crate) bounds: cell::Cell<seam::Bounds>,
     /// Whether this entry holds the lease for role orders.
     pub(crate) is_holder: cell::Cell<bool>,
-    /// Whether the process has been told to stop.
-    pub(crate) stopping: cell::Cell<bool>,
+    /// When the process was told to stop.
+    pub(crate) stopped_at: sync::watch::Sender<Option<time::Instant>>,
     /// Number of callers' requests in progress.
     pub(crate) active_requests: cell::Cell<usize>,
 }
@@ -173,7 +173,7 @@
             config_fetch: cell::RefCell::default(),
             bounds: cell::Cell::new(bounds),
             is_holder: cell::Cell::new(false),
-            stopping: cell::Cell::new(false),
+            stopped_at: sync::watch::Sender::new(None),
             active_requests: cell::Cell::new(0),
             settings,
         })
@@ -182,7 +182,7 @@
     /// Returns whether callers' requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let loaded = self.config.borrow().is_some() && self.member_list.borrow().is_some();
-        loaded && !self.stopping.get()
+        loaded && !self.is_stopping()
     }
 
     /// Returns the configuration in force.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -38,6 +38,7 @@
 mod send;
 mod serve;
 mod shutdown;
+mod stopping;
 mod store_sync;
 mod stream;
 mod stream_memory;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -60,6 +60,7 @@
     "hosts_paused",
     "timeout",
     "outcome_unknown",
+    "stopping",
 ];
 const ANSWER_CAUSES: &[&str] = &["on_time", "late_first_event", "late_pause", "late"];
 const FAILURE_CAUSES: &[&str] = &["upstream_status"];
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -137,7 +137,7 @@
             }
             Err(_) => tokio::time::sleep(RETRY_DELAY).await,
         }
-        if entry.stopping.get() {
+        if entry.is_stopping() {
             return;
         }
     }
--- a/crates/direct/src/plain_call.rs
+++ b/crates/direct/src/plain_call.rs
@@ -11,6 +11,7 @@
 use crate::plain_attempt::AttemptOutcome;
 use crate::plain_service;
 use crate::plain_service::PlainService;
+use crate::stopping;
 use seam::Upstreams;
 use std::future;
 use std::future::Future;
@@ -62,6 +63,7 @@
             pool::CallAttempts::new(route.retry, route.max_attempts, route.latency_target);
         let mut pending = Vec::new();
         let mut failure = None;
+        let mut stopped = pin::pin!(self.entry.wait_for_last_refusal());
         loop {
             let now = time::Instant::now();
             let mut due_at = self.due_at(&attempts, failure.is_some(), now);
@@ -95,6 +97,11 @@
             let (host, outcome) = tokio::select! {
                 ended = next_end(&mut pending) => ended,
                 () = sleep_until(due_at) => continue,
+                // An unknown outcome tells the caller more than a closed connection.
+                () = &mut stopped => {
+                    let may_have_run = !pending.is_empty() || attempts.may_have_run();
+                    return failure.ok_or_else(|| self.stop_reply(may_have_run));
+                }
             };
             self.job
                 .log_line("call")
@@ -149,6 +156,9 @@
         if time_left.is_zero() {
             return NextStep::Stop(plain_service::timeout_reply(job, may_have_run));
         }
+        if !entry.may_pass_on(job) {
+            return NextStep::Stop(self.stop_reply(may_have_run));
+        }
         let no_host = || plain_service::no_host_reply(self.service, job, may_have_run);
         if has_prospect && time_left <= job.route.latency_target / MIN_TIME_DIVISOR {
             return NextStep::Stop(no_host());
@@ -180,6 +190,14 @@
         }
     }
 
+    /// Returns the reply to a call that no host may get any more because of a stop.
+    fn stop_reply(&self, may_have_run: bool) -> seam::Reply {
+        match may_have_run {
+            true => plain_service::no_host_reply(self.service, self.job, true),
+            false => stopping::reply(self.job),
+        }
+    }
+
     /// Backs off the hosts of pending attempts, which are late if another one is made.
     fn record_late<F>(&self, pending: &mut [PendingAttempt<F>], now: time::Instant) {
         for attempt in pending.iter_mut().filter(|a| !a.is_late) {
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -35,7 +35,7 @@
         collections::BTreeMap::new();
     loop {
         tokio::time::sleep(BALANCE_INTERVAL).await;
-        if entry.stopping.get() {
+        if entry.is_stopping() {
             if let Some(lease) = lease_state.lease() {
                 // If the store does not respond, the lease expires by itself.
                 let _ = entry.store.revoke_lease(lease).await;
--- a/crates/direct/src/shutdown.rs
+++ b/crates/direct/src/shutdown.rs
@@ -8,18 +8,12 @@
 use tokio::signal::unix;
 use tokio::sync::watch;
 
-/// How long connections are still accepted after the signal to stop: the
-/// platform needs two failed probes, a second apart, before it sends callers to
-/// other entries.
-const ACCEPT_TIME: time::Duration = time::Duration::from_millis(2_700);
 /// Interval at which to check whether requests are still active.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Checks in a row without an active request after which the process exits. A request may
 /// be read just as its connection is told to close. A request is active until all bytes of
 /// its response have been written.
 const MIN_IDLE_CHECKS: u32 = 4;
-/// Part of the grace period that is reserved for the process to exit.
-const EXIT_MARGIN: time::Duration = time::Duration::from_millis(250);
 
 /// The signals that a process handles. A signal without a handler kills the
 /// process, so the handlers are installed before the settings are read.
@@ -57,17 +51,24 @@
         }
     }
     let signalled_at = time::Instant::now();
-    entry.stopping.set(true);
+    let plan = pool::StopPlan {
+        signalled_at,
+        grace_period: entry.bounds.get().grace_period,
+    };
+    entry.stopped_at.send_replace(Some(signalled_at));
     trace::LogLine::new("stopping")
         .with("requests", entry.active_requests.get())
         .info();
-    tokio::time::sleep(ACCEPT_TIME).await;
+    tokio::time::sleep_until(plan.accept_end().into()).await;
     // The receivers are the listeners and the open connections. An error would mean
     // that none is left to be closed.
     let _ = closing.send(true);
-    let end = signalled_at + entry.bounds.get().grace_period.saturating_sub(EXIT_MARGIN);
+    let is_over = || {
+        let plan = entry.stop_plan();
+        plan.is_none_or(|p| p.end() <= time::Instant::now())
+    };
     let mut idle_checks = 0;
-    while idle_checks < MIN_IDLE_CHECKS && time::Instant::now() < end {
+    while idle_checks < MIN_IDLE_CHECKS && !is_over() {
         tokio::time::sleep(CHECK_INTERVAL).await;
         idle_checks = match entry.active_requests.get() {
             0 => idle_checks + 1,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -52,6 +52,8 @@
     Abandoned,
     /// The request holds what crashes engines.
     Condemned,
+    /// The process stops before the request could be answered.
+    Stopping,
 }
 
 /// Serves a request whose response is a stream.
@@ -154,7 +156,11 @@
     ) -> Result<StartedStream<<P::Upstreams as Upstreams>::Body>, StartError> {
         loop {
             let (entry, job) = (self.entry.clone(), self.job.clone());
+            let (sent_at, may_have_run) = (self.sent_at.clone(), self.may_have_run);
+            let is_sent = || may_have_run || sent_at.get().is_some();
             let tried = tokio::select! {
+                biased;
+                () = entry.wait_until_refused(&job, is_sent) => Err(StartError::Stopping),
                 tried = self.try_start(last_event) => tried,
                 () = entry.wait_for_verdict(&job) => Err(StartError::Condemned),
             };
@@ -168,7 +174,10 @@
                 StartError::Condemned if self.may_have_run || self.sent_at.get().is_some() => {
                     return Err(StartError::Unknown("quarantined"));
                 }
-                StartError::Condemned => return Err(error),
+                StartError::Stopping if self.may_have_run || self.sent_at.get().is_some() => {
+                    return Err(StartError::Unknown("stopping"));
+                }
+                StartError::Condemned | StartError::Stopping => return Err(error),
                 StartError::NotExecuted(reason) => reason,
                 StartError::Unknown(reason) => {
                     self.may_have_run = true;
--- a/crates/direct/src/unstarted.rs
+++ b/crates/direct/src/unstarted.rs
@@ -6,6 +6,7 @@
 use crate::entry::Entry;
 use crate::forward;
 use crate::plain_service;
+use crate::stopping;
 use crate::stream::StartError;
 use crate::stream::StartedStream;
 use http::StatusCode;
@@ -53,6 +54,7 @@
             });
             job.reply(StatusCode::SERVICE_UNAVAILABLE, retry_after, "no_seat")
         }
+        StartError::Stopping => stopping::reply(job),
         StartError::Condemned => job.reply(StatusCode::SERVICE_UNAVAILABLE, None, "quarantined"),
         StartError::Unknown(_) if job.time_left().is_zero() => {
             job.reply(StatusCode::GATEWAY_TIMEOUT, None, "timeout")
--- a/crates/direct/src/usage_store.rs
+++ b/crates/direct/src/usage_store.rs
@@ -18,7 +18,7 @@
 pub(crate) async fn keep_usage<P: seam::Platform>(entry: rc::Rc<Entry<P>>) {
     let mut revision = restore(&entry).await;
     let mut written = pool::HeavyUse::default();
-    while !entry.stopping.get() {
+    while !entry.is_stopping() {
         tokio::time::sleep(CHECK_INTERVAL).await;
         // What was written before the store came back from a copy may be gone.
         let is_lost = revision.is_some_and(|r: seam::Revision| r.era != entry.store.era());
