--- a/crates/pool/src/host_list.rs
+++ b/crates/pool/src/host_list.rs
@@ -9,6 +9,7 @@
 
 use crate::departures::Departures;
 use seam::Revision;
+use std::cmp;
 use std::collections;
 use std::time;
 use world::Name;
@@ -55,11 +56,13 @@
             self.correct_copied(&mut current);
         }
         if self.is_recovering(now) {
-            for (id, member) in &self.members {
-                // The address may have been reused by a host that is listed now.
+            // Of hosts with one address, the last to start is the one that may live.
+            let mut known: Vec<&seam::Member> = self.members.values().collect();
+            known.sort_by_key(|m| cmp::Reverse(m.started_ms));
+            for member in known {
                 let reused = current.values().any(|m| m.address == member.address);
-                if !reused && !current.contains_key(id) {
-                    current.insert(id.clone(), member.clone());
+                if !reused && !current.contains_key(&member.id) {
+                    current.insert(member.id.clone(), member.clone());
                 }
             }
         }
