--- a/crates/fake/src/ports.rs
+++ b/crates/fake/src/ports.rs
@@ -43,13 +43,24 @@
         loop {
             let address = loopback(self.first + self.next_offset);
             self.next_offset = self.next_offset % (BLOCK_SIZE - 1) + 1;
-            if net::TcpListener::bind(address).is_ok() {
+            if can_bind(address) {
                 return address;
             }
         }
     }
 }
 
+/// Returns whether a port is free. The socket of the check does not listen: a process that is
+/// being started holds a copy of it for a moment, and a listening one would keep the port.
+fn can_bind(address: net::SocketAddr) -> bool {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let bound = socket.and_then(|socket| {
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())
+    });
+    bound.is_ok()
+}
+
 fn loopback(port: u16) -> net::SocketAddr {
     net::SocketAddr::from(([127, 0, 0, 1], port))
 }
