A verdict that an operator has lifted does not come back with a copy

The copy of the store from before the operator deleted its key had it again, and so had a peer that had not read the list yet: callers were refused until the key was removed anew. A pardon now counts against reports of crashes before it, for as long as a verdict can hold; later crashes condemn again. The test failed without it.

--- a/crates/direct/src/verdict_store.rs
+++ b/crates/direct/src/verdict_store.rs
@@ -91,7 +91,7 @@
         for report in &reports {
             quarantine.record_verdict(report, now);
         }
-        quarantine.lift_removed(&elements, list.revision);
+        quarantine.lift_removed(&elements, list.revision, now);
     });
     if entry.verdict_era.replace(list.revision.era) != list.revision.era {
         // Verdicts that a copy of the store lacks are written again.
--- a/crates/pool/src/crashes/quarantine.rs
+++ b/crates/pool/src/crashes/quarantine.rs
@@ -57,6 +57,8 @@
     /// Elements at crashes and in verdicts, also cleared ones.
     pub(super) known: ElementSet,
     pub(super) changes: VerdictChanges,
+    /// What the verdicts named that an operator has removed, and when that was seen.
+    pardons: Vec<(ElementSet, time::Instant)>,
 }
 
 /// Verdicts that were added and lifted, to be logged and kept in the store.
@@ -185,6 +187,12 @@
         let Some(last_crash) = now.checked_sub(age).filter(|_| age < VERDICT_TTL) else {
             return;
         };
+        let is_pardoned = |(elements, at): &(ElementSet, time::Instant)| {
+            *elements == report.elements && last_crash <= *at
+        };
+        if self.pardons.iter().any(is_pardoned) {
+            return;
+        }
         let position = self
             .verdicts
             .iter()
@@ -220,7 +228,12 @@
     /// an operator removed them; `revision` is that of the list. Those that were written
     /// before the store came back from a copy are to be written again. Returns what was
     /// lifted.
-    pub fn lift_removed(&mut self, stored: &[ElementSet], revision: Revision) -> Vec<Verdict> {
+    pub fn lift_removed(
+        &mut self,
+        stored: &[ElementSet],
+        revision: Revision,
+        now: time::Instant,
+    ) -> Vec<Verdict> {
         for verdict in &mut self.verdicts {
             let is_lost = verdict.revision.is_some_and(|r| r.era < revision.era);
             if is_lost && !stored.contains(&verdict.elements) {
@@ -234,7 +247,10 @@
         let (removed, kept) = self.verdicts.drain(..).partition(is_removed);
         self.verdicts = kept;
         let removed: Vec<Verdict> = removed;
+        let is_valid = |at: time::Instant| now.saturating_duration_since(at) < VERDICT_TTL;
+        self.pardons.retain(|(_, at)| is_valid(*at));
         for verdict in &removed {
+            self.pardons.push((verdict.elements.clone(), now));
             let explains = |run: &CrashedRun| verdict.elements.is_subset(&run.elements);
             self.crashes.retain(|_, c| !c.runs.iter().any(explains));
             self.suspects.retain(|e| !verdict.elements.contains(e));
--- a/crates/pool/tests/crash_tests.rs
+++ b/crates/pool/tests/crash_tests.rs
@@ -363,14 +363,14 @@
     let elements = ElementSet::from([Element::Part(BAD.into())]);
     quarantine.record_stored(&elements, revision(40));
     // A list that may be older than the write says nothing.
-    assert!(quarantine.lift_removed(&[], revision(39)).is_empty());
+    assert!(quarantine.lift_removed(&[], revision(39), now).is_empty());
     assert!(
         quarantine
-            .lift_removed(std::slice::from_ref(&elements), revision(41))
+            .lift_removed(std::slice::from_ref(&elements), revision(41), now)
             .is_empty()
     );
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
-    assert_eq!(quarantine.lift_removed(&[], revision(41)).len(), 1);
+    assert_eq!(quarantine.lift_removed(&[], revision(41), now).len(), 1);
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Clear);
 }
 
@@ -383,12 +383,46 @@
     let elements = ElementSet::from([Element::Part(BAD.into())]);
     quarantine.record_stored(&elements, revision(40));
     let returned = |number| seam::Revision::new(seam::Era(2), number);
-    assert!(quarantine.lift_removed(&[], returned(41)).is_empty());
+    assert!(quarantine.lift_removed(&[], returned(41), now).is_empty());
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
     let is_stored = |q: &CrashQuarantine| q.verdicts(now).any(|v| v.revision.is_some());
     assert!(!is_stored(&quarantine), "it is to be written again");
     quarantine.record_stored(&elements, returned(42));
-    assert_eq!(quarantine.lift_removed(&[], returned(43)).len(), 1);
+    assert_eq!(quarantine.lift_removed(&[], returned(43), now).len(), 1);
+}
+
+/// A copy may be from before the operator removed it; a peer may not have heard of it.
+#[test]
+fn verdict_that_an_operator_lifted_does_not_return_with_a_copy() {
+    let (mut quarantine, now) = (CrashQuarantine::default(), time::Instant::now());
+    quarantine.record_answer(&request(50, &[ROUTE]), now);
+    crash_engines(&mut quarantine, 3, now);
+    let elements = ElementSet::from([Element::Part(BAD.into())]);
+    quarantine.record_stored(&elements, revision(40));
+    let stored = quarantine
+        .verdicts(now)
+        .next()
+        .expect("it holds")
+        .report(now);
+    let lifted_at = now + seconds(5);
+    quarantine.record_verdict(&stored, lifted_at);
+    assert_eq!(
+        quarantine.lift_removed(&[], revision(41), lifted_at).len(),
+        1
+    );
+    let returned_at = now + seconds(9);
+    let mut copied = stored.clone();
+    copied.age_ms = 9_000;
+    copied.revision = Some(seam::Revision::new(seam::Era(2), 38));
+    quarantine.record_verdict(&copied, returned_at);
+    assert_eq!(standing(&quarantine, &[BAD], returned_at), Standing::Clear);
+    // Crashes after that count again.
+    copied.age_ms = 1_000;
+    quarantine.record_verdict(&copied, now + seconds(20));
+    assert_eq!(
+        standing(&quarantine, &[BAD], now + seconds(20)),
+        Standing::Condemned
+    );
 }
 
 #[test]
@@ -410,7 +444,11 @@
     assert_eq!(changes.lifted[0].revision, Some(revision(40)));
     assert_eq!(changes.added[0].label(), "part:bad0");
     // The store has the wider one: its list must not lift the narrow one.
-    assert!(quarantine.lift_removed(&[both], revision(50)).is_empty());
+    assert!(
+        quarantine
+            .lift_removed(&[both], revision(50), now)
+            .is_empty()
+    );
     assert_eq!(standing(&quarantine, &[BAD], now), Standing::Condemned);
 }
 
