--- a/crates/fake/src/tracks/store.rs
+++ b/crates/fake/src/tracks/store.rs
@@ -14,6 +14,9 @@
 use tokio::sync::watch;
 use web::Handler;
 
+/// Prefix of the keys that only entries write.
+const SYSTEM_PREFIX: &str = "hornbeampitch/";
+
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TracksStoreMode {
@@ -179,6 +182,27 @@
         (state.era, state.calls) = (era, calls);
     }
 
+    /// Comes back from a copy, and has what the operator and the upstream hosts have written
+    /// since written again, as they do on the platform.
+    pub fn restore_and_rewrite(&self, copy: &TracksStoreCopy) {
+        let others = |entries: &collections::BTreeMap<String, Entry>| {
+            let mut others = entries.clone();
+            others.retain(|key, _| !key.starts_with(SYSTEM_PREFIX));
+            others
+        };
+        let before = others(&self.state().entries);
+        self.restore(copy);
+        let copied = others(&self.state().entries);
+        for key in copied.keys().filter(|key| !before.contains_key(*key)) {
+            self.remove(key);
+        }
+        for (key, entry) in &before {
+            if copied.get(key).is_none_or(|c| c.value != entry.value) {
+                self.put(key, &entry.value);
+            }
+        }
+    }
+
     /// Writes a key with a new lease, as another user of the store would.
     pub fn put_leased(&self, key: &str, value: &[u8]) {
         let mut state = self.state();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,6 +7,7 @@
 use fake::free_address;
 use fake::tracks::EntryDaemon;
 use fake::tracks::TracksCluster;
+use fake::tracks::TracksStoreCopy;
 use fake::tracks::TracksStoreMode;
 use fake::tracks::Worker;
 use rand::Rng;
@@ -21,6 +22,8 @@
 const START_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Longest wait for an entry to exit after SIGTERM; longer than its grace period.
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
+/// Part of the faults that are returns of the store from a copy.
+const RESTORE_PART: f64 = 0.06;
 /// Time between two checks whether an entry listens.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -46,6 +49,8 @@
     Store(TracksStoreMode),
     /// The store discards its history of changes.
     Compact,
+    /// The store comes back from a copy that is as old as the fault.
+    Restore,
     /// A new version of the configuration is written.
     Configure,
     /// A worker aborts its streams early.
@@ -64,6 +69,8 @@
     pub worker_proxies: Vec<Proxy>,
     /// A proxy between each entry and the store.
     pub store_proxies: Vec<Proxy>,
+    /// Copies of the store, the latest last.
+    pub store_copies: sync::Mutex<Vec<TracksStoreCopy>>,
     /// How often each entry was restarted.
     pub restart_counts: Vec<atomic::AtomicU32>,
     /// A number for each entry that changes before and after it is killed.
@@ -78,6 +85,7 @@
         cluster.start();
         let counts = || cluster.entries.iter().map(|_| atomic::AtomicU32::new(0));
         Self {
+            store_copies: sync::Mutex::default(),
             restart_counts: counts().collect(),
             kill_counts: counts().collect(),
             cluster: sync::Mutex::new(cluster),
@@ -135,10 +143,15 @@
         ));
     };
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed);
+    // Has numbers of its own, so that kept seeds go on to inject the other faults as before.
+    let mut restore_rng = rand_chacha::ChaCha8Rng::seed_from_u64(!plan.seed);
     let end = time::Instant::now() + plan.duration;
     let mut active: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
-        let fault = random_fault(&mut rng, targets.worker_proxies.len());
+        let mut fault = random_fault(&mut rng, targets.worker_proxies.len());
+        if restore_rng.random_bool(RESTORE_PART) {
+            fault = Fault::Restore;
+        }
         let duration = random_duration(&mut rng, fault);
         record("inject", fault);
         inject(targets, fault);
@@ -252,6 +265,14 @@
         Fault::Hangup(entry) => send_signal(&cluster, entry, "HUP"),
         Fault::Store(mode) => cluster.store.set_mode(mode),
         Fault::Compact => cluster.store.compact(),
+        Fault::Restore => {
+            let copy = cluster.store.copy();
+            let mut copies = targets.store_copies.lock();
+            copies
+                .as_mut()
+                .expect("the mutex is not poisoned")
+                .push(copy);
+        }
         Fault::Configure => cluster.configure(put_version_in_tenant),
         Fault::AbortStreams(index) => worker(&cluster, index)
             .0
@@ -289,6 +310,13 @@
             wait_until_listening(&cluster.entries[entry]);
         }
         Fault::Store(_) => cluster.store.set_mode(TracksStoreMode::Normal),
+        Fault::Restore => {
+            let mut copies = targets.store_copies.lock();
+            let copy = copies.as_mut().expect("the mutex is not poisoned").pop();
+            cluster
+                .store
+                .restore_and_rewrite(&copy.expect("the fault was injected"));
+        }
         Fault::AbortStreams(index) => worker(&cluster, index)
             .0
             .set_behaviour(|b| b.abort_after = None),
