--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -61,7 +61,7 @@
             seam::WatchResult::Changes(items, revision) => {
                 // A watch tells of all keys that begin with the one that is watched.
                 for item in items.into_iter().filter(|i| i.key == P::CONFIG_KEY) {
-                    apply_item(&entry, item, "watch");
+                    apply_item(entry, item, "watch");
                 }
                 after = after.max(revision);
             }
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -18,6 +18,7 @@
 mod silent_site;
 mod silent_worker;
 mod store;
+mod store_state;
 mod worker;
 mod worker_behaviour;
 mod worker_handler;
--- a/crates/pool/src/discovery.rs
+++ b/crates/pool/src/discovery.rs
@@ -10,6 +10,7 @@
 //! readers announce each version to them. Where entries hear of other zones through
 //! relays, each zone has a reader of its own.
 
+use crate::gossip_paths::MAX_DIRECT;
 use std::collections;
 use std::time;
 use world::Name;
@@ -17,8 +18,6 @@
 /// Number of entries that read the lists often: enough that some remain after a
 /// failure, and few enough that their requests don't grow with the fleet.
 const READERS: usize = 6;
-/// Up to this number of entries, a zone needs no relay.
-const MAX_DIRECT: usize = 2;
 /// The first reader sends its membership list to an entry whose own list has this
 /// age.
 const SHARE_AGE: time::Duration = time::Duration::from_millis(500);
--- a/crates/pool/src/gossip_paths.rs
+++ b/crates/pool/src/gossip_paths.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3;
 
 /// Up to this number of known peers, a zone needs no relay.
-const MAX_DIRECT: usize = 2;
+pub(crate) const MAX_DIRECT: usize = 2;
 /// Number of relays of a zone between which a sender alternates.
 const RELAYS: usize = 2;
 /// Number of updates of one peer that wait to be passed on; of more, the oldest are
