Departed hosts are forgotten in time; a known configuration ends no wait for a newer

Departures were pruned only when the era rose, so that they grew with each host for as long as the store was sound. And a configuration that is read anew with the bytes in force ended the wait for a newer one that peers had announced, as if that had been applied.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -200,8 +200,9 @@
     /// newer than the one in force; one that can't be decoded is logged and ignored.
     pub(crate) fn apply_config(&self, raw: bytes::Bytes, era: seam::Era, from: &str) {
         if let Some(active) = self.active_config().filter(|c| c.raw == raw) {
-            active.era.set(active.era.get().max(era));
-            self.config_fetch.borrow_mut().record_applied();
+            if era > active.era.replace(era.max(active.era.get())) {
+                self.config_fetch.borrow_mut().record_applied();
+            }
             return;
         }
         let config = match P::decode_config(&raw) {
--- a/crates/pool/src/departures.rs
+++ b/crates/pool/src/departures.rs
@@ -26,6 +26,8 @@
 impl Departures {
     /// Records that a host was removed from the list.
     pub(crate) fn record_removed(&mut self, member: &seam::Member, now: time::Instant) {
+        self.removed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < DEPARTURE_TTL);
         let departure = (member.started_ms, now);
         let known = self.removed.entry(member.id.clone()).or_insert(departure);
         *known = departure.max(*known);
@@ -38,8 +40,6 @@
 
     /// Records that the store came back from a copy.
     pub(crate) fn record_era(&mut self, now: time::Instant) {
-        self.removed
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < DEPARTURE_TTL);
         self.era_seen_at = Some(now);
     }
 
