Lines on odd records begin with their key

The line on a verdict that can't be decoded had its key behind a new field, which the test of crashes refuses: whoever looks for the key of a record finds it first.

--- a/crates/direct/src/odd_records.rs
+++ b/crates/direct/src/odd_records.rs
@@ -37,8 +37,8 @@
         meters::meters().unreadable.increment(new.len() as u64);
         for record in new.iter().take(MAX_LINES) {
             trace::LogLine::new(event)
-                .with("from", from)
                 .with("key", shorten(record.key))
+                .with("from", from)
                 .with("bytes", record.value.len())
                 .with("fault", shorten(&record.fault))
                 .warn();
