--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -32,7 +32,7 @@
 const OLD_GAUGES: [&str; 1] = ["verdicts_in_force"];
 
 /// Labels of each metric; the bucket's bound is left out.
-const LABELS: [(&str, &[&str]); 24] = [
+const LABELS: [(&str, &[&str]); 27] = [
     (
         "hornbeampitch_requests_total",
         &["cause", "kind", "outcome"],
@@ -46,6 +46,9 @@
     ("hornbeampitch_resumptions_total", &["outcome"]),
     ("hornbeampitch_wasted_prompt_tokens_total", &["cause"]),
     ("hornbeampitch_store_calls_total", &["call", "outcome"]),
+    ("hornbeampitch_store_returns_total", &[]),
+    ("hornbeampitch_outdated_total", &["what"]),
+    ("hornbeampitch_unreadable_records_total", &[]),
     ("hornbeampitch_response_length_error_ratio", &[]),
     ("hornbeampitch_prefill_time_error_ratio", &[]),
     ("hornbeampitch_retries_total", &["service"]),
