--- a/crates/daemon/tests/unframed_tests.rs
+++ b/crates/daemon/tests/unframed_tests.rs
@@ -149,7 +149,7 @@
     let configuration = newer.to_string();
     let whole = configuration.len();
     let peer = CutPeer {
-        reply: r#"{"version":9}"#.to_owned(),
+        reply: r#"{"version":{"number":9,"era":0}}"#.to_owned(),
         reply_count: atomic::AtomicUsize::new(0),
         configuration,
         lengths: vec![0, 1, whole / 2, whole - 1],
