--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -138,6 +138,14 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes a key, as when its writer has left.
+    pub fn delete(&self, key: &str) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.revision += 1;
+        state.remove(key);
+        self.shared.1.notify_all();
+    }
+
     fn answer(&self, call: &Message) -> (&'static str, String) {
         let (path, query) = call.target().split_once('?').unwrap_or((call.target(), ""));
         let query: BTreeMap<&str, &str> =
