--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -143,7 +143,7 @@
     let site = Site::start(&stages, 1, 1, rule, record)?;
     let pause = Duration::from_millis(300);
     let make = |index| stream(index, 100);
-    let outcomes = send_all(&site, 10, 400, pause, record, make);
+    let outcomes = send_all(&site, 10, 1_200, pause, record, make);
     let served = outcomes.iter().filter(|(_, o)| o.status == 200).count();
     if served < 200 {
         return Err(format!(
@@ -210,8 +210,10 @@
 /// Clients with large bodies at usual times, and with `burst` of 2.2 times as many.
 const USUAL_CLIENTS: usize = 10;
 const BURST_CLIENTS: usize = 22;
-/// Size of a large body: below `max_body_bytes`, which is 4,194,304.
-const LARGE_BODY_BYTES: usize = 4_000_000;
+/// Clients with small bodies.
+const SMALL_CLIENTS: usize = 12;
+/// Size of a large body: `max_body_bytes`.
+const LARGE_BODY_BYTES: usize = 4_194_304;
 
 /// LOST: a process that passes its memory limit is killed by the platform, and the requests
 /// that it had passed on get no answer.
@@ -230,20 +232,24 @@
     let mut outcomes = Vec::new();
     thread::scope(|scope| -> Result<(), String> {
         let next = &next;
-        let running: Vec<_> = (0..6 + large)
+        let running: Vec<_> = (0..SMALL_CLIENTS + large)
             .map(|client| {
                 scope.spawn(move || {
                     let (mut kept, mut ended) = (None, Vec::new());
                     while Instant::now() < end {
                         let index = next.fetch_add(1, Ordering::Relaxed) as usize;
                         let mut call = order(index);
-                        if client >= 6 {
+                        let is_large = client >= SMALL_CLIENTS;
+                        if is_large {
                             call.body = "x".repeat(LARGE_BODY_BYTES);
                         }
                         let is_kept = kept.is_some();
                         let outcome = client::call(front, &mut kept, &call, record);
+                        let outcome_status = outcome.status;
                         ended.push((call.id, is_kept, outcome));
-                        thread::sleep(Duration::from_millis(50));
+                        if !is_large || outcome_status == 0 {
+                            thread::sleep(Duration::from_millis(10));
+                        }
                     }
                     ended
                 })
