--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -20,6 +20,7 @@
 pub fn run(case: &str, trouble: bool, record: &Record) -> Result<String, String> {
     match case {
         "unproven" => unproven(trouble, record),
+        "rewritten" => rewritten(trouble, record),
         "attempts" => attempts(trouble, record),
         "keep-alive" => keep_alive(trouble, record),
         "bodies" => bodies(trouble, record),
@@ -107,7 +108,19 @@
         fault => fault,
     });
     let site = Site::start(&["prefill", "decode"], 4, 1, rule, record)?;
-    let outcomes = send_all(&site, 6, 300, Duration::from_millis(20), record, order);
+    check_successes(&site, record)
+}
+
+/// MIXED: a success with a body that is not the worker's whole body.
+fn rewritten(trouble: bool, record: &Record) -> Result<String, String> {
+    let rule = share_of(&["host-0", "host-1"], 5, Fault::Rewritten, trouble);
+    let site = Site::start(&["prefill", "decode"], 4, 1, rule, record)?;
+    check_successes(&site, record)
+}
+
+/// Sends work orders, and checks that each success has the worker's proof and its body.
+fn check_successes(site: &Site, record: &Record) -> Result<String, String> {
+    let outcomes = send_all(site, 6, 300, Duration::from_millis(20), record, order);
     let served = outcomes.iter().filter(|(_, o)| o.status == 200).count();
     if served < 200 {
         return Err(format!(
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -24,6 +24,8 @@
     None,
     /// Wrong bytes come in place of a plain answer: they bear neither proof nor id.
     Spoilt,
+    /// A plain answer breaks off inside its body, and is then written anew.
+    Rewritten,
     /// The channel is closed after the answer, as the answer says.
     Close,
     /// The channel is closed after so many events; the worker goes on with the run.
@@ -251,6 +253,15 @@
                     let body = b"<html>no answer of this worker</html>";
                     connection.write_answer("200 OK", headers, body)
                 }
+                Fault::Rewritten => {
+                    let (headers, length) = (format!("{echo}{seal}"), body.len());
+                    let head =
+                        format!("HTTP/1.1 200 OK\r\n{headers}content-length: {length}\r\n\r\n");
+                    let part = head.clone() + &body[..length / 2];
+                    connection
+                        .stream
+                        .write_all((part + &head + &body).as_bytes())
+                }
                 Fault::Close => {
                     let headers = format!("{echo}{seal}connection: close\r\n");
                     connection.write_answer("200 OK", &headers, body.as_bytes())
