--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -D warnings -A dead-code -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -D warnings -A dead-code -o target/review/standin review/main.rs
--- a/review/standin/entry.rs
+++ b/review/entry.rs
@@ -3,8 +3,10 @@
 use crate::record::Record;
 use std::env;
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
@@ -23,6 +25,15 @@
     child: Option<process::Child>,
 }
 
+/// Has the kernel end a process with the thread that started it, so that none is left when
+/// this process is ended.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, signal: u64) -> i32;
+}
+
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("it has an address")
@@ -102,7 +113,15 @@
         let log = fs::OpenOptions::new().create(true).append(true).open(path);
         let log = log.map_err(|e| e.to_string())?;
         let program = env::var("ENTRY_PROGRAM").map_err(|e| e.to_string())?;
-        let child = process::Command::new(program)
+        let mut command = process::Command::new(program);
+        // SAFETY: the call changes only the new process, and allocates nothing.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
+        let child = command
             .arg("platform")
             .env("HORNBEAMPITCH_BOOT", &self.settings)
             .stdin(process::Stdio::null())
--- a/review/standin/worker.rs
+++ b/review/worker.rs
@@ -15,7 +15,6 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 /// What is wrong with one answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,8 +29,6 @@
     Close,
     /// The channel is closed after so many events; the worker goes on with the run.
     Lost(u64),
-    /// Instead of a stream, an answer with a failure comes whose body doesn't end.
-    Endless,
     /// The answer has this idle time, in seconds, in `Keep-Alive`.
     KeepAlive(u64),
 }
@@ -79,10 +76,6 @@
 /// Prompt tokens that an engine reads in a millisecond.
 const TOKENS_PER_MS: u64 = 33;
 
-/// Chunk of an endless answer, and the time between two.
-const NOISE_BYTES: usize = 64 * 1024;
-const NOISE_INTERVAL: Duration = Duration::from_millis(100);
-
 impl Worker {
     pub fn start(plan: Plan, service: &'static str, store: &Store) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -278,9 +271,6 @@
             "runs request={id} worker={} after={after} fault={fault:?}",
             self.id
         ));
-        if fault == Fault::Endless {
-            return self.send_noise(connection, &echo);
-        }
         let head = format!(
             "HTTP/1.1 200 OK\r\n{echo}{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
@@ -318,23 +308,6 @@
             false => connection.stream.write_all(b"0\r\n\r\n"),
         }
     }
-
-    /// Sends a failure whose body doesn't end until the caller closes the channel.
-    fn send_noise(&self, connection: &mut Connection, echo: &str) -> io::Result<()> {
-        let head = format!(
-            "HTTP/1.1 500 Internal Server Error\r\n{echo}transfer-encoding: chunked\r\n\r\n"
-        );
-        connection.stream.write_all(head.as_bytes())?;
-        let mut chunk = format!("{NOISE_BYTES:x}\r\n").into_bytes();
-        chunk.extend(vec![b'x'; NOISE_BYTES]);
-        chunk.extend(b"\r\n");
-        let mut next = Instant::now();
-        loop {
-            connection.stream.write_all(&chunk)?;
-            next += NOISE_INTERVAL;
-            thread::sleep(next.saturating_duration_since(Instant::now()));
-        }
-    }
 }
 
 /// Returns the body of the answer to a plain request.
