Take an answer for its host's only if its head shows that

Cause: no line of the product read the seal, and an answer without an id on a new connection counted as the request's own. So all that the entry took from a head was taken on trust: the success, "not run" of a bare 421, a leaving notice, the load, the host's soundness.

An outcome needs the request's id once, one seal that isn't empty, no Content-Encoding and no transfer coding but chunks, whatever its status; a refusal its marker with a status that can refuse, or 421 with the request's id or another process's. All else is a cause of its own (`unproven`): the connection is closed, the host counts as failed, nothing it says is read, `answer_unproven` names what lacks, and a metric counts it. A request that may run twice goes on to another host within its attempts and the budget; any other gets 502 at once. A plain call whose only answer was no answer got 504 `timeout` after 3 ms; it gets 502 now.

--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -53,6 +53,7 @@
     ("hornbeampitch_prefill_time_error_ratio", &[]),
     ("hornbeampitch_retries_total", &["service"]),
     ("hornbeampitch_answers_cut_total", &["cause"]),
+    ("hornbeampitch_answers_unproven_total", &["fault"]),
     ("hornbeampitch_connections_cut_total", &["cause"]),
     ("hornbeampitch_calls_withheld_total", &["why"]),
     ("hornbeampitch_host_notices_total", &["kind"]),
--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -95,6 +95,14 @@
             .with("cause", cause)
     }
 
+    /// Counts and logs an answer that nothing shows to be its host's.
+    pub(crate) fn record_unproven(&self, upstream: &str, fault: seam::ResponseFault) {
+        let fault = fault.label();
+        meters::meters().answers_unproven.add(fault, 1);
+        let line = self.log_line("answer_unproven").with("upstream", upstream);
+        line.with("fault", fault).info();
+    }
+
     /// Builds the reply to this request if all hosts want no call until `retry_at`. Callers
     /// are told to return a little later, each at another time.
     pub(crate) fn paused_reply(&self, retry_at: time::Instant, now: time::Instant) -> seam::Reply {
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -64,6 +64,15 @@
 ];
 const ANSWER_CAUSES: &[&str] = &["on_time", "late_first_event", "late_pause", "late"];
 const FAILURE_CAUSES: &[&str] = &["upstream_status"];
+const RESPONSE_FAULTS: &[&str] = &[
+    "no_id",
+    "repeated_id",
+    "no_seal",
+    "repeated_seal",
+    "encoded",
+    "framing",
+    "refusal_status",
+];
 const ENDS: &[&str] = &[
     "whole",
     "broken",
@@ -189,6 +198,7 @@
     pub(crate) length_error: Histogram,
     pub(crate) prefill_error: Histogram,
     pub(crate) answers_cut: CounterSet,
+    pub(crate) answers_unproven: CounterSet,
     pub(crate) connections_cut: CounterSet,
     pub(crate) calls_withheld: CounterSet,
     pub(crate) host_notices: CounterSet,
@@ -245,6 +255,7 @@
             length_error: metric::LENGTH_ERROR.histogram(&[]),
             prefill_error: metric::PREFILL_ERROR.histogram(&[]),
             answers_cut: set(&metric::ANSWERS_CUT, "cause", CUT_CAUSES),
+            answers_unproven: set(&metric::ANSWERS_UNPROVEN, "fault", RESPONSE_FAULTS),
             connections_cut: set(&metric::CONNECTIONS_CUT, "cause", CONNECTION_CAUSES),
             calls_withheld: set(
                 &metric::CALLS_WITHHELD,
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -220,6 +220,11 @@
     "Answers that ended before they were complete, by cause.",
 )
 .renamed("answers_cut");
+pub(crate) const ANSWERS_UNPROVEN: Metric = Metric::new(
+    "hornbeampitch_answers_unproven_total",
+    Unit::Count,
+    "Answers to callers' requests that nothing shows to be the host's, by what is wrong.",
+);
 pub(crate) const CONNECTIONS_CUT: Metric = Metric::new(
     "hornbeampitch_connections_cut_total",
     Unit::Count,
--- a/crates/direct/src/plain_attempt.rs
+++ b/crates/direct/src/plain_attempt.rs
@@ -95,6 +95,10 @@
                 (false, _) => AttemptOutcome::NotExecuted("unconnected"),
                 (true, seam::FailureCause::TimedOut) => AttemptOutcome::Unknown("late"),
                 (true, seam::FailureCause::WrongRequest) => AttemptOutcome::Unknown("crossed"),
+                (true, seam::FailureCause::Unproven(fault)) => {
+                    job.record_unproven(&target.id, fault);
+                    AttemptOutcome::Unknown("unproven")
+                }
                 (true, _) => AttemptOutcome::Unknown("broken"),
             };
         }
--- a/crates/direct/src/plain_call.rs
+++ b/crates/direct/src/plain_call.rs
@@ -91,8 +91,7 @@
                 }
             }
             if due_at.is_none() && pending.is_empty() {
-                let reply = plain_service::timeout_reply(self.job, attempts.may_have_run());
-                return failure.ok_or(reply);
+                return failure.ok_or_else(|| self.last_reply(attempts.may_have_run()));
             }
             let (host, outcome) = tokio::select! {
                 ended = next_end(&mut pending) => ended,
@@ -190,6 +189,14 @@
         }
     }
 
+    /// Returns the reply to a call whose attempts have all ended without an answer.
+    fn last_reply(&self, may_have_run: bool) -> seam::Reply {
+        match may_have_run && !self.job.time_left().is_zero() {
+            true => plain_service::no_host_reply(self.service, self.job, true),
+            false => plain_service::timeout_reply(self.job, may_have_run),
+        }
+    }
+
     /// Returns the reply to a call that no host may get any more because of a stop.
     fn stop_reply(&self, may_have_run: bool) -> seam::Reply {
         match may_have_run {
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -113,6 +113,9 @@
             }
             seam::PrefillOutcome::Failed(cause) => {
                 prefill_pool.record_failure(&engine, now);
+                if let seam::FailureCause::Unproven(fault) = cause {
+                    self.job.record_unproven(&engine, fault);
+                }
                 self.job
                     .log_line("prefill_failed")
                     .with("upstream", &engine)
--- a/crates/direct/src/send.rs
+++ b/crates/direct/src/send.rs
@@ -64,6 +64,10 @@
             seam::FailureCause::TimedOut => "late",
             seam::FailureCause::ConnectionLost => "broken",
             seam::FailureCause::WrongRequest => "crossed",
+            seam::FailureCause::Unproven(fault) => {
+                self.job.record_unproven(&target.id, fault);
+                "unproven"
+            }
             seam::FailureCause::Withheld => "withheld",
         };
         match error.may_have_run {
--- a/crates/fake/src/tracks/names.rs
+++ b/crates/fake/src/tracks/names.rs
@@ -37,6 +37,8 @@
 pub const SERVER_LEAVING: &str = "server-leaving";
 /// Response header: seal with which the host shows that it answered the request.
 pub const RESPONSE_SEAL: &str = "hornbeampitch-response-seal";
+/// Header: id of the worker that answers.
+pub const INSTANCE_ID: &str = "hornbeampitch-instance-id";
 
 /// Response header of the store: how often it came back from a copy.
 pub const STORE_ERA: &str = "store-era";
--- a/crates/fake/src/tracks/worker_handler.rs
+++ b/crates/fake/src/tracks/worker_handler.rs
@@ -93,7 +93,12 @@
         let (stage, behaviour) = {
             let state = self.state();
             if call.header(names::EXPECT_INSTANCE) != state.id {
-                return Some(json_response(421, &Value::Null));
+                return web::Response::builder()
+                    .status(421)
+                    .header(names::REQUEST_ID, call.header(names::REQUEST_ID))
+                    .header(names::INSTANCE_ID, &state.id)
+                    .body(web::full_body(String::new()))
+                    .ok();
             }
             (state.stage, state.behaviour.clone())
         };
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -25,7 +25,7 @@
 pub use store::{GetResult, Item, ListResult, Store, StoreError, SwapResult, WatchResult};
 pub use upstreams::{
     ByteStream, EngineStatus, FailureCause, HostState, KvSource, OrderOutcome, PrefillOutcome,
-    ReserveOutcome, Response, RoleOrder, SendError, SendOptions, Target, Upstreams,
+    ReserveOutcome, Response, ResponseFault, RoleOrder, SendError, SendOptions, Target, Upstreams,
 };
 
 /// The store, the upstream calls and the message formats of one platform.
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -89,6 +89,9 @@
     /// The response belongs to another request.
     #[display("crossed")]
     WrongRequest,
+    /// Nothing shows that the response is the host's.
+    #[display("unproven")]
+    Unproven(ResponseFault),
     /// The call was not made, because the host wants none.
     #[display("withheld")]
     Withheld,
@@ -101,6 +104,40 @@
     }
 }
 
+/// Why a response can't be taken for that of the called host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseFault {
+    /// It does not name the request.
+    NoId,
+    /// It names a request more than once.
+    RepeatedId,
+    /// It lacks the host's proof.
+    NoSeal,
+    /// It has more than one proof.
+    RepeatedSeal,
+    /// Its body is encoded, which no host does.
+    Encoded,
+    /// Its body is sent in a transfer coding other than chunks.
+    Framing,
+    /// It says that the request was not run, with a status that doesn't.
+    RefusalStatus,
+}
+
+impl ResponseFault {
+    /// Returns the name of the fault in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResponseFault::NoId => "no_id",
+            ResponseFault::RepeatedId => "repeated_id",
+            ResponseFault::NoSeal => "no_seal",
+            ResponseFault::RepeatedSeal => "repeated_seal",
+            ResponseFault::Encoded => "encoded",
+            ResponseFault::Framing => "framing",
+            ResponseFault::RefusalStatus => "refusal_status",
+        }
+    }
+}
+
 /// A response body that is read in chunks.
 pub trait ByteStream {
     /// Returns the next chunk: `None` after the complete body, an error where the
