Bound the bytes of all answers that the process holds, and what precedes a head

Cause: each answer was bounded, their sum wasn't. ResourceLimits::memory_mb was read and used by nothing. 8 MiB a plain answer, 1 MiB an incomplete event, 32 chunks of up to 417 KB for a caller that doesn't read, 417 KB a head (hyper's bound), 256 KiB a control answer. The buffer of a body grew by doubling, so that it took up to three times its length for a moment. Found beside it: interim answers (1xx) without end fill nothing, but reading them kept the entry's one thread; no sound call was served beside a single such host.

Change: pool::ByteBudget, one account for the process from the settings' memory_mb; what is collected before it is passed on counts, what doesn't fit ends that one answer. A caller that doesn't read holds 128 KiB, one chunk while the account is full. Buffers of the client's connections are bounded at 64 KiB, control answers too; bodies are collected in pieces of that size. After 64 KiB without a head, nothing more is read until the deadline (web::head_gate).

Evidence: endless_answer_tests on real entry processes of 110 MB (debug build), 1, 10 and 100 answers at once, as fast as they are read and now and then, beside sound callers.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -2,9 +2,9 @@
 //! service.
 
 use crate::body::Body;
-use crate::caller::Exchange;
 use crate::crashes;
 use crate::entry::Entry;
+use crate::exchange::Exchange;
 use crate::meters;
 use crate::plain_service;
 use crate::refusal::Refusal;
--- a/crates/direct/src/body.rs
+++ b/crates/direct/src/body.rs
@@ -1,15 +1,22 @@
 //! Bodies of responses to callers.
 
+use crate::held_bytes::HeldBytes;
+use crate::held_bytes::MemoryAccount;
 use bytes::Bytes;
 use hyper::body;
+use std::cell;
 use std::fmt;
 use std::pin;
+use std::rc;
 use std::task;
+use tokio::sync;
 use tokio::sync::mpsc;
 
 /// Chunks that are buffered for a slow caller; once the buffer is full, reading
 /// from the upstream host waits.
 const CHANNEL_CAPACITY: usize = 32;
+/// Bytes that are buffered for a slow caller, unless one chunk alone is longer.
+const CHANNEL_BYTES: usize = 128 * 1024;
 
 /// Body of a response: complete, or received in chunks through a channel.
 #[derive(Debug)]
@@ -31,12 +38,82 @@
 /// A message of the channel that carries a body.
 #[derive(Debug)]
 pub(crate) enum Chunk {
-    /// More bytes of the body.
-    Data(Bytes),
+    /// More bytes of the body, which are held until the connection takes them.
+    Data(Bytes, QueuedBytes),
     /// End of the complete body.
     End,
 }
 
+/// The sending half of a body's channel. Dropping it before [`Self::end`] aborts the response.
+#[derive(Debug)]
+pub(crate) struct BodySender {
+    chunks: mpsc::Sender<Chunk>,
+    account: rc::Rc<MemoryAccount>,
+    queue: rc::Rc<ChunkQueue>,
+}
+
+/// What is in the channel.
+#[derive(Debug, Default)]
+struct ChunkQueue {
+    bytes: cell::Cell<usize>,
+    /// Wakes the sender when a chunk is taken.
+    taken: sync::Notify,
+}
+
+/// Bytes of a chunk in the channel; dropping them makes room.
+#[derive(Debug)]
+pub(crate) struct QueuedBytes {
+    queue: rc::Rc<ChunkQueue>,
+    held: HeldBytes,
+}
+
+impl Drop for QueuedBytes {
+    fn drop(&mut self) {
+        let bytes = self.queue.bytes.get() - self.held.bytes();
+        self.queue.bytes.set(bytes);
+        self.queue.taken.notify_one();
+    }
+}
+
+/// The caller has disconnected.
+#[derive(Debug)]
+pub(crate) struct CallerGone;
+
+impl BodySender {
+    /// Sends bytes, once the caller has taken enough of those before. While the process holds
+    /// much, it has to take them all, so that callers that don't read hold little.
+    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), CallerGone> {
+        loop {
+            let queued = self.queue.bytes.get();
+            let fits = queued + bytes.len() <= CHANNEL_BYTES;
+            if queued == 0 || fits && self.account.has_room(bytes.len()) {
+                break;
+            }
+            tokio::select! {
+                () = self.queue.taken.notified() => {}
+                () = self.chunks.closed() => return Err(CallerGone),
+            }
+        }
+        self.queue.bytes.set(self.queue.bytes.get() + bytes.len());
+        let queued = QueuedBytes {
+            queue: self.queue.clone(),
+            held: self.account.take(bytes.len()),
+        };
+        let sent = self.chunks.send(Chunk::Data(bytes, queued)).await;
+        sent.map_err(|_| CallerGone)
+    }
+
+    /// Ends the body as complete. A caller that has disconnected does not learn of it.
+    pub(crate) async fn end(&self) {
+        let _ = self.chunks.send(Chunk::End).await;
+    }
+
+    /// Returns once the caller has disconnected.
+    pub(crate) async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+}
+
 /// The body ended before it was complete. The error makes hyper abort the
 /// caller's connection, so that the caller notices.
 #[derive(Debug)]
@@ -51,10 +128,17 @@
 impl std::error::Error for BodyAborted {}
 
 impl Body {
-    /// Creates a body that is sent through a channel. Dropping the sender
-    /// before [`Chunk::End`] aborts the response.
-    pub(crate) fn channel(length: Option<u64>) -> (mpsc::Sender<Chunk>, Self) {
+    /// Creates a body that is sent through a channel, whose bytes are held in an account.
+    pub(crate) fn channel(
+        length: Option<u64>,
+        account: &rc::Rc<MemoryAccount>,
+    ) -> (BodySender, Self) {
         let (sender, chunks) = mpsc::channel(CHANNEL_CAPACITY);
+        let sender = BodySender {
+            chunks: sender,
+            account: account.clone(),
+            queue: rc::Rc::default(),
+        };
         let body = Body::Channel {
             chunks,
             remaining: length,
@@ -89,7 +173,8 @@
                 remaining,
                 ended,
             } => match task::ready!(chunks.poll_recv(cx)) {
-                Some(Chunk::Data(bytes)) => {
+                Some(Chunk::Data(bytes, queued)) => {
+                    drop(queued);
                     *remaining = remaining.map(|l| l.saturating_sub(bytes.len() as u64));
                     task::Poll::Ready(Some(Ok(body::Frame::data(bytes))))
                 }
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -5,9 +5,8 @@
 use crate::body::Body;
 use crate::body::BodyAborted;
 use crate::entry::Entry;
-use crate::guards::ActiveRequest;
+use crate::exchange::Exchange;
 use crate::meters;
-use crate::request_meter::RequestMeter;
 use crate::telemetry;
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -28,7 +27,6 @@
 use tokio::net as aio;
 use tokio::sync;
 use tokio::sync::watch;
-use world::Name;
 
 /// Maximum size of a request head in bytes. It is fixed: the limit in the
 /// configuration is not applied here.
@@ -36,42 +34,6 @@
 /// How long a caller may go on sending a body after its request was answered.
 const LINGER_TIME: time::Duration = time::Duration::from_secs(2);
 
-/// A request that has been read from a connection, until its answer has been sent.
-pub(crate) struct Exchange<P: seam::Platform> {
-    /// Keeps a process that stops from exiting.
-    _active: ActiveRequest<P>,
-    /// Id of the request, once its head has been decoded.
-    id: cell::OnceCell<Name>,
-    /// When the request head arrived.
-    pub(crate) arrived_at: time::Instant,
-    /// Whether the request is answered without its body having been read to its end.
-    body_unread: cell::Cell<bool>,
-    /// How the request ends, for the metrics.
-    pub(crate) meter: rc::Rc<RequestMeter>,
-}
-
-impl<P: seam::Platform> Exchange<P> {
-    fn new(entry: &rc::Rc<Entry<P>>) -> Self {
-        Self {
-            _active: ActiveRequest::new(entry),
-            id: cell::OnceCell::new(),
-            arrived_at: time::Instant::now(),
-            body_unread: cell::Cell::new(false),
-            meter: rc::Rc::new(RequestMeter::new()),
-        }
-    }
-
-    /// Records the request's id for the log.
-    pub(crate) fn set_id(&self, id: &Name) {
-        self.id.get_or_init(|| id.clone());
-    }
-
-    /// Records that the request is answered without its body having been read to its end.
-    pub(crate) fn leave_body(&self) {
-        self.body_unread.set(true);
-    }
-}
-
 /// How much of the answer to the current request the connection has taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AnswerStage {
@@ -173,7 +135,7 @@
         meters::meters().connections_cut.add(cause, 1);
         exchange.meter.cut(cause);
         trace::LogLine::new("connection_cut")
-            .with("request", exchange.id.get().map_or("", |id| id))
+            .with("request", exchange.id())
             .with("age_ms", telemetry::millis(exchange.arrived_at.elapsed()))
             .with("cause", cause)
             .with("bytes", self.sent_bytes.get() - self.first_byte.get())
@@ -275,8 +237,8 @@
     let exchange = rc::Rc::new(Exchange::new(&entry));
     activity.start_answer(exchange.clone());
     let mut response = admit::handle_request(entry.clone(), request, exchange.clone()).await;
-    activity.body_unread.set(exchange.body_unread.get());
-    if entry.is_stopping() || exchange.body_unread.get() {
+    activity.body_unread.set(exchange.is_body_unread());
+    if entry.is_stopping() || exchange.is_body_unread() {
         // The caller's next request then goes to another entry.
         let headers = response.headers_mut();
         headers.insert(CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -4,6 +4,7 @@
 use crate::engine_pool::EnginePools;
 use crate::gate::HostGate;
 use crate::gossip::GossipMessage;
+use crate::held_bytes::MemoryAccount;
 use crate::members::MemberList;
 use crate::metered_store::MeteredStore;
 use crate::meters;
@@ -27,6 +28,8 @@
     pub settings: seam::Settings,
     pub(crate) store: MeteredStore<P::Store>,
     pub(crate) upstreams: HostGate<P::Upstreams>,
+    /// The bytes of requests and answers that the process holds.
+    pub(crate) memory: rc::Rc<MemoryAccount>,
     /// What upstream hosts have said of themselves.
     pub(crate) notices: pool::SharedNotices,
     /// HTTP client for calls to peers.
@@ -140,6 +143,7 @@
         rc::Rc::new(Self {
             store: MeteredStore::new(store),
             upstreams: HostGate::new(upstreams, notices.clone()),
+            memory: MemoryAccount::new(settings.resources.memory_mb),
             peer_client,
             config: cell::RefCell::default(),
             idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -121,6 +121,11 @@
         self.partial.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Adds bytes, and returns all events that are complete now, up to the first one that
     /// is out of order.
     pub(crate) fn push(&mut self, bytes: bytes::Bytes) -> Option<bytes::Bytes> {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -2,12 +2,12 @@
 
 use crate::admit::Job;
 use crate::body::Body;
-use crate::body::Chunk;
-use crate::caller::Exchange;
+use crate::body::BodySender;
+use crate::exchange::Exchange;
+use crate::held_bytes::HeldBody;
+use crate::held_bytes::MemoryAccount;
 use seam::ByteStream;
 use std::rc;
-use std::time;
-use tokio::sync::mpsc;
 use world::Name;
 
 /// Longest response body that is read before it is passed on; a host in
@@ -20,27 +20,38 @@
     /// The response, with its body unless that was buffered.
     pub(crate) response: seam::Response<S>,
     /// The whole body, if it was buffered.
-    pub(crate) body: Option<bytes::Bytes>,
+    pub(crate) body: Option<HeldBody>,
 }
 
 /// Reads a body to its end; returns `None` if that does not come by `deadline`, the
-/// connection breaks or the body is too long, which is logged.
+/// connection breaks, or the body is too long or does not fit into the process's memory,
+/// which is logged.
 pub(crate) async fn collect_body<S: ByteStream>(
     job: &Job,
     host: &str,
     body: &mut S,
-    deadline: time::Instant,
-) -> Option<bytes::Bytes> {
+    account: &rc::Rc<MemoryAccount>,
+) -> Option<HeldBody> {
     let next_chunk = async || body.next_chunk().await;
-    let collected = web::collect_chunks(next_chunk, MAX_UNSIZED_BYTES, deadline).await;
-    if let Err(web::ReadError::Oversized(bytes)) = collected {
-        job.log_line("body_oversized")
-            .with("upstream", host)
+    let mut held = account.hold();
+    let try_hold = |bytes| held.try_grow(bytes);
+    let collected =
+        web::collect_held_chunks(next_chunk, MAX_UNSIZED_BYTES, Some(job.deadline), try_hold).await;
+    let line = |event| job.log_line(event).with("upstream", host);
+    match collected {
+        Err(web::ReadError::Oversized(bytes)) => line("body_oversized")
             .with("bytes", bytes)
             .with("bound", MAX_UNSIZED_BYTES)
-            .warn();
+            .warn(),
+        Err(web::ReadError::NoRoom(bytes)) => {
+            let (held, bound) = account.use_and_limit();
+            let line = line("body_without_room").with("bytes", bytes);
+            line.with("held", held).with("bound", bound).warn();
+        }
+        Ok(_) | Err(web::ReadError::TimedOut | web::ReadError::Broken) => {}
     }
-    collected.ok()
+    let bytes = collected.ok()?;
+    Some(HeldBody { bytes, held })
 }
 
 /// Forwards a body to the caller in chunks; fails with the cause if that ends early. The
@@ -48,7 +59,7 @@
 async fn forward_chunks<S: ByteStream>(
     job: &Job,
     body: &mut S,
-    sender: &mpsc::Sender<Chunk>,
+    sender: &BodySender,
 ) -> Result<(), &'static str> {
     let deadline = job.deadline.into();
     loop {
@@ -64,10 +75,10 @@
             Ok(Some(Err(_))) => return Err("broken"),
             Err(_) => return Err("overdue"),
         };
-        let sent = tokio::time::timeout_at(deadline, sender.send(Chunk::Data(bytes))).await;
+        let sent = tokio::time::timeout_at(deadline, sender.send(bytes)).await;
         sent.map_err(|_| "overdue")?.map_err(|_| "caller_left")?;
     }
-    let _ = sender.send(Chunk::End).await;
+    sender.end().await;
     Ok(())
 }
 
@@ -83,9 +94,10 @@
         body,
     } = answer;
     let body = match body {
-        Some(bytes) => Body::from(bytes),
+        Some(body) => exchange.hold_answer(body),
         None => {
-            let (sender, body) = Body::channel(upstream.body.content_length());
+            let account = exchange.memory();
+            let (sender, body) = Body::channel(upstream.body.content_length(), account);
             let mut stream = upstream.body;
             tokio::task::spawn_local(async move {
                 let _guard = exchange;
--- a/crates/direct/src/plain_attempt.rs
+++ b/crates/direct/src/plain_attempt.rs
@@ -131,15 +131,15 @@
             body: None,
         });
     }
-    match forward::collect_body(job, &target.id, &mut upstream.body, job.deadline).await {
-        Some(bytes) => {
+    match forward::collect_body(job, &target.id, &mut upstream.body, &entry.memory).await {
+        Some(body) => {
             if !failed {
                 entry.record_answer(&job.elements);
             }
             AttemptOutcome::Response(Answer {
                 host: target.id,
                 response: upstream,
-                body: Some(bytes),
+                body: Some(body),
             })
         }
         None => {
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -3,8 +3,8 @@
 use crate::admit;
 use crate::admit::Job;
 use crate::body::Body;
-use crate::caller::Exchange;
 use crate::entry::Entry;
+use crate::exchange::Exchange;
 use crate::forward;
 use crate::meters;
 use crate::plain_call::PlainCall;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards events from engines to callers.
 
 use crate::admit::Job;
-use crate::body::Chunk;
+use crate::body::BodySender;
 use crate::crashes;
 use crate::events::EventSplitter;
 use crate::meters;
@@ -13,7 +13,6 @@
 use seam::ByteStream;
 use seam::Upstreams;
 use std::time;
-use tokio::sync::mpsc;
 
 /// A stream counts as paused after this many of its usual times between two events.
 const PAUSE_FACTOR: u32 = 4;
@@ -28,7 +27,7 @@
     pub(crate) async fn forward_events(
         &mut self,
         started: StartedStream<<P::Upstreams as Upstreams>::Body>,
-        sender: mpsc::Sender<Chunk>,
+        sender: BodySender,
     ) {
         let mut events = EventSplitter::new(self.job.request.last_event);
         let mut started = started;
@@ -112,12 +111,8 @@
 
     /// Passes bytes on to the caller; fails if the caller leaves, or takes none until the
     /// deadline.
-    async fn pass_on(
-        &self,
-        sender: &mpsc::Sender<Chunk>,
-        bytes: bytes::Bytes,
-    ) -> Result<(), StreamEnd> {
-        let sent = sender.send(Chunk::Data(bytes));
+    async fn pass_on(&self, sender: &BodySender, bytes: bytes::Bytes) -> Result<(), StreamEnd> {
+        let sent = sender.send(bytes);
         match tokio::time::timeout_at(self.job.deadline.into(), sent).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamEnd::CallerGone),
@@ -130,7 +125,7 @@
         &self,
         started: StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &BodySender,
     ) {
         self.entry.record_answer(&self.job.elements);
         self.record_stream(&started.seat, events);
@@ -140,10 +135,9 @@
         // A caller that reads slowly keeps no engine.
         drop(started);
         if let Some(rest) = events.take_rest() {
-            let _ = sender.send(Chunk::Data(rest)).await;
+            let _ = sender.send(rest).await;
         }
-        // The caller may have disconnected, so a failure to send the end is ignored.
-        let _ = sender.send(Chunk::End).await;
+        sender.end().await;
     }
 
     /// Logs an answer that ends before it is complete. Dropping the sender then aborts
@@ -208,7 +202,7 @@
         &mut self,
         started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &BodySender,
         progress: pool::StreamProgress,
     ) -> StreamEnd {
         let end = self.read_events(started, events, sender, progress).await;
@@ -232,7 +226,7 @@
         &mut self,
         started: &mut StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &BodySender,
         mut progress: pool::StreamProgress,
     ) -> StreamEnd {
         let mut is_proven = false;
@@ -271,7 +265,8 @@
                     self.entry.record_answer(&self.job.elements);
                 }
             }
-            if events.is_oversized() {
+            let partial_bytes = events.partial_bytes();
+            if events.is_oversized() || !self.partial.borrow_mut().try_resize(partial_bytes) {
                 return StreamEnd::Oversized;
             }
             if events.is_misordered() {
--- a/crates/direct/src/resume.rs
+++ b/crates/direct/src/resume.rs
@@ -6,7 +6,7 @@
 //! has had the request for some time.
 
 use crate::admit::Job;
-use crate::body::Chunk;
+use crate::body::BodySender;
 use crate::events::EventSplitter;
 use crate::relay;
 use crate::retries::SpareRetry;
@@ -23,7 +23,6 @@
 use std::pin;
 use std::task;
 use std::time;
-use tokio::sync::mpsc;
 
 /// How long a silent stream is kept open after the request was sent to another engine, in
 /// case that engine refuses it. Longer, and both would work on the same request.
@@ -80,12 +79,13 @@
         &mut self,
         silent: Option<StartedStream<<P::Upstreams as Upstreams>::Body>>,
         events: &mut EventSplitter,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &BodySender,
     ) -> Resumption<<P::Upstreams as Upstreams>::Body> {
         let mut silent = silent;
         let job = self.job.clone();
         let sent_at = self.sent_at.clone();
         let silent_kept = self.silent_kept.clone();
+        let partial = self.partial.clone();
         self.may_have_run = true;
         self.failed_attempts = 0;
         self.silent_kept.set(silent.is_some());
@@ -111,8 +111,10 @@
                 silent_kept.set(false);
                 match apply_sign(&job, first, sign, events) {
                     SilentState::Silent(first) => {
-                        silent_kept.set(true);
-                        silent = Some(first);
+                        if partial.borrow_mut().try_resize(events.partial_bytes()) {
+                            silent_kept.set(true);
+                            silent = Some(first);
+                        }
                     }
                     SilentState::Alive(resumption) => return resumption,
                     SilentState::GivenUp => {}
@@ -137,7 +139,7 @@
         first: StartedStream<<P::Upstreams as Upstreams>::Body>,
         next: StartedStream<<P::Upstreams as Upstreams>::Body>,
         events: &mut EventSplitter,
-        sender: &mpsc::Sender<Chunk>,
+        sender: &BodySender,
     ) -> Resumption<<P::Upstreams as Upstreams>::Body> {
         let job = self.job.clone();
         let (mut first, mut next) = (first, next);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -3,11 +3,12 @@
 
 use crate::admit::Job;
 use crate::body::Body;
-use crate::caller::Exchange;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::Seat;
 use crate::entry::Entry;
+use crate::exchange::Exchange;
 use crate::guards::KvCacheGuard;
+use crate::held_bytes::HeldBytes;
 use crate::meters;
 use crate::plain_service;
 use crate::retries::SpareRetry;
@@ -82,9 +83,9 @@
         }
     };
     if !started.response.status.is_success() {
-        return unstarted::forward_failure(&entry, &job, started).await;
+        return unstarted::forward_failure(&entry, &job, &exchange, started).await;
     }
-    let (sender, body) = Body::channel(None);
+    let (sender, body) = Body::channel(None, &entry.memory);
     let mut response = hyper::Response::new(body);
     *response.status_mut() = started.response.status;
     *response.headers_mut() = started.response.headers.clone();
@@ -120,6 +121,8 @@
     pub(crate) cache: Option<KvCacheGuard<P>>,
     /// Keeps similar requests back while this one may crash its engine.
     pub(crate) trial: Option<TrialGuard<P>>,
+    /// Bytes of the event that is incomplete.
+    pub(crate) partial: rc::Rc<cell::RefCell<HeldBytes>>,
     /// Retry for the case that an engine refuses the stream after another was given up.
     pub(crate) spare: Option<SpareRetry<P>>,
 }
@@ -132,6 +135,7 @@
             .borrow_mut()
             .take_refusal(job.digest, job.arrived_at);
         Self {
+            partial: rc::Rc::new(cell::RefCell::new(entry.memory.hold())),
             entry,
             pool,
             job,
--- a/crates/direct/src/unstarted.rs
+++ b/crates/direct/src/unstarted.rs
@@ -4,6 +4,7 @@
 use crate::admit::Job;
 use crate::body::Body;
 use crate::entry::Entry;
+use crate::exchange::Exchange;
 use crate::forward;
 use crate::plain_service;
 use crate::stopping;
@@ -21,6 +22,7 @@
 pub(crate) async fn forward_failure<P: seam::Platform>(
     entry: &Entry<P>,
     job: &Job,
+    exchange: &Exchange<P>,
     started: StartedStream<<P::Upstreams as Upstreams>::Body>,
 ) -> hyper::Response<Body> {
     let StartedStream {
@@ -28,12 +30,12 @@
         engine,
         ..
     } = started;
-    let body = forward::collect_body(job, &engine, &mut response.body, job.deadline).await;
-    let Some(bytes) = body else {
+    let body = forward::collect_body(job, &engine, &mut response.body, &entry.memory).await;
+    let Some(body) = body else {
         return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
     };
     job.meter.fail();
-    let mut forwarded = hyper::Response::new(Body::from(bytes));
+    let mut forwarded = hyper::Response::new(exchange.hold_answer(body));
     *forwarded.status_mut() = response.status;
     *forwarded.headers_mut() = response.headers;
     forwarded
--- a/crates/fake/src/daemon_process.rs
+++ b/crates/fake/src/daemon_process.rs
@@ -55,6 +55,15 @@
         self.child.as_ref().map(process::Child::id)
     }
 
+    /// Returns the most memory that the process has used so far, in bytes; none if it isn't
+    /// running.
+    pub fn peak_memory(&self) -> Option<usize> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()?)).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let kilobytes: usize = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/fake/src/tracks/breaking_engine.rs
+++ b/crates/fake/src/tracks/breaking_engine.rs
@@ -1,5 +1,5 @@
-//! Fake engine that breaks off the streams that it starts, and answers as a test says when
-//! one is to go on.
+//! Fake engine that breaks off the streams that it starts or never ends them, and answers as
+//! a test says when one is to go on.
 
 use crate::tracks::names;
 use crate::tracks::raw_call::RawCall;
@@ -11,6 +11,7 @@
 use std::sync;
 use std::sync::atomic;
 use std::thread;
+use std::time;
 
 /// What the engine sends for one path, as bytes. `{id}` stands for the request's id.
 #[derive(Clone, Debug, Default)]
@@ -22,6 +23,15 @@
     pub second: String,
 }
 
+/// Bytes that follow each answer until the caller closes the connection.
+#[derive(Clone, Debug)]
+pub struct Noise {
+    /// Bytes that are sent again and again.
+    pub batch: Vec<u8>,
+    /// Time between two batches.
+    pub interval: time::Duration,
+}
+
 /// An engine whose answers to callers' requests follow scripts. The last segment of a path
 /// is the number of its script.
 pub struct BreakingEngine {
@@ -34,6 +44,7 @@
     scripts: Vec<StreamScript>,
     /// The events of each stream.
     events: Vec<String>,
+    noise: Option<Noise>,
     reservation_count: atomic::AtomicU64,
     /// Number of calls by the id of the request.
     calls: sync::Mutex<collections::HashMap<String, usize>>,
@@ -43,11 +54,26 @@
     /// Starts an engine, whose streams have these events with ids from 1. It runs until the
     /// test's process ends.
     pub fn start(scripts: Vec<StreamScript>, events: Vec<String>) -> Self {
+        Self::start_with(scripts, events, None)
+    }
+
+    /// Starts an engine that answers each request with `start` and then with noise without
+    /// end. Paths of requests end with 0.
+    pub fn start_endless(start: &str, noise: Noise) -> Self {
+        let script = StreamScript {
+            first: start.to_owned(),
+            second: start.to_owned(),
+        };
+        Self::start_with(vec![script], Vec::new(), Some(noise))
+    }
+
+    fn start_with(scripts: Vec<StreamScript>, events: Vec<String>, noise: Option<Noise>) -> Self {
         let listener = net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let shared = sync::Arc::new(Shared {
             scripts,
             events,
+            noise,
             reservation_count: atomic::AtomicU64::new(0),
             calls: sync::Mutex::default(),
         });
@@ -88,7 +114,11 @@
     fn serve(&self, mut stream: net::TcpStream) -> io::Result<()> {
         while let Some(call) = RawCall::read(&mut stream)? {
             if !call.path.starts_with(names::INTERNAL_PREFIX) {
-                return stream.write_all(self.answer(&call).as_bytes());
+                stream.write_all(self.answer(&call).as_bytes())?;
+                return match &self.noise {
+                    Some(noise) => noise.send(stream),
+                    None => Ok(()),
+                };
             }
             let value = match call.path.as_str() {
                 names::RESERVE_PATH => {
@@ -130,6 +160,16 @@
     }
 }
 
+impl Noise {
+    /// Sends noise until the caller closes the connection, and returns how that is seen.
+    fn send(&self, mut stream: net::TcpStream) -> io::Result<()> {
+        loop {
+            stream.write_all(&self.batch)?;
+            thread::sleep(self.interval);
+        }
+    }
+}
+
 /// Returns the head of a stream in chunks.
 pub fn stream_head() -> String {
     format!(
--- a/crates/fake/src/tracks/mod.rs
+++ b/crates/fake/src/tracks/mod.rs
@@ -24,7 +24,7 @@
 mod worker_handler;
 mod worker_state;
 
-pub use breaking_engine::{BreakingEngine, StreamScript, chunk, stream_head};
+pub use breaking_engine::{BreakingEngine, Noise, StreamScript, chunk, stream_head};
 pub use breaking_site::BreakingSite;
 pub use cluster::{EntryResponse, TracksCluster};
 pub use entry::EntryDaemon;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,6 +5,7 @@
 //! docs/PLATFORM.md lists the rule that each module implements.
 
 mod arrivals;
+mod byte_budget;
 mod call_attempts;
 mod charge;
 mod config_fetch;
@@ -39,6 +40,7 @@
 mod window;
 
 pub use arrivals::Arrivals;
+pub use byte_budget::ByteBudget;
 pub use call_attempts::{AttemptEnd, CallAttempts};
 pub use charge::{Charge, ExcessUse, Tolerance};
 pub use config_fetch::ConfigFetch;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -65,6 +65,50 @@
     Broken,
     /// The body is longer than its limit; at least this many bytes.
     Oversized(usize),
+    /// The process can't hold so many bytes more now.
+    NoRoom(usize),
+}
+
+/// Bytes that are collected in pieces of a fixed size. One buffer that grows would be moved
+/// again and again, and take twice its length each time.
+#[derive(Default)]
+struct Segments {
+    full: Vec<bytes::BytesMut>,
+    last: bytes::BytesMut,
+    length: usize,
+}
+
+/// The size of a piece.
+const SEGMENT_BYTES: usize = 64 * 1024;
+
+impl Segments {
+    fn add(&mut self, mut bytes: &[u8]) {
+        self.length += bytes.len();
+        while !bytes.is_empty() {
+            if self.last.len() == SEGMENT_BYTES {
+                self.full.push(std::mem::take(&mut self.last));
+            }
+            // A short body takes no more than it needs.
+            if !self.full.is_empty() && self.last.capacity() == 0 {
+                self.last.reserve(SEGMENT_BYTES);
+            }
+            let (part, rest) = bytes.split_at(bytes.len().min(SEGMENT_BYTES - self.last.len()));
+            self.last.extend_from_slice(part);
+            bytes = rest;
+        }
+    }
+
+    /// Returns all bytes in one piece.
+    fn join(self) -> bytes::Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut all = bytes::BytesMut::with_capacity(self.length);
+        for segment in self.full.into_iter().chain([self.last]) {
+            all.extend_from_slice(&segment);
+        }
+        all.freeze()
+    }
 }
 
 /// Collects the chunks that `next_chunk` returns until it returns `None`.
@@ -74,22 +118,43 @@
 /// Fails if the chunks do not end by `deadline`, one of them fails, or together they
 /// are longer than `limit` bytes.
 pub async fn collect_chunks<E>(
-    mut next_chunk: impl AsyncFnMut() -> Option<Result<bytes::Bytes, E>>,
+    next_chunk: impl AsyncFnMut() -> Option<Result<bytes::Bytes, E>>,
     limit: usize,
     deadline: time::Instant,
 ) -> Result<bytes::Bytes, ReadError> {
-    let mut all = bytes::BytesMut::new();
+    collect_held_chunks(next_chunk, limit, Some(deadline), |_| true).await
+}
+
+/// Does the same as [`collect_chunks`], without a deadline if there is none, and asks `try_hold`
+/// before it holds so many bytes in all.
+///
+/// # Errors
+///
+/// Fails also if `try_hold` returns false.
+pub async fn collect_held_chunks<E>(
+    mut next_chunk: impl AsyncFnMut() -> Option<Result<bytes::Bytes, E>>,
+    limit: usize,
+    deadline: Option<time::Instant>,
+    mut try_hold: impl FnMut(usize) -> bool,
+) -> Result<bytes::Bytes, ReadError> {
+    let mut collected = Segments::default();
     loop {
-        let chunk = tokio::time::timeout_at(deadline.into(), next_chunk())
-            .await
-            .map_err(|_| ReadError::TimedOut)?;
+        let chunk = match deadline {
+            Some(deadline) => tokio::time::timeout_at(deadline.into(), next_chunk())
+                .await
+                .map_err(|_| ReadError::TimedOut)?,
+            None => next_chunk().await,
+        };
         match chunk {
-            None => return Ok(all.freeze()),
+            None => return Ok(collected.join()),
             Some(Err(_)) => return Err(ReadError::Broken),
-            Some(Ok(bytes)) if all.len() + bytes.len() > limit => {
-                return Err(ReadError::Oversized(all.len() + bytes.len()));
+            Some(Ok(bytes)) if collected.length + bytes.len() > limit => {
+                return Err(ReadError::Oversized(collected.length + bytes.len()));
+            }
+            Some(Ok(bytes)) if !try_hold(collected.length + bytes.len()) => {
+                return Err(ReadError::NoRoom(collected.length + bytes.len()));
             }
-            Some(Ok(bytes)) => all.extend_from_slice(&bytes),
+            Some(Ok(bytes)) => collected.add(&bytes),
         }
     }
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,8 +6,11 @@
 //! belongs to one thread; see docs/PLATFORM.md, "Connections".
 
 use crate::body::collect_chunks;
+use crate::head_gate::GatedStream;
+use crate::head_gate::HeadGate;
 use http_body_util::BodyExt;
 use hyper::body;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use std::cell;
@@ -39,6 +42,9 @@
 /// their response is complete.
 const MAX_IDLE_CONNECTIONS: usize = 40;
 
+/// The maximum size of a response's head, and of what is read of its body at once.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// The body of a request: bytes that are known from the start.
 pub type FullBody = http_body_util::Full<bytes::Bytes>;
 
@@ -90,6 +96,20 @@
     sender: http1::SendRequest<FullBody>,
     /// The task that does the connection's I/O.
     driver: task::AbortHandle,
+    gate: rc::Rc<HeadGate>,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its response.
+    async fn send(
+        &mut self,
+        request: hyper::Request<FullBody>,
+    ) -> Result<hyper::Response<body::Incoming>, TrySendError<hyper::Request<FullBody>>> {
+        self.gate.expect_head(MAX_BUFFER_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.gate.open();
+        response
+    }
 }
 
 impl Drop for Connection {
@@ -151,7 +171,7 @@
     ) -> Result<ClientResponse, CallError> {
         let mut request = request;
         while let Some(mut connection) = self.take_idle(peer) {
-            let sent = connection.sender.try_send_request(request);
+            let sent = connection.send(request);
             match tokio::time::timeout_at(deadline.into(), sent).await {
                 Err(_) => return Err(CallError::Timeout),
                 Ok(Ok(response)) => {
@@ -175,7 +195,7 @@
         deadline: time::Instant,
     ) -> Result<ClientResponse, CallError> {
         let mut connection = self.connect(peer, deadline).await?;
-        let sent = connection.sender.try_send_request(request);
+        let sent = connection.send(request);
         match tokio::time::timeout_at(deadline.into(), sent).await {
             Err(_) => Err(CallError::Timeout),
             Ok(Ok(response)) => self.client_response(peer, connection, response, false),
@@ -238,7 +258,12 @@
         if enable_keepalive(&stream, self.max_unacked).is_err() {
             return Err(CallError::ConnectFailed);
         }
-        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let gate = rc::Rc::<HeadGate>::default();
+        let stream = rt::TokioIo::new(GatedStream::new(stream, gate.clone()));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(stream)
+            .await;
         let (mut sender, driver) = handshake.map_err(|_| CallError::ConnectFailed)?;
         // The sender learns of a connection that ends, so the error isn't needed.
         let driver_task = task::spawn_local(async move {
@@ -252,6 +277,7 @@
         Ok(Connection {
             sender,
             driver: abort_handle,
+            gate,
         })
     }
 
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod body;
 mod client;
+mod head_gate;
 mod heads;
 mod server;
 
 pub use body::{Body, BodySender, ReadError};
-pub use body::{body_channel, collect_chunks, discard_body, full_body, read_body};
+pub use body::{body_channel, collect_chunks, collect_held_chunks};
+pub use body::{discard_body, full_body, read_body};
 pub use client::{CONNECT_TIMEOUT, CallError, Client, ClientResponse, FullBody};
 pub use heads::has_joined_heads;
 pub use hyper::body::Incoming;
