Refuse bodies of requests that the process can't hold

Cause: a body was collected up to max_body_bytes, the sum was bounded by nothing, and at its end it was copied into one piece, so that it took twice its length.

An announced length is taken before anything is read; it waits up to 250 ms for room, since nothing is held meanwhile and most bodies are gone sooner. What doesn't fit gets 503 with Retry-After and was not passed on. A body in chunks is taken as it grows and refused at once, as bodies that wait for each other would all be late. The bytes are given back with the request.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -2,12 +2,17 @@
 //! service.
 
 use crate::body::Body;
+use crate::charge;
 use crate::crashes;
 use crate::entry::Entry;
 use crate::exchange::Exchange;
+use crate::held_bytes::HeldBytes;
 use crate::meters;
 use crate::plain_service;
 use crate::refusal::Refusal;
+use crate::request_body;
+use crate::request_body::BodyError;
+use crate::request_body::ROOM_RETRY_DELAY;
 use crate::request_meter::RequestKind;
 use crate::request_meter::RequestMeter;
 use crate::stopping;
@@ -30,15 +35,10 @@
 /// A request that exceeds its organisation's limit is held for at most its latency
 /// target divided by this.
 const HOLD_DIVISOR: u32 = 2;
-/// Time between two tries to charge a held request; peers report about as often.
-const HOLD_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// Callers return after at most the time that is left to them, divided by this.
 pub(crate) const RETURN_DIVISOR: u32 = 3;
 /// The longest time by which callers return later than a host takes calls again.
 const MAX_RETURN_SPREAD: time::Duration = time::Duration::from_millis(500);
-/// Units charged for a request when the organisation's allowance counts
-/// requests.
-const UNITS_PER_REQUEST: f64 = 1.0;
 
 /// An admitted request, with its route, service and deadline.
 pub(crate) struct Job {
@@ -59,6 +59,8 @@
     pub(crate) is_test: bool,
     /// How the request ends, for the metrics.
     pub(crate) meter: rc::Rc<RequestMeter>,
+    /// The bytes of the request's body.
+    _body: HeldBytes,
     /// What the organisation was charged, until it is given back.
     charge: cell::Cell<Option<pool::Charge>>,
 }
@@ -165,7 +167,7 @@
         .map_or(seam::Limits::default(), |c| c.config.limits)
         .body_bytes;
     let body = tokio::select! {
-        body = read_body(incoming, max_bytes) => body,
+        body = request_body::read(incoming, max_bytes, &entry.memory) => body,
         () = entry.wait_for_last_refusal() => {
             exchange.leave_body();
             trace::LogLine::new("body_refused")
@@ -180,24 +182,32 @@
     };
     let body = match body {
         Ok(body) => body,
-        Err(status) => {
+        Err(error) => {
             exchange.leave_body();
+            let (status, reason) = error.reply();
+            let (held, bound) = entry.memory.use_and_limit();
             trace::LogLine::new("body_refused")
                 .with("request", &id)
                 .with("status", status.as_u16())
+                .with("reason", reason)
+                .with("held", held)
+                .with("bound", bound)
                 .info();
             let reply = seam::Reply {
                 status,
                 id: Some(id),
-                retry_after: None,
-                reason: "body",
+                retry_after: (error == BodyError::NoRoom).then_some(ROOM_RETRY_DELAY),
+                reason,
             };
             exchange.meter.refuse(reply.reason);
             return reply_response::<P>(&reply);
         }
     };
-    let request = seam::Request { body, ..request };
-    let job = match admit(&entry, request, arrived_at, &exchange.meter).await {
+    let request = seam::Request {
+        body: body.bytes,
+        ..request
+    };
+    let job = match admit(&entry, request, body.held, arrived_at, &exchange.meter).await {
         Ok(job) => job,
         Err(refusal) => {
             refusal.log(&id, entry.config_version());
@@ -228,23 +238,12 @@
     response
 }
 
-async fn read_body(incoming: Incoming, max_bytes: usize) -> Result<bytes::Bytes, StatusCode> {
-    use http_body_util::BodyExt;
-    let limited = http_body_util::Limited::new(incoming, max_bytes);
-    match limited.collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
-
 /// Decides whether a request may run: checks its route, API key, quarantine and
 /// allowance, in this order.
 async fn admit<P: seam::Platform>(
     entry: &Entry<P>,
     request: seam::Request,
+    held: HeldBytes,
     arrived_at: time::Instant,
     meter: &rc::Rc<RequestMeter>,
 ) -> Result<Job, Refusal> {
@@ -291,11 +290,11 @@
     let charge = match tenant {
         None => None,
         Some(tenant) => {
-            let units = request_units(&request, tenant);
+            let units = charge::request_units(&request, tenant);
             let timeout = request.timeout.unwrap_or(route.timeout);
             let patience = timeout.saturating_sub(arrived_at.elapsed()) / RETURN_DIVISOR;
             let held_until = arrived_at + route.latency_target / HOLD_DIVISOR;
-            let charged = charge(entry, tenant, units, held_until).await;
+            let charged = charge::charge(entry, tenant, units, held_until).await;
             charged.map_err(|excess| {
                 let mut rate_limiter = entry.rate_limiter.borrow_mut();
                 let now = time::Instant::now();
@@ -323,6 +322,7 @@
         is_test,
         meter: meter.clone(),
         charge: cell::Cell::new(charge),
+        _body: held,
         request,
     };
     entry
@@ -332,45 +332,6 @@
     Ok(job)
 }
 
-/// Charges a request to its organisation. One that exceeds the limit now but may get
-/// room in time to be answered on time is held until then; others are refused at once.
-async fn charge<P: seam::Platform>(
-    entry: &Entry<P>,
-    tenant: &seam::Tenant,
-    units: f64,
-    held_until: time::Instant,
-) -> Result<Option<pool::Charge>, pool::ExcessUse> {
-    let started_at = time::Instant::now();
-    entry
-        .rate_limiter
-        .borrow_mut()
-        .record_demand(tenant, units, started_at);
-    loop {
-        let now = time::Instant::now();
-        let charged = entry.rate_limiter.borrow_mut().charge(tenant, units, now);
-        match charged {
-            Err(excess) if now + excess.wait.max(HOLD_INTERVAL) <= held_until => {
-                tokio::time::sleep(HOLD_INTERVAL).await;
-            }
-            charged => {
-                let held = now.saturating_duration_since(started_at);
-                meters::meters().admission_hold.record(held.as_secs_f64());
-                return charged;
-            }
-        }
-    }
-}
-
-/// Returns the units that a request is charged against its organisation's
-/// allowance.
-fn request_units(request: &seam::Request, tenant: &seam::Tenant) -> f64 {
-    match (tenant.default_units, request.token_counts) {
-        (None, _) => UNITS_PER_REQUEST,
-        (Some(_), Some((prompt, response))) => (prompt + response) as f64,
-        (Some(default), None) => default as f64,
-    }
-}
-
 /// Picks a service at random, by the route's weights.
 fn pick_service(route: &seam::Route) -> Name {
     let total: u32 = route.weights.iter().map(|(_, w)| w).sum();
--- a/crates/direct/src/held_bytes.rs
+++ b/crates/direct/src/held_bytes.rs
@@ -4,6 +4,7 @@
 
 use std::cell;
 use std::rc;
+use std::time;
 use tokio::sync;
 
 /// The account of a process.
@@ -81,6 +82,21 @@
         self.try_grow(total)
     }
 
+    /// Does the same as [`Self::try_grow`], and waits for up to `patience` until there is room.
+    pub(crate) async fn grow(&mut self, total: usize, patience: time::Duration) -> bool {
+        let end = tokio::time::Instant::now() + patience;
+        let account = self.account.clone();
+        loop {
+            let released = account.released.notified();
+            if self.try_grow(total) {
+                return true;
+            }
+            if tokio::time::timeout_at(end, released).await.is_err() {
+                return false;
+            }
+        }
+    }
+
     /// Returns the number of bytes that are held.
     pub(crate) fn bytes(&self) -> usize {
         self.bytes
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod body;
 mod caller;
+mod charge;
 mod crashes;
 mod engine_pool;
 mod entry;
@@ -32,6 +33,7 @@
 mod refusal;
 mod relay;
 mod reload;
+mod request_body;
 mod request_meter;
 mod reserve;
 mod resume;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -49,6 +49,7 @@
 const REASONS: &[&str] = &[
     "head",
     "body",
+    "no_room",
     "unconfigured",
     "no_route",
     "no_key",
