An answer that is broken off and written anew is not whole

Callers got the announced number of bytes, a part of the body and the head of the second answer, with the host's seal.

Cause: the end of a body was told by its length alone. The bytes behind it, which no call had asked for, were seen only when the connection was to be used again, after the body had been passed on.

Change: the client's connection keeps what it had read when it ended (poll_without_shutdown), so that bytes behind a body are known at its end, on kept and closing connections. A body is not whole if it holds a status line, or ends within one, and such bytes follow; a body that ends with its connection, if it holds one. Neither alone is enough: hosts send bytes behind whole answers, and a body may quote a status line. Long answers are passed on without their last bytes until then. This holds for all calls of the one client. The response and its way back to the pool have a file of their own now.

--- a/crates/daemon/tests/cut_answer_tests.rs
+++ b/crates/daemon/tests/cut_answer_tests.rs
@@ -124,6 +124,38 @@
     }
 }
 
+/// A host stops within its answer and gives it anew on the same connection. The bytes of the
+/// announced length are then those of two answers.
+#[parameterized(
+    order = { "order", 40 },
+    status = { "status", 40 },
+    long_order = { "order", 200_000 },
+    long_status = { "status", 200_000 },
+)]
+fn answer_that_is_written_anew_is_not_complete(route: &str, length: usize) {
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let body = "x".repeat(length);
+    let head = plain_answer(200, false).replace(BODY, "");
+    let head = head.replace("content-length: 8", &format!("content-length: {length}"));
+    let whole = head.clone() + &body;
+    let parts = [0, 1, 2, 20, length / 2, length - 30, length - 2, length - 1];
+    let scripts = parts.map(|part| StreamScript {
+        first: format!("{head}{}{whole}", &body[..part]),
+        second: whole.clone(),
+    });
+    let site = BreakingSite::start(program, "app", &scripts, Vec::new());
+    for (part, (response, call_count)) in parts.iter().zip(site.request_all(route)) {
+        let is_whole = response.status == 200 && response.complete;
+        assert!(
+            !is_whole || response.body == body && call_count == 2,
+            "after {part} bytes: {}",
+            response.headers
+        );
+        // What is read before it is passed on can be had from another host.
+        assert!(is_whole || route == "order" || length > 40, "{response:?}");
+    }
+}
+
 /// No caller has asked for another protocol, and one that is told of it gets no answer.
 #[parameterized(
     order = { "app", "order" },
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -63,11 +63,9 @@
 ) -> Result<(), &'static str> {
     let deadline = job.deadline.into();
     loop {
-        // A connection closes the channel, too, once it has all bytes of an announced length.
-        let is_sent = body.content_length() == Some(0);
         let next = tokio::select! {
             next = tokio::time::timeout_at(deadline, body.next_chunk()) => next,
-            () = sender.closed(), if !is_sent => return Err("caller_left"),
+            () = sender.closed() => return Err("caller_left"),
         };
         let bytes = match next {
             Ok(Some(Ok(bytes))) => bytes,
@@ -75,8 +73,19 @@
             Ok(Some(Err(_))) => return Err("broken"),
             Err(_) => return Err("overdue"),
         };
+        let is_last = body.content_length() == Some(0);
+        if is_last {
+            // The caller has a whole answer with these bytes, so the host's must have ended.
+            let end = tokio::time::timeout_at(deadline, body.next_chunk()).await;
+            if end.map_err(|_| "overdue")?.is_some() {
+                return Err("broken");
+            }
+        }
         let sent = tokio::time::timeout_at(deadline, sender.send(bytes)).await;
         sent.map_err(|_| "overdue")?.map_err(|_| "caller_left")?;
+        if is_last {
+            break;
+        }
     }
     sender.end().await;
     Ok(())
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -5,16 +5,16 @@
 //! at once, so that the peer stops work whose result nobody reads. The client
 //! belongs to one thread; see docs/PLATFORM.md, "Connections".
 
-use crate::body::collect_chunks;
+use crate::client_response::ClientResponse;
 use crate::head_gate::GatedStream;
 use crate::head_gate::HeadGate;
-use http_body_util::BodyExt;
 use hyper::body;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use std::cell;
 use std::collections;
+use std::future;
 use std::io;
 use std::net;
 use std::rc;
@@ -25,12 +25,6 @@
 /// The timeout for opening a connection. A peer whose accept queue is full drops
 /// the first packet, which TCP sends again only after a second.
 pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// How long an idle connection stays in the pool if its peer sends no keep-alive
-/// timeout.
-const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_secs(4);
-/// How much earlier than the peer's keep-alive timeout an idle connection leaves
-/// the pool, since the peer's timer started earlier.
-const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(700);
 /// The silence after which the kernel sends the first keepalive probe.
 const PROBE_DELAY: time::Duration = time::Duration::from_secs(1);
 /// The time between two keepalive probes; the kernel counts in whole seconds.
@@ -38,9 +32,6 @@
 /// How long sent bytes may stay unacknowledged before the connection breaks, unless the
 /// client is created with another time.
 const DEFAULT_UNACKED: time::Duration = time::Duration::from_millis(1_500);
-/// The maximum number of idle connections to one peer; others are closed when
-/// their response is complete.
-const MAX_IDLE_CONNECTIONS: usize = 40;
 
 /// The maximum size of a response's head, and of what is read of its body at once.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -78,7 +69,7 @@
 /// The client, with its pool of idle connections by the address of the peer.
 #[derive(Debug)]
 pub struct Client {
-    pool: cell::RefCell<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
+    pub(crate) pool: cell::RefCell<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
     /// How long sent bytes may stay unacknowledged before a connection breaks.
     max_unacked: time::Duration,
     /// The number of connections opened so far.
@@ -86,17 +77,19 @@
 }
 
 #[derive(Debug)]
-struct IdleConnection {
-    connection: Connection,
-    expires: time::Instant,
+pub(crate) struct IdleConnection {
+    pub(crate) connection: Connection,
+    pub(crate) expires: time::Instant,
 }
 
 #[derive(Debug)]
-struct Connection {
-    sender: http1::SendRequest<FullBody>,
+pub(crate) struct Connection {
+    pub(crate) sender: http1::SendRequest<FullBody>,
     /// The task that does the connection's I/O.
     driver: task::AbortHandle,
     gate: rc::Rc<HeadGate>,
+    /// Whether the connection has ended with bytes that belong to no response.
+    pub(crate) has_surplus: rc::Rc<cell::Cell<bool>>,
 }
 
 impl Connection {
@@ -118,26 +111,6 @@
     }
 }
 
-/// A response whose head has arrived and whose body is still to be read.
-#[derive(Debug)]
-pub struct ClientResponse {
-    /// The status and the headers, as received.
-    pub head: hyper::http::response::Parts,
-    body: body::Incoming,
-    lease: PoolLease,
-    is_reused: bool,
-}
-
-/// Returns a connection to the pool once its response is complete. Dropped
-/// earlier, it closes the connection.
-#[derive(Debug)]
-struct PoolLease {
-    client: rc::Rc<Client>,
-    peer: net::SocketAddr,
-    connection: Option<Connection>,
-    keep_alive: time::Duration,
-}
-
 impl Client {
     /// Creates a client without connections.
     pub fn new() -> rc::Rc<Self> {
@@ -264,10 +237,13 @@
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(stream)
             .await;
-        let (mut sender, driver) = handshake.map_err(|_| CallError::ConnectFailed)?;
-        // The sender learns of a connection that ends, so the error isn't needed.
+        let (mut sender, mut driver) = handshake.map_err(|_| CallError::ConnectFailed)?;
+        let has_surplus = rc::Rc::<cell::Cell<bool>>::default();
+        let surplus = has_surplus.clone();
         let driver_task = task::spawn_local(async move {
-            let _ = driver.await;
+            // The sender learns of a connection that ends, so the error isn't needed.
+            let _ = future::poll_fn(|context| driver.poll_without_shutdown(context)).await;
+            surplus.set(!driver.into_parts().read_buf.is_empty());
         });
         self.connection_count.set(self.connection_count.get() + 1);
         let abort_handle = driver_task.abort_handle();
@@ -278,6 +254,7 @@
             sender,
             driver: abort_handle,
             gate,
+            has_surplus,
         })
     }
 
@@ -292,113 +269,13 @@
         if response.status() == hyper::StatusCode::SWITCHING_PROTOCOLS {
             return Err(CallError::ConnectionLost);
         }
-        let (head, body) = response.into_parts();
-        let keep_alive = keep_alive(&head.headers);
-        let lease = PoolLease {
-            client: self.clone(),
+        Ok(ClientResponse::new(
+            self.clone(),
             peer,
-            connection: Some(connection),
-            keep_alive,
-        };
-        Ok(ClientResponse {
-            head,
-            body,
-            lease,
+            connection,
+            response,
             is_reused,
-        })
-    }
-}
-
-impl ClientResponse {
-    /// Returns the next chunk of the body; `None` at its end.
-    pub async fn next_chunk(&mut self) -> Option<Result<bytes::Bytes, hyper::Error>> {
-        loop {
-            match self.body.frame().await {
-                None => {
-                    self.lease.return_connection();
-                    return None;
-                }
-                Some(Err(error)) => return Some(Err(error)),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) if !bytes.is_empty() => return Some(Ok(bytes)),
-                    // Trailers and empty chunks are skipped.
-                    Ok(_) | Err(_) => {}
-                },
-            }
-        }
-    }
-
-    /// Reads the whole body; returns `None` if it is not complete by `deadline`, its
-    /// connection breaks or it is longer than `limit` bytes.
-    pub async fn read_all(mut self, limit: usize, deadline: time::Instant) -> Option<bytes::Bytes> {
-        collect_chunks(async || self.next_chunk().await, limit, deadline)
-            .await
-            .ok()
-    }
-
-    /// Returns whether the connection has carried an earlier request, to which this response
-    /// may belong if the peer responds twice.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
-    }
-
-    /// Makes the connection close after this response.
-    pub fn close_connection(&mut self) {
-        self.lease.keep_alive = time::Duration::ZERO;
-    }
-
-    /// Returns whether the peer announced neither a length nor chunks, so that the body
-    /// ends with its connection.
-    pub fn is_unframed(&self) -> bool {
-        let headers = &self.head.headers;
-        let is_framed = headers.contains_key(hyper::header::CONTENT_LENGTH)
-            || headers.contains_key(hyper::header::TRANSFER_ENCODING);
-        !is_framed && !body::Body::is_end_stream(&self.body)
-    }
-
-    /// Returns the length of the body still to be read, in bytes; `None` if the peer
-    /// did not announce it.
-    pub fn content_length(&self) -> Option<u64> {
-        body::Body::size_hint(&self.body).exact()
-    }
-}
-
-impl PoolLease {
-    /// Returns the connection to the pool, or closes it if it can't be used again or
-    /// the pool has enough idle connections to its peer.
-    fn return_connection(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        if connection.sender.is_closed() || self.keep_alive.is_zero() {
-            return;
-        }
-        let mut pool = self.client.pool.borrow_mut();
-        let idle = pool.entry(self.peer).or_default();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            let expires = time::Instant::now() + self.keep_alive;
-            idle.push(IdleConnection {
-                connection,
-                expires,
-            });
-        }
-    }
-}
-
-/// Returns how long a connection may stay in the pool after a response with these
-/// headers; zero if the peer closes it.
-fn keep_alive(headers: &hyper::HeaderMap) -> time::Duration {
-    let text = |name| headers.get(name).and_then(|v| v.to_str().ok());
-    let closes = text(hyper::header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    if closes {
-        return time::Duration::ZERO;
-    }
-    let timeout_s = text(hyper::header::HeaderName::from_static("keep-alive"))
-        .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
-        .and_then(|v| v.parse().ok());
-    match timeout_s {
-        Some(seconds) => time::Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN),
-        None => DEFAULT_KEEP_ALIVE,
+        ))
     }
 }
 
--- a/crates/web/src/heads.rs
+++ b/crates/web/src/heads.rs
@@ -1,4 +1,4 @@
-//! Checks of the heads of responses.
+//! Finds heads of responses where there should be none.
 
 use hyper::ext;
 use hyper::http::response;
@@ -33,3 +33,47 @@
     let digits = status.iter().take_while(|b| b.is_ascii_digit()).count();
     minor.is_ascii_digit() && digits == 3 && matches!(status.get(3), None | Some(b' '))
 }
+
+/// Length of a status line up to its status.
+const STATUS_LINE_BYTES: usize = PROTOCOL.len() + 5;
+
+/// Looks for a status line in a body that is read in pieces.
+#[derive(Debug, Default)]
+pub(crate) struct StatusLineScan {
+    is_found: bool,
+    /// The end of the body so far, in which a status line may begin.
+    tail: Vec<u8>,
+}
+
+impl StatusLineScan {
+    /// Adds bytes of the body.
+    pub(crate) fn add(&mut self, bytes: &[u8]) {
+        if self.is_found {
+            return;
+        }
+        let joint = bytes.len().min(STATUS_LINE_BYTES);
+        self.tail.extend_from_slice(&bytes[..joint]);
+        self.is_found = holds_status_line(&self.tail) || holds_status_line(bytes);
+        self.tail.extend_from_slice(&bytes[joint..]);
+        let surplus = self.tail.len().saturating_sub(STATUS_LINE_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    /// Returns whether the body holds a status line, or ends within one.
+    pub(crate) fn is_found(&self) -> bool {
+        self.is_found
+            || (0..self.tail.len()).any(|start| may_become_status_line(&self.tail[start..]))
+    }
+}
+
+/// Returns whether a text is the beginning of a status line.
+fn may_become_status_line(text: &[u8]) -> bool {
+    text.iter()
+        .enumerate()
+        .all(|(index, byte)| match index.checked_sub(PROTOCOL.len()) {
+            None => *byte == PROTOCOL[index],
+            Some(1) => *byte == b' ',
+            Some(0 | 2..=4) => byte.is_ascii_digit(),
+            Some(_) => false,
+        })
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod client;
+mod client_response;
 mod head_gate;
 mod heads;
 mod server;
@@ -12,7 +13,8 @@
 pub use body::{Body, BodySender, ReadError};
 pub use body::{body_channel, collect_chunks, collect_held_chunks};
 pub use body::{discard_body, full_body, read_body};
-pub use client::{CONNECT_TIMEOUT, CallError, Client, ClientResponse, FullBody};
+pub use client::{CONNECT_TIMEOUT, CallError, Client, FullBody};
+pub use client_response::{BodyError, ClientResponse};
 pub use heads::has_joined_heads;
 pub use hyper::body::Incoming;
 pub use hyper::http::request::Parts;
