Bound the time for which a peer keeps a connection

Cause: the time was added to the time of now when the connection went back to the pool. The sum overflows, the request's task panics, and its caller's connection is closed.

Change: the time is bounded at one hour where it is read. The look at other times from the wire: Retry-After, the times of settings and configuration are bounded where they are decoded; a caller's deadline is only compared and cut to its route's timeout; ages in peers' messages are subtracted with a check. One is left: a peer's remaining time of a role change (gossip.rs) is added as it is; entries send it, no host or caller can.

--- a/crates/web/src/client_response.rs
+++ b/crates/web/src/client_response.rs
@@ -14,6 +14,8 @@
 /// How long an idle connection stays in the pool if its peer sends no keep-alive
 /// timeout.
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_secs(4);
+/// The longest time that an idle connection stays in the pool, whatever its peer sends.
+const MAX_KEEP_ALIVE: time::Duration = time::Duration::from_secs(3_600);
 /// How much earlier than the peer's keep-alive timeout an idle connection leaves
 /// the pool, since the peer's timer started earlier.
 const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -182,7 +184,9 @@
         .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
         .and_then(|v| v.parse().ok());
     match timeout_s {
-        Some(seconds) => time::Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN),
+        Some(seconds) => time::Duration::from_secs(seconds)
+            .min(MAX_KEEP_ALIVE)
+            .saturating_sub(KEEP_ALIVE_MARGIN),
         None => DEFAULT_KEEP_ALIVE,
     }
 }
