--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -32,7 +32,7 @@
 const OLD_GAUGES: [&str; 1] = ["verdicts_in_force"];
 
 /// Labels of each metric; the bucket's bound is left out.
-const LABELS: [(&str, &[&str]); 27] = [
+const LABELS: [(&str, &[&str]); 28] = [
     (
         "hornbeampitch_requests_total",
         &["cause", "kind", "outcome"],
--- a/crates/direct/src/request_body.rs
+++ b/crates/direct/src/request_body.rs
@@ -60,12 +60,10 @@
     let mut incoming = incoming;
     let next_chunk = async || {
         loop {
-            match incoming.frame().await? {
-                Ok(frame) => match frame.into_data() {
-                    Ok(bytes) => return Some(Ok(bytes)),
-                    // Trailers are skipped.
-                    Err(_) => {}
-                },
+            match incoming.frame().await?.map(body::Frame::into_data) {
+                Ok(Ok(bytes)) => return Some(Ok(bytes)),
+                // Trailers are skipped.
+                Ok(Err(_)) => {}
                 Err(error) => return Some(Err(error)),
             }
         }
