--- a/crates/daemon/tests/soak_tests.rs
+++ b/crates/daemon/tests/soak_tests.rs
@@ -7,6 +7,8 @@
 #[parameterized(
     seed_1 = { 1 },
     seed_2 = { 2 },
+    // A worker's pages in place of answers reached callers.
+    seed_501 = { 501 },
 )]
 fn soak_finds_no_violation(seed: u64) {
     let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
--- a/crates/fake/src/tracks/worker_behaviour.rs
+++ b/crates/fake/src/tracks/worker_behaviour.rs
@@ -24,6 +24,9 @@
     pub noise_interval: Option<time::Duration>,
     /// Length of such a chunk in bytes.
     pub noise_bytes: usize,
+    /// Whether requests run, and a page comes in place of each answer: status 200 with neither
+    /// the request's id nor a seal.
+    pub answers_with_page: bool,
     /// Whether plain calls run but their connections close without a response.
     pub drop_responses: bool,
     /// Whether plain calls are refused with status 503 and marked as not executed.
@@ -58,6 +61,7 @@
             noise_bytes: 64 * 1024,
             refuse_reservations: false,
             status: 200,
+            answers_with_page: false,
             drop_responses: false,
             shed_calls: false,
             shed_prefills: false,
--- a/crates/fake/src/tracks/worker_handler.rs
+++ b/crates/fake/src/tracks/worker_handler.rs
@@ -111,6 +111,10 @@
             let body = self.noise(interval, behaviour.noise_bytes);
             return head.status(200).body(body).ok();
         }
+        if behaviour.answers_with_page && !is_prefill {
+            self.state().use_reservation(call);
+            return web::Response::builder().body(web::full_body("a page")).ok();
+        }
         if stage.is_none() {
             let head = match (behaviour.drop_responses, behaviour.shed_calls) {
                 (true, _) => return None,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -24,6 +24,8 @@
 const STOP_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Part of the faults that are returns of the store from a copy.
 const RESTORE_PART: f64 = 0.06;
+/// Part of the faults that are workers which send pages in place of answers.
+const SPOIL_PART: f64 = 0.08;
 /// Time between two checks whether an entry listens.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
@@ -55,6 +57,8 @@
     Configure,
     /// A worker aborts its streams early.
     AbortStreams(usize),
+    /// A worker sends pages in place of its answers.
+    SpoilAnswers(usize),
     /// A worker is listed as draining.
     Drain(usize),
     /// An entry gets SIGHUP, which makes it reload its settings.
@@ -143,8 +147,9 @@
         ));
     };
     let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed);
-    // Has numbers of its own, so that kept seeds go on to inject the other faults as before.
+    // These have numbers of their own, so that kept seeds go on to inject the other faults as before.
     let mut restore_rng = rand_chacha::ChaCha8Rng::seed_from_u64(!plan.seed);
+    let mut spoil_rng = rand_chacha::ChaCha8Rng::seed_from_u64(plan.seed.rotate_left(32));
     let end = time::Instant::now() + plan.duration;
     let mut active: Vec<(time::Instant, Fault)> = Vec::new();
     while time::Instant::now() < end {
@@ -152,6 +157,10 @@
         if restore_rng.random_bool(RESTORE_PART) {
             fault = Fault::Restore;
         }
+        if spoil_rng.random_bool(SPOIL_PART) {
+            let worker = spoil_rng.random_range(0..targets.worker_proxies.len());
+            fault = Fault::SpoilAnswers(worker);
+        }
         let duration = random_duration(&mut rng, fault);
         record("inject", fault);
         inject(targets, fault);
@@ -277,6 +286,9 @@
         Fault::AbortStreams(index) => worker(&cluster, index)
             .0
             .set_behaviour(|b| b.abort_after = Some(2)),
+        Fault::SpoilAnswers(index) => worker(&cluster, index)
+            .0
+            .set_behaviour(|b| b.answers_with_page = true),
         Fault::Drain(index) => {
             let (worker, service) = worker(&cluster, index);
             cluster.list_worker(worker, service, "draining");
@@ -320,6 +332,9 @@
         Fault::AbortStreams(index) => worker(&cluster, index)
             .0
             .set_behaviour(|b| b.abort_after = None),
+        Fault::SpoilAnswers(index) => worker(&cluster, index)
+            .0
+            .set_behaviour(|b| b.answers_with_page = false),
         Fault::Drain(index) => {
             let (worker, service) = worker(&cluster, index);
             cluster.list_worker(worker, service, "ready");
