--- a/crates/daemon/tests/unproven_answer_tests.rs
+++ b/crates/daemon/tests/unproven_answer_tests.rs
@@ -44,6 +44,7 @@
 fn unproven_answers() -> Vec<(&'static str, String)> {
     let (id, seal) = (id_line(), seal_line("seal"));
     let refused = format!("{}: 1", names::NOT_EXECUTED);
+    let leaving = format!("{}: 1", names::SERVER_LEAVING);
     let other_id = format!("{}: 00000000", names::REQUEST_ID);
     let proven = [id.clone(), seal.clone()];
     let with = |line: &str| [id.clone(), seal.clone(), line.to_owned()];
@@ -81,10 +82,7 @@
             sized(503, &["retry-after: 5".to_owned()], PAGE),
         ),
         ("misdirected_page", sized(421, &[], PAGE)),
-        (
-            "throttled_page",
-            sized(429, &["server-leaving: 1".to_owned()], PAGE),
-        ),
+        ("throttled_page", sized(429, &[leaving], PAGE)),
     ]
 }
 
