End a call whose peer sends 16 KiB without a head

Cause: each host could have 64 KiB of them read, 2,600 small heads, in one go and on the one thread: a quarter of a million heads for 100 hosts, which a debug build on a busy machine parses for seconds. Reservations of sound streams then time out.

Change: the bound is 16 KiB and one read, and the call ends there instead of waiting for its deadline, so that the connection is closed at once. The response is looked at first, so that bytes of a body that come with the head end nothing. A first form woke the owner by a stored permit, which would have ended the next call on the connection; it is a state of the call now.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -9,7 +9,6 @@
 use crate::head_gate::GatedStream;
 use crate::head_gate::HeadGate;
 use hyper::body;
-use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use std::cell;
@@ -33,8 +32,10 @@
 /// client is created with another time.
 const DEFAULT_UNACKED: time::Duration = time::Duration::from_millis(1_500);
 
-/// The maximum size of a response's head, and of what is read of its body at once.
+/// The maximum size of what is read of a response at once.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// The maximum size of a response's head with the interim ones before it, up to one read.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// The body of a request: bytes that are known from the start.
 pub type FullBody = http_body_util::Full<bytes::Bytes>;
@@ -97,14 +98,29 @@
     async fn send(
         &mut self,
         request: hyper::Request<FullBody>,
-    ) -> Result<hyper::Response<body::Incoming>, TrySendError<hyper::Request<FullBody>>> {
-        self.gate.expect_head(MAX_BUFFER_BYTES);
-        let response = self.sender.try_send_request(request).await;
+    ) -> Result<hyper::Response<body::Incoming>, SendFailure> {
+        self.gate.expect_head(MAX_HEAD_BYTES);
+        let response = tokio::select! {
+            biased;
+            response = self.sender.try_send_request(request) => response,
+            () = self.gate.exhausted() => return Err(SendFailure::Lost),
+        };
         self.gate.open();
-        response
+        response.map_err(|mut error| match error.take_message() {
+            Some(request) => SendFailure::Unsent(request),
+            None => SendFailure::Lost,
+        })
     }
 }
 
+/// Why a request got no head of a response on a connection.
+enum SendFailure {
+    /// The connection was closed before the request was sent.
+    Unsent(hyper::Request<FullBody>),
+    /// The request was sent, and the connection broke or can't be used any more.
+    Lost,
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -150,10 +166,8 @@
                 Ok(Ok(response)) => {
                     return self.client_response(peer, connection, response, true);
                 }
-                Ok(Err(mut error)) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(CallError::ConnectionLost),
-                },
+                Ok(Err(SendFailure::Unsent(unsent))) => request = unsent,
+                Ok(Err(SendFailure::Lost)) => return Err(CallError::ConnectionLost),
             }
         }
         self.call_on_new_connection(peer, request, deadline).await
@@ -172,10 +186,8 @@
         match tokio::time::timeout_at(deadline.into(), sent).await {
             Err(_) => Err(CallError::Timeout),
             Ok(Ok(response)) => self.client_response(peer, connection, response, false),
-            Ok(Err(mut error)) => match error.take_message() {
-                Some(_) => Err(CallError::NotSent),
-                None => Err(CallError::ConnectionLost),
-            },
+            Ok(Err(SendFailure::Unsent(_))) => Err(CallError::NotSent),
+            Ok(Err(SendFailure::Lost)) => Err(CallError::ConnectionLost),
         }
     }
 
--- a/crates/web/src/head_gate.rs
+++ b/crates/web/src/head_gate.rs
@@ -4,6 +4,7 @@
 //! buffer, but reading them would keep the thread from all else.
 
 use std::cell;
+use std::future;
 use std::io;
 use std::pin;
 use std::rc;
@@ -19,12 +20,29 @@
     /// arrived.
     left: cell::Cell<Option<usize>>,
     reader: cell::RefCell<Option<task::Waker>>,
+    /// Whether no more is read.
+    is_shut: cell::Cell<bool>,
+    /// Wakes the owner then.
+    owner: cell::RefCell<Option<task::Waker>>,
 }
 
 impl HeadGate {
     /// Reads no more once so many bytes have come, until the head of a response has arrived.
     pub(crate) fn expect_head(&self, bytes: usize) {
         self.left.set(Some(bytes));
+        self.is_shut.set(false);
+    }
+
+    /// Returns once so much has come without a head that no more is read.
+    pub(crate) async fn exhausted(&self) {
+        future::poll_fn(|context| match self.is_shut.get() {
+            true => task::Poll::Ready(()),
+            false => {
+                *self.owner.borrow_mut() = Some(context.waker().clone());
+                task::Poll::Pending
+            }
+        })
+        .await;
     }
 
     /// Ends the bound, as the head has arrived.
