--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -107,7 +107,7 @@
         };
         self.gate.open();
         response.map_err(|mut error| match error.take_message() {
-            Some(request) => SendFailure::Unsent(request),
+            Some(request) => SendFailure::Unsent(Box::new(request)),
             None => SendFailure::Lost,
         })
     }
@@ -116,7 +116,7 @@
 /// Why a request got no head of a response on a connection.
 enum SendFailure {
     /// The connection was closed before the request was sent.
-    Unsent(hyper::Request<FullBody>),
+    Unsent(Box<hyper::Request<FullBody>>),
     /// The request was sent, and the connection broke or can't be used any more.
     Lost,
 }
@@ -166,7 +166,7 @@
                 Ok(Ok(response)) => {
                     return self.client_response(peer, connection, response, true);
                 }
-                Ok(Err(SendFailure::Unsent(unsent))) => request = unsent,
+                Ok(Err(SendFailure::Unsent(unsent))) => request = *unsent,
                 Ok(Err(SendFailure::Lost)) => return Err(CallError::ConnectionLost),
             }
         }
