--- a/crates/direct/src/charge.rs
+++ b/crates/direct/src/charge.rs
@@ -9,6 +9,7 @@
 const UNITS_PER_REQUEST: f64 = 1.0;
 /// Time between two tries to charge a held request; peers report about as often.
 const HOLD_INTERVAL: time::Duration = time::Duration::from_millis(150);
+
 /// Charges a request to its organisation. One that exceeds the limit now but may get
 /// room in time to be answered on time is held until then; others are refused at once.
 pub(crate) async fn charge<P: seam::Platform>(
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -23,7 +23,7 @@
     pub(crate) body: Option<HeldBody>,
 }
 
-/// Reads a body to its end; returns `None` if that does not come by `deadline`, the
+/// Reads a body to its end; returns `None` if that does not come by the job's deadline, the
 /// connection breaks, or the body is too long or does not fit into the process's memory,
 /// which is logged.
 pub(crate) async fn collect_body<S: ByteStream>(
