Rooms in the crate pool: queue, engines, balance, hosts, limits, peers

Cause: some 45 files lay in one folder, where a newcomer found no decision at a guess. Change: each file stands in a room by its concern; the public names are as before. queue.rs is wait_queue.rs. Nothing else is changed. Result: cargo check of the crate with its tests.

--- a/crates/pool/src/failures.rs
+++ b/crates/pool/src/balance/failures.rs
@@ -8,7 +8,7 @@
 //! one peer, or by a peer that sees most hosts fail, is ignored, since that
 //! peer may itself be disconnected.
 
-use crate::heard::Heard;
+use crate::peers::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/host_balancer.rs
+++ b/crates/pool/src/balance/host_balancer.rs
@@ -5,10 +5,10 @@
 //! part of their calls while they look healthy, so a host with many recent
 //! failures receives fewer calls.
 
-use crate::failures::HostFailures;
-use crate::heard::Heard;
-use crate::host_notices::SharedNotices;
-use crate::peer_loads::PeerLoads;
+use crate::balance::failures::HostFailures;
+use crate::hosts::host_notices::SharedNotices;
+use crate::peers::heard::Heard;
+use crate::peers::peer_loads::PeerLoads;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/retry_budget.rs
+++ b/crates/pool/src/balance/retry_budget.rs
@@ -4,7 +4,7 @@
 //! a fraction of the requests, plus a fixed number that is divided among all
 //! entries.
 
-use crate::window::SlidingWindow;
+use crate::limits::window::SlidingWindow;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/decode.rs
+++ b/crates/pool/src/engines/decode.rs
@@ -6,12 +6,12 @@
 //! not tried again for a short time. Only the engines themselves know exactly
 //! how much room they have, so they may refuse what fits by this view.
 
-use crate::failures::HostFailures;
-use crate::forecast::MemoryForecast;
-use crate::heard::Heard;
-use crate::host_notices::SharedNotices;
-use crate::peer_loads::AddLoad;
-use crate::peer_loads::PeerLoads;
+use crate::balance::failures::HostFailures;
+use crate::engines::forecast::MemoryForecast;
+use crate::hosts::host_notices::SharedNotices;
+use crate::peers::heard::Heard;
+use crate::peers::peer_loads::AddLoad;
+use crate::peers::peer_loads::PeerLoads;
 use std::collections;
 use std::ops;
 use std::time;
--- a/crates/pool/src/demand.rs
+++ b/crates/pool/src/engines/demand.rs
@@ -4,7 +4,7 @@
 //! progress: a stage without enough engines delays the work of the other stage,
 //! which would then look idle.
 
-use crate::window::SlidingWindow;
+use crate::limits::window::SlidingWindow;
 use std::time;
 
 /// Length of the window over which demand is measured.
--- /dev/null
+++ b/crates/pool/src/engines/mod.rs
@@ -0,0 +1,19 @@
+//! Choice of prefill and decode engines, and what streams do there.
+
+pub(crate) mod decode;
+pub(crate) mod demand;
+pub(crate) mod forecast;
+pub(crate) mod order_lease;
+pub(crate) mod prefill;
+pub(crate) mod responses;
+pub(crate) mod roles;
+pub(crate) mod stall;
+
+pub use decode::{DecodePool, EngineLoad};
+pub use demand::{Demand, DemandRate};
+pub use forecast::{LengthEstimate, MemoryForecast};
+pub use order_lease::{LeaseStep, OrderLease};
+pub use prefill::PrefillPool;
+pub use responses::ResponseModel;
+pub use roles::{RoleBalancer, RoleCandidate, RoleChange};
+pub use stall::StreamProgress;
--- a/crates/pool/src/prefill.rs
+++ b/crates/pool/src/engines/prefill.rs
@@ -6,10 +6,10 @@
 //! entries learn of it. Each entry therefore prefers some of the engines, and
 //! uses the others only where these are clearly faster.
 
-use crate::failures::HostFailures;
-use crate::heard::Heard;
-use crate::host_notices::SharedNotices;
-use crate::peer_loads::PeerLoads;
+use crate::balance::failures::HostFailures;
+use crate::hosts::host_notices::SharedNotices;
+use crate::peers::heard::Heard;
+use crate::peers::peer_loads::PeerLoads;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/responses.rs
+++ b/crates/pool/src/engines/responses.rs
@@ -1,6 +1,6 @@
 //! Learns how long responses are and how fast they grow, from those that are complete.
 
-use crate::forecast::LengthEstimate;
+use crate::engines::forecast::LengthEstimate;
 use std::time;
 
 /// Least weight of a complete response against all earlier ones.
--- a/crates/pool/src/discovery.rs
+++ b/crates/pool/src/hosts/discovery.rs
@@ -10,7 +10,7 @@
 //! readers announce each version to them. Where entries hear of other zones through
 //! relays, each zone has a reader of its own.
 
-use crate::gossip_paths::MAX_DIRECT;
+use crate::peers::gossip_paths::MAX_DIRECT;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/host_list.rs
+++ b/crates/pool/src/hosts/host_list.rs
@@ -7,7 +7,7 @@
 //! again. The same holds once the store has come back from a copy, which lacks the
 //! hosts that registered since; those that had left since do not come back with it.
 
-use crate::departures::Departures;
+use crate::hosts::departures::Departures;
 use seam::Revision;
 use std::cmp;
 use std::collections;
--- a/crates/pool/src/rate_limiter.rs
+++ b/crates/pool/src/limits/rate_limiter.rs
@@ -8,16 +8,16 @@
 //! told it, it assumes that the organisation used its rate, and the lead that the
 //! store keeps of organisations that are well ahead of theirs.
 
-use crate::charge::Allowance;
-use crate::charge::Charge;
-use crate::charge::ExcessUse;
-use crate::charge::Tolerance;
-use crate::heard::Heard;
-use crate::heavy_use::HeavyUse;
-use crate::restart::RestartState;
-use crate::tenant_use::TenantUse;
-use crate::usage_report::PeerUsage;
-use crate::usage_report::UsageReport;
+use crate::limits::charge::Allowance;
+use crate::limits::charge::Charge;
+use crate::limits::charge::ExcessUse;
+use crate::limits::charge::Tolerance;
+use crate::limits::heavy_use::HeavyUse;
+use crate::limits::restart::RestartState;
+use crate::limits::tenant_use::TenantUse;
+use crate::limits::usage_report::PeerUsage;
+use crate::limits::usage_report::UsageReport;
+use crate::peers::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/restart.rs
+++ b/crates/pool/src/limits/restart.rs
@@ -4,8 +4,8 @@
 //! time, nobody knows it, but the store names the organisations that were well ahead of
 //! their rate; the others are assumed to have used their limit at their rate.
 
-use crate::charge::Allowance;
-use crate::charge::Tolerance;
+use crate::limits::charge::Allowance;
+use crate::limits::charge::Tolerance;
 use std::time;
 
 /// How long a restarted entry admits nothing while it has heard neither from the
--- a/crates/pool/src/tenant_use.rs
+++ b/crates/pool/src/limits/tenant_use.rs
@@ -1,12 +1,12 @@
 //! What was admitted and asked for on behalf of one organisation.
 
-use crate::charge::Allowance;
-use crate::charge::Charge;
-use crate::charge::ExcessUse;
-use crate::restart::MAX_UNKEPT_LEAD;
-use crate::usage_report::UsageGrowth;
-use crate::usage_report::UsedUnits;
-use crate::window::SlidingWindow;
+use crate::limits::charge::Allowance;
+use crate::limits::charge::Charge;
+use crate::limits::charge::ExcessUse;
+use crate::limits::restart::MAX_UNKEPT_LEAD;
+use crate::limits::usage_report::UsageGrowth;
+use crate::limits::usage_report::UsedUnits;
+use crate::limits::window::SlidingWindow;
 use std::collections;
 use std::time;
 
--- a/crates/pool/src/usage_report.rs
+++ b/crates/pool/src/limits/usage_report.rs
@@ -1,6 +1,6 @@
 //! What entries tell each other of the units that they have admitted.
 
-use crate::heard::Heard;
+use crate::peers::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/peer_loads.rs
+++ b/crates/pool/src/peers/peer_loads.rs
@@ -1,6 +1,6 @@
 //! The load of upstream hosts that peers, the other entries, have reported.
 
-use crate::heard::Heard;
+use crate::peers::heard::Heard;
 use std::collections;
 use std::time;
 use world::Name;
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue/wait_queue.rs
@@ -7,7 +7,7 @@
 //! retried is served before other late ones, and stays queued for as long as its
 //! caller waits.
 
-use crate::forecast::MemoryForecast;
+use crate::engines::forecast::MemoryForecast;
 use std::collections;
 use std::time;
 
