Callers without limits: connections are bounded, and unfinished requests yield

Cause: what a connection holds beside the bytes of its body was counted nowhere: a read buffer of up to 64 KiB, a part of a head, its tasks, a descriptor. An unfinished head or body was kept for ever, so that the account of bodies stayed full, and there was no bound on connections. A body that was collected took up to twice its length.

Change: pool::CallerTable decides which connection is given up where there are too many or memory is short: refused ones that go on sending, those that stopped within a request, those that take long for one, those that take no answer, idle ones; never one whose request was passed on. Each connection counts in the account of bytes with its buffer and its state. A body under pressure is refused with 503 and Retry-After; a head that takes twice the configured time, a body that pauses for the idle limit or is not there by its caller's deadline (408), and an answer that is not taken for the idle limit end. A head may be as long as the configuration says and 4 KiB more. The account leaves 36 MB to the process on hosts under 60 MB. Collected pieces take what they are counted with.

Ruled out: closing the connections of callers within the limits under pressure (a first form did; large_body_tests failed, as such a caller is to be told that it was refused).

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -13,6 +13,7 @@
 use crate::request_body;
 use crate::request_body::BodyError;
 use crate::request_body::ROOM_RETRY_DELAY;
+use crate::request_body::UploadLimits;
 use crate::request_meter::RequestKind;
 use crate::request_meter::RequestMeter;
 use crate::stopping;
@@ -32,6 +33,8 @@
 /// Replies of the entry itself are sent this long before the route's timeout
 /// ends.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(10);
+/// Longest time that a caller may take for a request, whatever it says.
+const MAX_UPLOAD_TIME: time::Duration = time::Duration::from_secs(3_600);
 /// A request that exceeds its organisation's limit is held for at most its latency
 /// target divided by this.
 const HOLD_DIVISOR: u32 = 2;
@@ -162,12 +165,19 @@
     };
     let id = request.id.clone();
     exchange.set_id(&id);
-    let max_bytes = entry
+    exchange.set_stage(pool::CallerStage::Uploading);
+    let limits = entry
         .active_config()
-        .map_or(seam::Limits::default(), |c| c.config.limits)
-        .body_bytes;
+        .map_or(seam::Limits::default(), |c| c.config.limits);
+    let upload = UploadLimits {
+        bytes: limits.body_bytes,
+        pause: limits.idle_timeout,
+        deadline: request.timeout.map(|t| arrived_at + t.min(MAX_UPLOAD_TIME)),
+    };
     let body = tokio::select! {
-        body = request_body::read(incoming, max_bytes, &entry.memory) => body,
+        biased;
+        () = exchange.refused() => Err(BodyError::NoRoom),
+        body = request_body::read(incoming, &upload, &entry) => body,
         () = entry.wait_for_last_refusal() => {
             exchange.leave_body();
             trace::LogLine::new("body_refused")
@@ -203,6 +213,7 @@
             return reply_response::<P>(&reply);
         }
     };
+    exchange.set_stage(pool::CallerStage::Served);
     let request = seam::Request {
         body: body.bytes,
         ..request
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -4,6 +4,7 @@
 use crate::admit;
 use crate::body::Body;
 use crate::body::BodyAborted;
+use crate::callers::CallerSlot;
 use crate::entry::Entry;
 use crate::exchange::Exchange;
 use crate::meters;
@@ -17,6 +18,7 @@
 use std::cell;
 use std::convert;
 use std::error::Error as _;
+use std::future;
 use std::io;
 use std::pin;
 use std::rc;
@@ -28,9 +30,13 @@
 use tokio::sync;
 use tokio::sync::watch;
 
-/// Maximum size of a request head in bytes. It is fixed: the limit in the
-/// configuration is not applied here.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of a readiness probe's head in bytes.
+const MAX_PROBE_BYTES: usize = 16 * 1024;
+/// A caller that sends a head for longer than the configuration allows, times this, has its
+/// connection closed: the bytes may have been on their way for a while.
+const HEAD_TIME_FACTOR: u32 = 2;
+/// Longest time between two looks whether a caller takes too long.
+const MAX_WAIT: time::Duration = time::Duration::from_secs(1);
 /// How long a caller may go on sending a body after its request was answered.
 const LINGER_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -65,13 +71,19 @@
     sent_bytes: cell::Cell<u64>,
     /// Bytes that had been sent when the current request was read.
     first_byte: cell::Cell<u64>,
+    /// When the head began that has not arrived to its end.
+    head_began: cell::Cell<Option<time::Instant>>,
+    /// Since when the caller has taken no bytes of an answer that are ready.
+    blocked_since: cell::Cell<Option<time::Instant>>,
+    /// The connection among those of all callers; none for readiness probes.
+    slot: Option<rc::Rc<CallerSlot>>,
     /// Why the connection ended, for the log. A connection that the process leaves open
     /// when it exits has no other cause.
     cause: cell::Cell<&'static str>,
 }
 
 impl<P: seam::Platform> Activity<P> {
-    fn new(idle_limit: watch::Receiver<time::Duration>) -> Self {
+    fn new(idle_limit: watch::Receiver<time::Duration>, slot: Option<CallerSlot>) -> Self {
         let current_limit = *idle_limit.borrow();
         Self {
             wait_limit: cell::Cell::new(current_limit),
@@ -83,6 +95,9 @@
             body_unread: cell::Cell::new(false),
             sent_bytes: cell::Cell::new(0),
             first_byte: cell::Cell::new(0),
+            head_began: cell::Cell::new(None),
+            blocked_since: cell::Cell::new(None),
+            slot: slot.map(rc::Rc::new),
             cause: cell::Cell::new("process_exit"),
         }
     }
@@ -91,10 +106,12 @@
         *self.unanswered.borrow_mut() = Some(exchange);
         self.stage.set(AnswerStage::Waiting);
         self.first_byte.set(self.sent_bytes.get());
+        self.head_began.set(None);
     }
 
     fn end_answer(&self) {
         *self.unanswered.borrow_mut() = None;
+        self.set_stage(pool::CallerStage::Idle);
         self.last_active.set(time::Instant::now());
         let limit = *self.idle_limit.borrow();
         if self.wait_limit.replace(limit) > limit {
@@ -118,6 +135,49 @@
         self.wait_limit.get().saturating_sub(idle_time)
     }
 
+    fn set_stage(&self, stage: pool::CallerStage) {
+        if let Some(slot) = &self.slot {
+            slot.set_stage(stage);
+        }
+    }
+
+    /// Records that bytes have arrived. Those between two requests begin a head.
+    fn record_read(&self) {
+        if let Some(slot) = &self.slot {
+            slot.record_bytes();
+        }
+        if self.unanswered.borrow().is_none() && self.head_began.get().is_none() {
+            self.head_began.set(Some(time::Instant::now()));
+            self.set_stage(pool::CallerStage::Unfinished);
+        }
+    }
+
+    /// Records whether the caller takes the bytes that are ready for it.
+    fn record_taking(&self, takes: bool) {
+        let blocked_since = self.blocked_since.get();
+        if takes == blocked_since.is_none() {
+            return;
+        }
+        let now = time::Instant::now();
+        self.blocked_since.set((!takes).then_some(now));
+        self.set_stage(match takes {
+            true => pool::CallerStage::Served,
+            false => pool::CallerStage::Blocked,
+        });
+    }
+
+    /// Returns how long the caller may still go on with its head, or take nothing of its
+    /// answer, and why its connection is closed after that; none if it does neither.
+    fn patience(&self, head_timeout: time::Duration) -> Option<(time::Duration, &'static str)> {
+        let left =
+            |since: time::Instant, limit: time::Duration| limit.saturating_sub(since.elapsed());
+        let head = self.head_began.get();
+        let head = head.map(|s| (left(s, head_timeout * HEAD_TIME_FACTOR), "head_overdue"));
+        let blocked = self.blocked_since.get();
+        let blocked = blocked.map(|s| (left(s, *self.idle_limit.borrow()), "answer_untaken"));
+        head.into_iter().chain(blocked).min()
+    }
+
     /// Returns whether the whole answer is on its way once nothing is buffered.
     fn has_buffered_answer(&self) -> bool {
         self.stage.get() == AnswerStage::Buffered && self.unanswered.borrow().is_some()
@@ -169,16 +229,28 @@
 pub(crate) async fn serve<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     mut stream: aio::TcpStream,
+    slot: Option<CallerSlot>,
     closed: watch::Receiver<bool>,
 ) {
-    let activity = rc::Rc::new(Activity::new(entry.idle_limit.subscribe()));
+    let activity = rc::Rc::new(Activity::new(entry.idle_limit.subscribe(), slot));
     serve_requests(&entry, &mut stream, &activity, closed).await;
     if activity.body_unread.get() {
         // A socket that is closed with unread bytes resets its connection, and the caller
         // loses the answer. Errors and the timeout end the connection all the same.
         let mut unread = tokio::io::sink();
         let discarded = tokio::io::copy(&mut stream, &mut unread);
-        let _ = tokio::time::timeout(LINGER_TIME, discarded).await;
+        tokio::select! {
+            _ = tokio::time::timeout(LINGER_TIME, discarded) => {}
+            () = wait_for_close(activity.slot.as_deref()) => {}
+        }
+    }
+}
+
+/// Returns once a connection is to be closed for another one.
+async fn wait_for_close(slot: Option<&CallerSlot>) {
+    match slot {
+        Some(slot) => slot.closed().await,
+        None => future::pending().await,
     }
 }
 
@@ -197,14 +269,29 @@
         stream,
         activity: activity.clone(),
     };
+    let slot = activity.slot.clone();
+    let max_head_bytes = slot.as_ref().map_or(MAX_PROBE_BYTES, |s| s.head_bytes);
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(max_head_bytes)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = pin::pin!(connection);
     let mut idle_limit = entry.idle_limit.subscribe();
+    let mut is_ending = false;
     loop {
+        let config = entry.active_config();
+        let head_timeout = config
+            .map_or(seam::Limits::default(), |c| c.config.limits)
+            .head_timeout;
+        let patience = activity.patience(head_timeout);
+        if let Some((_, cause)) = patience.filter(|(left, _)| left.is_zero()) {
+            activity.cause.set(cause);
+            return;
+        }
+        let idle_left = (!is_ending).then(|| activity.time_left());
+        let wait = patience.map(|(left, _)| left).into_iter().chain(idle_left);
+        let wait = wait.chain([MAX_WAIT]).min().unwrap_or(MAX_WAIT);
         tokio::select! {
             // A request that has arrived is read before its connection is closed.
             biased;
@@ -212,20 +299,25 @@
                 activity.cause.set(end_cause(&result));
                 return;
             }
-            _ = closed.wait_for(|c| *c) => break,
+            () = wait_for_close(slot.as_deref()) => {
+                activity.cause.set("closed_for_others");
+                return;
+            }
+            _ = closed.wait_for(|c| *c), if !is_ending => {
+                connection.as_mut().graceful_shutdown();
+                is_ending = true;
+            }
             () = activity.wait_shortened.notified() => {}
             // Fails only without an entry.
             _ = idle_limit.changed() => activity.extend_wait(),
-            () = tokio::time::sleep(activity.time_left()) => {
-                if activity.time_left().is_zero() {
-                    break;
+            () = tokio::time::sleep(wait) => {
+                if !is_ending && activity.time_left().is_zero() {
+                    connection.as_mut().graceful_shutdown();
+                    is_ending = true;
                 }
             }
         }
     }
-    connection.as_mut().graceful_shutdown();
-    let result = connection.await;
-    activity.cause.set(end_cause(&result));
 }
 
 /// Handles one request, and announces the close of its connection if the process stops.
@@ -234,7 +326,7 @@
     activity: rc::Rc<Activity<P>>,
     request: hyper::Request<body::Incoming>,
 ) -> hyper::Response<CallerBody<P>> {
-    let exchange = rc::Rc::new(Exchange::new(&entry));
+    let exchange = rc::Rc::new(Exchange::new(&entry, activity.slot.clone()));
     activity.start_answer(exchange.clone());
     let mut response = admit::handle_request(entry.clone(), request, exchange.clone()).await;
     activity.body_unread.set(exchange.is_body_unread());
@@ -288,6 +380,7 @@
 
 impl<P: seam::Platform> CallerStream<'_, P> {
     fn record_write(&self, written: &task::Poll<io::Result<usize>>) {
+        self.activity.record_taking(written.is_ready());
         if let task::Poll::Ready(Ok(count)) = written {
             let sent_bytes = self.activity.sent_bytes.get() + *count as u64;
             self.activity.sent_bytes.set(sent_bytes);
@@ -301,7 +394,13 @@
         cx: &mut task::Context<'_>,
         buffer: &mut tokio::io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut *self.get_mut().stream).poll_read(cx, buffer)
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let read = pin::Pin::new(&mut *this.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            this.activity.record_read();
+        }
+        read
     }
 }
 
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,5 +1,6 @@
 //! State of an entry, which its tasks share.
 
+use crate::callers::Callers;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::EnginePools;
 use crate::gate::HostGate;
@@ -30,6 +31,8 @@
     pub(crate) upstreams: HostGate<P::Upstreams>,
     /// The bytes of requests and answers that the process holds.
     pub(crate) memory: rc::Rc<MemoryAccount>,
+    /// The connections of callers.
+    pub(crate) callers: rc::Rc<Callers>,
     /// What upstream hosts have said of themselves.
     pub(crate) notices: pool::SharedNotices,
     /// HTTP client for calls to peers.
@@ -138,12 +141,14 @@
         if !settings.first_start {
             rate_limiter.record_restart(time::Instant::now());
         }
+        let memory = MemoryAccount::new(settings.resources.memory_mb);
         let notices = pool::HostNotices::new(settings.host.clone());
         let notices = pool::SharedNotices::new(notices.into());
         rc::Rc::new(Self {
             store: MeteredStore::new(store),
             upstreams: HostGate::new(upstreams, notices.clone()),
-            memory: MemoryAccount::new(settings.resources.memory_mb),
+            callers: Callers::new(settings.resources.descriptors, &memory),
+            memory,
             peer_client,
             config: cell::RefCell::default(),
             idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,6 +1,7 @@
 //! A caller's request from its head to the end of its answer.
 
 use crate::body::Body;
+use crate::callers::CallerSlot;
 use crate::entry::Entry;
 use crate::guards::ActiveRequest;
 use crate::held_bytes::HeldBody;
@@ -8,6 +9,7 @@
 use crate::held_bytes::MemoryAccount;
 use crate::request_meter::RequestMeter;
 use std::cell;
+use std::future;
 use std::rc;
 use std::time;
 use world::Name;
@@ -25,13 +27,16 @@
     /// How the request ends, for the metrics.
     pub(crate) meter: rc::Rc<RequestMeter>,
     account: rc::Rc<MemoryAccount>,
+    /// The caller's connection; none for readiness probes.
+    slot: Option<rc::Rc<CallerSlot>>,
     /// Bytes of an answer that was read before it is passed on.
     answer: cell::RefCell<Option<HeldBytes>>,
 }
 
 impl<P: seam::Platform> Exchange<P> {
-    pub(crate) fn new(entry: &rc::Rc<Entry<P>>) -> Self {
+    pub(crate) fn new(entry: &rc::Rc<Entry<P>>, slot: Option<rc::Rc<CallerSlot>>) -> Self {
         Self {
+            slot,
             account: entry.memory.clone(),
             answer: cell::RefCell::default(),
             _active: ActiveRequest::new(entry),
@@ -63,6 +68,21 @@
         self.id.get().map_or("", |id| id)
     }
 
+    /// Records what the caller's connection is doing from now on.
+    pub(crate) fn set_stage(&self, stage: pool::CallerStage) {
+        if let Some(slot) = &self.slot {
+            slot.set_stage(stage);
+        }
+    }
+
+    /// Returns once the request is to be refused for another one, before its body has arrived.
+    pub(crate) async fn refused(&self) {
+        match &self.slot {
+            Some(slot) => slot.refused().await,
+            None => future::pending().await,
+        }
+    }
+
     /// Returns whether the request is answered without its body having been read to its end.
     pub(crate) fn is_body_unread(&self) -> bool {
         self.body_unread.get()
@@ -70,6 +90,7 @@
 
     /// Records that the request is answered without its body having been read to its end.
     pub(crate) fn leave_body(&self) {
+        self.set_stage(pool::CallerStage::Refused);
         self.body_unread.set(true);
     }
 }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -34,11 +34,11 @@
 ) -> Option<HeldBody> {
     let next_chunk = async || body.next_chunk().await;
     let mut held = account.hold();
-    let try_hold = |bytes| held.try_grow(bytes);
+    let try_hold = async |bytes| held.try_grow(bytes);
     let collected =
         web::collect_held_chunks(next_chunk, MAX_UNSIZED_BYTES, Some(job.deadline), try_hold).await;
     let line = |event| job.log_line(event).with("upstream", host);
-    match collected {
+    match &collected {
         Err(web::ReadError::Oversized(bytes)) => line("body_oversized")
             .with("bytes", bytes)
             .with("bound", MAX_UNSIZED_BYTES)
@@ -48,7 +48,7 @@
             let line = line("body_without_room").with("bytes", bytes);
             line.with("held", held).with("bound", bound).warn();
         }
-        Ok(_) | Err(web::ReadError::TimedOut | web::ReadError::Broken) => {}
+        Ok(_) | Err(web::ReadError::TimedOut | web::ReadError::Broken(_)) => {}
     }
     let bytes = collected.ok()?;
     Some(HeldBody { bytes, held })
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod body;
 mod caller;
+mod callers;
 mod charge;
 mod crashes;
 mod engine_pool;
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -28,6 +28,9 @@
     "connection_error",
     "protocol_error",
     "closed",
+    "closed_for_others",
+    "head_overdue",
+    "answer_untaken",
     "process_exit",
 ];
 /// Causes of a request that was cut: by its answer, or else by its connection.
@@ -44,11 +47,15 @@
     "connection_error",
     "protocol_error",
     "closed",
+    "closed_for_others",
+    "head_overdue",
+    "answer_untaken",
 ];
 /// Reasons of the entry's own replies.
 const REASONS: &[&str] = &[
     "head",
     "body",
+    "body_late",
     "no_room",
     "unconfigured",
     "no_route",
@@ -201,6 +208,7 @@
     pub(crate) answers_cut: CounterSet,
     pub(crate) answers_unproven: CounterSet,
     pub(crate) connections_cut: CounterSet,
+    pub(crate) callers_closed: CounterSet,
     pub(crate) calls_withheld: CounterSet,
     pub(crate) host_notices: CounterSet,
     pub(crate) crashes: Counter,
@@ -258,6 +266,11 @@
             answers_cut: set(&metric::ANSWERS_CUT, "cause", CUT_CAUSES),
             answers_unproven: set(&metric::ANSWERS_UNPROVEN, "fault", RESPONSE_FAULTS),
             connections_cut: set(&metric::CONNECTIONS_CUT, "cause", CONNECTION_CAUSES),
+            callers_closed: set(
+                &metric::CALLERS_CLOSED,
+                "cause",
+                &["connections", "memory", "body_refused", "refused"],
+            ),
             calls_withheld: set(
                 &metric::CALLS_WITHHELD,
                 "why",
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -231,6 +231,11 @@
     "Callers' connections that ended before the answer to a request, by cause.",
 )
 .renamed("connections_cut");
+pub(crate) const CALLERS_CLOSED: Metric = Metric::new(
+    "hornbeampitch_callers_closed_total",
+    Unit::Count,
+    "Callers' connections that were closed or not taken because callers held too much, by cause.",
+);
 pub(crate) const CALLS_WITHHELD: Metric = Metric::new(
     "hornbeampitch_calls_withheld_total",
     Unit::Count,
--- a/crates/direct/src/request_body.rs
+++ b/crates/direct/src/request_body.rs
@@ -3,18 +3,14 @@
 //! Answers bursts of large bodies: those that don't fit are refused before they are read, so
 //! that the process goes on with the others.
 
+use crate::entry::Entry;
 use crate::held_bytes::HeldBody;
-use crate::held_bytes::MemoryAccount;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body;
 use hyper::body::Body as _;
-use std::rc;
 use std::time;
 
-/// How long a body of an announced length waits for room. Its caller may give up on an entry
-/// that reads nothing for a second.
-const MAX_ROOM_WAIT: time::Duration = time::Duration::from_millis(250);
 /// Delay after which a caller should retry whose body did not fit.
 pub(crate) const ROOM_RETRY_DELAY: time::Duration = time::Duration::from_millis(400);
 
@@ -27,6 +23,18 @@
     Broken,
     /// The process can't hold it now.
     NoRoom,
+    /// It did not arrive in the time that its caller waits, or the caller paused for too long.
+    Late,
+}
+
+/// What a caller may send, and how long it may take.
+pub(crate) struct UploadLimits {
+    /// Longest body in bytes.
+    pub(crate) bytes: usize,
+    /// Longest pause between two pieces of the body.
+    pub(crate) pause: time::Duration,
+    /// When the caller no longer waits for an answer, if it said so.
+    pub(crate) deadline: Option<time::Instant>,
 }
 
 impl BodyError {
@@ -35,44 +43,60 @@
         match self {
             BodyError::Oversized => (StatusCode::PAYLOAD_TOO_LARGE, "body"),
             BodyError::Broken => (StatusCode::BAD_REQUEST, "body"),
+            BodyError::Late => (StatusCode::REQUEST_TIMEOUT, "body_late"),
             BodyError::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no_room"),
         }
     }
 }
 
-/// Reads a body of up to `max_bytes` that fits into the account.
-pub(crate) async fn read(
+/// Reads a body within its limits that fits into the process's memory.
+pub(crate) async fn read<P: seam::Platform>(
     incoming: body::Incoming,
-    max_bytes: usize,
-    account: &rc::Rc<MemoryAccount>,
+    limits: &UploadLimits,
+    entry: &Entry<P>,
 ) -> Result<HeldBody, BodyError> {
-    let mut held = account.hold();
+    let mut held = entry.memory.hold();
     if let Some(length) = incoming.size_hint().exact() {
         let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > max_bytes {
+        if length > limits.bytes {
             return Err(BodyError::Oversized);
         }
         // Nothing has been read, so that waiting takes no memory.
-        if !held.grow(length, MAX_ROOM_WAIT).await {
+        if !entry.callers.hold(&mut held, length).await {
             return Err(BodyError::NoRoom);
         }
     }
     let mut incoming = incoming;
     let next_chunk = async || {
-        loop {
-            match incoming.frame().await?.map(body::Frame::into_data) {
-                Ok(Ok(bytes)) => return Some(Ok(bytes)),
-                // Trailers are skipped.
-                Ok(Err(_)) => {}
-                Err(error) => return Some(Err(error)),
-            }
+        let pause_end = time::Instant::now() + limits.pause;
+        let end = limits.deadline.map_or(pause_end, |d| d.min(pause_end));
+        let next = tokio::time::timeout_at(end.into(), next_data(&mut incoming)).await;
+        match next {
+            Ok(chunk) => chunk.map(|c| c.map_err(|_| BodyError::Broken)),
+            Err(_) => Some(Err(BodyError::Late)),
         }
     };
-    let collected = web::collect_held_chunks(next_chunk, max_bytes, None, |b| held.try_grow(b));
+    let try_hold = async |bytes| {
+        let capacity = web::collected_capacity(bytes);
+        entry.callers.hold(&mut held, capacity).await
+    };
+    let collected = web::collect_held_chunks(next_chunk, limits.bytes, None, try_hold);
     let bytes = collected.await.map_err(|error| match error {
         web::ReadError::Oversized(_) => BodyError::Oversized,
         web::ReadError::NoRoom(_) => BodyError::NoRoom,
-        web::ReadError::Broken | web::ReadError::TimedOut => BodyError::Broken,
+        web::ReadError::Broken(error) => error,
+        web::ReadError::TimedOut => BodyError::Late,
     })?;
     Ok(HeldBody { bytes, held })
 }
+
+/// Returns the next bytes of a body; trailers are skipped.
+async fn next_data(incoming: &mut body::Incoming) -> Option<hyper::Result<bytes::Bytes>> {
+    loop {
+        match incoming.frame().await?.map(body::Frame::into_data) {
+            Ok(Ok(bytes)) => return Some(Ok(bytes)),
+            Ok(Err(_)) => {}
+            Err(error) => return Some(Err(error)),
+        }
+    }
+}
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -46,10 +46,20 @@
     let settings = entry.settings.clone();
     let (closing, closed) = watch::channel(false);
     let listener = listen(settings.listen)?;
-    tokio::task::spawn_local(accept(entry.clone(), listener, closed.clone()));
+    tokio::task::spawn_local(accept(
+        entry.clone(),
+        listener,
+        ListenerKind::Callers,
+        closed.clone(),
+    ));
     if let Some(ready) = settings.readiness_listen {
         let listener = listen(ready)?;
-        tokio::task::spawn_local(accept(entry.clone(), listener, closed.clone()));
+        tokio::task::spawn_local(accept(
+            entry.clone(),
+            listener,
+            ListenerKind::Probes,
+            closed.clone(),
+        ));
     }
     if let Some(handle) = metrics_handle {
         tokio::task::spawn_local(keep_metrics(handle.clone()));
@@ -81,9 +91,40 @@
     socket.listen(BACKLOG)
 }
 
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListenerKind {
+    Callers,
+    /// The platform, which asks whether the entry is ready.
+    Probes,
+}
+
+/// Serves a new connection, if there is room for it.
+async fn serve_connection<P: seam::Platform>(
+    entry: rc::Rc<Entry<P>>,
+    stream: aio::TcpStream,
+    kind: ListenerKind,
+    closed: watch::Receiver<bool>,
+) {
+    let slot = match kind {
+        ListenerKind::Probes => None,
+        ListenerKind::Callers => {
+            let config = entry.active_config();
+            let limits = config.map_or(seam::Limits::default(), |c| c.config.limits);
+            let slot = entry.callers.admit(limits.head_bytes).await;
+            if slot.is_none() {
+                return;
+            }
+            slot
+        }
+    };
+    caller::serve(entry, stream, slot, closed).await;
+}
+
 async fn accept<P: seam::Platform>(
     entry: rc::Rc<Entry<P>>,
     listener: aio::TcpListener,
+    kind: ListenerKind,
     mut closed: watch::Receiver<bool>,
 ) {
     loop {
@@ -98,7 +139,8 @@
                 // Disables Nagle's algorithm, which would delay small chunks of
                 // a stream.
                 let _ = stream.set_nodelay(true);
-                tokio::task::spawn_local(caller::serve(entry.clone(), stream, closed.clone()));
+                let served = serve_connection(entry.clone(), stream, kind, closed.clone());
+                tokio::task::spawn_local(served);
             }
             Err(error) => {
                 trace::LogLine::new("accept_failed")
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,8 +26,8 @@
     reads_member_list, shares_member_list, watch_timeout,
 };
 pub use limits::{
-    ByteBudget, Charge, ExcessUse, HeavyUse, RateLimiter, SlidingWindow, Tolerance, UsageReport,
-    UsedUnits,
+    Admission, ByteBudget, CallerId, CallerStage, CallerTable, Charge, Eviction, ExcessUse,
+    HeavyUse, RateLimiter, SlidingWindow, Tolerance, UsageReport, UsedUnits,
 };
 pub use peers::{
     ConfigFetch, ConfigVersion, Forwarding, GossipPaths, Heard, KnownPeer, RELAY_DELAY, RelayQueue,
--- a/crates/pool/src/limits/byte_budget.rs
+++ b/crates/pool/src/limits/byte_budget.rs
@@ -12,6 +12,10 @@
 /// A body up to this length is small.
 const SMALL_BYTES: usize = 64 * 1024;
 const BYTES_PER_MB: f64 = 1_000_000.0;
+/// Memory in megabytes that a process takes on a small host beside its bodies and connections.
+const PROCESS_MB: u64 = 36;
+/// Part of a host's memory that bodies may take at least, however small it is.
+const MIN_BODY_SHARE: f64 = 0.1;
 
 /// Account of the bytes that are held.
 #[derive(Clone, Debug)]
@@ -24,11 +28,13 @@
 impl ByteBudget {
     /// Creates the budget of a process with this memory, with nothing held.
     pub fn new(memory_mb: u64) -> Self {
-        let share = |part: f64| (memory_mb as f64 * BYTES_PER_MB * part) as usize;
+        let memory = memory_mb as f64;
+        let free = memory_mb.saturating_sub(PROCESS_MB) as f64;
+        let limit = (memory * BODY_SHARE).min(free.max(memory * MIN_BODY_SHARE)) * BYTES_PER_MB;
         Self {
             held: 0,
-            limit: share(BODY_SHARE),
-            large_limit: share(LARGE_SHARE),
+            limit: limit as usize,
+            large_limit: (limit * LARGE_SHARE / BODY_SHARE) as usize,
         }
     }
 
--- a/crates/pool/src/limits/mod.rs
+++ b/crates/pool/src/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Bounds on what organisations use and on what a process holds.
 
 pub(crate) mod byte_budget;
+pub(crate) mod caller_table;
 pub(crate) mod charge;
 pub(crate) mod heavy_use;
 pub(crate) mod rate_limiter;
@@ -10,6 +11,7 @@
 pub(crate) mod window;
 
 pub use byte_budget::ByteBudget;
+pub use caller_table::{Admission, CallerId, CallerStage, CallerTable, Eviction};
 pub use charge::{Charge, ExcessUse, Tolerance};
 pub use heavy_use::HeavyUse;
 pub use rate_limiter::RateLimiter;
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -58,11 +58,11 @@
 
 /// Why a body was not read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadError {
+pub enum ReadError<E> {
     /// The deadline passed.
     TimedOut,
-    /// The connection broke.
-    Broken,
+    /// A chunk could not be read.
+    Broken(E),
     /// The body is longer than its limit; at least this many bytes.
     Oversized(usize),
     /// The process can't hold so many bytes more now.
@@ -73,14 +73,22 @@
 /// again and again, and take twice its length each time.
 #[derive(Default)]
 struct Segments {
-    full: Vec<bytes::BytesMut>,
-    last: bytes::BytesMut,
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
     length: usize,
 }
 
 /// The size of a piece.
 const SEGMENT_BYTES: usize = 64 * 1024;
 
+/// Returns the memory in bytes that [`collect_chunks`] takes for so many bytes in all.
+pub fn collected_capacity(length: usize) -> usize {
+    match length <= SEGMENT_BYTES {
+        true => length.next_power_of_two(),
+        false => length.next_multiple_of(SEGMENT_BYTES),
+    }
+}
+
 impl Segments {
     fn add(&mut self, mut bytes: &[u8]) {
         self.length += bytes.len();
@@ -88,26 +96,35 @@
             if self.last.len() == SEGMENT_BYTES {
                 self.full.push(std::mem::take(&mut self.last));
             }
-            // A short body takes no more than it needs.
-            if !self.full.is_empty() && self.last.capacity() == 0 {
-                self.last.reserve(SEGMENT_BYTES);
-            }
             let (part, rest) = bytes.split_at(bytes.len().min(SEGMENT_BYTES - self.last.len()));
+            self.reserve(self.last.len() + part.len());
             self.last.extend_from_slice(part);
             bytes = rest;
         }
     }
 
+    /// Makes room for `length` bytes in the last piece; a short body takes little more than it
+    /// needs.
+    fn reserve(&mut self, length: usize) {
+        if length > self.last.capacity() {
+            let capacity = match self.full.is_empty() {
+                true => collected_capacity(length),
+                false => SEGMENT_BYTES,
+            };
+            self.last.reserve_exact(capacity - self.last.len());
+        }
+    }
+
     /// Returns all bytes in one piece.
     fn join(self) -> bytes::Bytes {
         if self.full.is_empty() {
-            return self.last.freeze();
+            return self.last.into();
         }
-        let mut all = bytes::BytesMut::with_capacity(self.length);
+        let mut all = Vec::with_capacity(self.length);
         for segment in self.full.into_iter().chain([self.last]) {
             all.extend_from_slice(&segment);
         }
-        all.freeze()
+        all.into()
     }
 }
 
@@ -121,8 +138,8 @@
     next_chunk: impl AsyncFnMut() -> Option<Result<bytes::Bytes, E>>,
     limit: usize,
     deadline: time::Instant,
-) -> Result<bytes::Bytes, ReadError> {
-    collect_held_chunks(next_chunk, limit, Some(deadline), |_| true).await
+) -> Result<bytes::Bytes, ReadError<E>> {
+    collect_held_chunks(next_chunk, limit, Some(deadline), async |_| true).await
 }
 
 /// Does the same as [`collect_chunks`], without a deadline if there is none, and asks `try_hold`
@@ -135,8 +152,8 @@
     mut next_chunk: impl AsyncFnMut() -> Option<Result<bytes::Bytes, E>>,
     limit: usize,
     deadline: Option<time::Instant>,
-    mut try_hold: impl FnMut(usize) -> bool,
-) -> Result<bytes::Bytes, ReadError> {
+    mut try_hold: impl AsyncFnMut(usize) -> bool,
+) -> Result<bytes::Bytes, ReadError<E>> {
     let mut collected = Segments::default();
     loop {
         let chunk = match deadline {
@@ -147,11 +164,11 @@
         };
         match chunk {
             None => return Ok(collected.join()),
-            Some(Err(_)) => return Err(ReadError::Broken),
+            Some(Err(error)) => return Err(ReadError::Broken(error)),
             Some(Ok(bytes)) if collected.length + bytes.len() > limit => {
                 return Err(ReadError::Oversized(collected.length + bytes.len()));
             }
-            Some(Ok(bytes)) if !try_hold(collected.length + bytes.len()) => {
+            Some(Ok(bytes)) if !try_hold(collected.length + bytes.len()).await => {
                 return Err(ReadError::NoRoom(collected.length + bytes.len()));
             }
             Some(Ok(bytes)) => collected.add(&bytes),
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,7 +11,7 @@
 mod server;
 
 pub use body::{Body, BodySender, ReadError};
-pub use body::{body_channel, collect_chunks, collect_held_chunks};
+pub use body::{body_channel, collect_chunks, collect_held_chunks, collected_capacity};
 pub use body::{discard_body, full_body, read_body};
 pub use client::{CONNECT_TIMEOUT, CallError, Client, FullBody};
 pub use client_response::{BodyError, ClientResponse};
