A stream runs on as many engines as its route's attempts allow, over all resumptions

Cause: failed attempts were counted against MAX_ATTEMPTS, anew for each resumption, and never against the route. Change: pool::RunLimit holds the engines at which a request may run. Those that refused it, or have ended or are cut off (which is asked once the attempts are used up), don't count. After that the stream waits for one of the engines that have it already, for as long as its caller.

--- a/crates/daemon/tests/continued_stream_tests.rs
+++ b/crates/daemon/tests/continued_stream_tests.rs
@@ -9,6 +9,7 @@
 use fake::tracks::event_text;
 use fake::tracks::names;
 use fake::tracks::stream_head;
+use std::collections;
 use std::path;
 
 /// Number of events in a stream.
@@ -207,3 +208,26 @@
     });
     assert_answers(scripts.collect(), Expected::Whole);
 }
+
+/// An engine whose answer was lost still works on it, so that each one counts against the
+/// route's attempts, also where the stream breaks off again and again.
+#[test]
+fn stream_that_breaks_off_again_runs_on_as_many_engines_as_its_route_allows() {
+    let scripts: Vec<StreamScript> = break_points()
+        .iter()
+        .map(|length| StreamScript {
+            first: broken_after(*length),
+            second: broken_after(*length),
+        })
+        .collect();
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let site = BreakingSite::start(program, "llm", &scripts, events());
+    site.request_all("resumable");
+    for number in 0..scripts.len() {
+        let log = site.log_of_request(number);
+        let runs = log.lines().filter(|l| l.contains("event=stream "));
+        let engines = runs.filter_map(|l| l.split(" upstream=").nth(1)?.split(' ').next());
+        let engines: collections::BTreeSet<&str> = engines.collect();
+        assert!(engines.len() <= 2, "{engines:?}: {log}");
+    }
+}
--- a/crates/direct/src/engine_pool.rs
+++ b/crates/direct/src/engine_pool.rs
@@ -43,6 +43,8 @@
     /// Lengths and speeds of the responses.
     pub(crate) responses: cell::RefCell<pool::ResponseModel>,
     pub(crate) queue: cell::RefCell<pool::WaitQueue>,
+    /// Engines of waiting streams that may run at no others.
+    restricted: cell::RefCell<collections::BTreeMap<pool::Ticket, Vec<Name>>>,
     /// Channels on which the waiting streams receive their offer.
     waiters: cell::RefCell<collections::BTreeMap<pool::Ticket, oneshot::Sender<Offer>>>,
     /// Zone of this entry, whose engines are preferred.
@@ -137,6 +139,7 @@
     fn drop(&mut self) {
         self.pool.queue.borrow_mut().remove(self.ticket);
         self.pool.waiters.borrow_mut().remove(&self.ticket);
+        self.pool.restricted.borrow_mut().remove(&self.ticket);
     }
 }
 
@@ -223,6 +226,7 @@
             prefill_pool: cell::RefCell::new(pool::PrefillPool::new(notices.clone())),
             responses: cell::RefCell::default(),
             queue: cell::RefCell::default(),
+            restricted: cell::RefCell::default(),
             waiters: cell::RefCell::default(),
             zone: cell::RefCell::new(Name::from("")),
             polling: cell::Cell::new(false),
@@ -230,18 +234,22 @@
         }
     }
 
-    /// Waits for a seat; returns `None` if the stream waited too long to be
-    /// served.
+    /// Waits for a seat, at one of `engines` if the stream may run at no others; returns
+    /// `None` if it waited too long to be served.
     pub(crate) async fn wait_for_seat(
         self: &rc::Rc<Self>,
         ticket: pool::Ticket,
         stream: pool::QueuedStream,
+        engines: Option<Vec<Name>>,
         zone: &Name,
     ) -> Option<Seat> {
         let (sender, receiver) = oneshot::channel();
         *self.zone.borrow_mut() = zone.clone();
         self.queue.borrow_mut().insert(ticket, stream);
         self.waiters.borrow_mut().insert(ticket, sender);
+        if let Some(engines) = engines {
+            self.restricted.borrow_mut().insert(ticket, engines);
+        }
         let queue_guard = QueueGuard {
             pool: self.clone(),
             ticket,
@@ -304,14 +312,16 @@
             }
             let random = || rand::rng().random_range(0.0..1.0);
             let decode_pool = self.decode_pool.borrow();
-            let picked = match stream.is_suspect {
-                true => decode_pool.pick_emptiest(stream.memory, now),
-                false => decode_pool.pick(stream.memory, &zone, random, now),
+            let restricted = self.restricted.borrow().get(&ticket).cloned();
+            let picked = match (&restricted, stream.is_suspect) {
+                (Some(engines), _) => decode_pool.pick_among(engines, stream.memory, now),
+                (None, true) => decode_pool.pick_emptiest(stream.memory, now),
+                (None, false) => decode_pool.pick(stream.memory, &zone, random, now),
             };
             drop(decode_pool);
             let engine = match picked {
                 Some(engine) => engine,
-                None if stream.allows_overtaking(now) => continue,
+                None if restricted.is_some() || stream.allows_overtaking(now) => continue,
                 None => return,
             };
             let seat = self.take_seat(engine, stream.memory, now);
--- a/crates/direct/src/retries.rs
+++ b/crates/direct/src/retries.rs
@@ -3,6 +3,7 @@
 use crate::entry::Entry;
 use crate::meters;
 use crate::stream::StreamRunner;
+use seam::Upstreams;
 use std::rc;
 use std::time;
 use world::Name;
@@ -78,11 +79,38 @@
         granted
     }
 
+    /// Returns the engines to which alone the request may be sent, as its route's attempts are
+    /// used up; none if it may be sent to any. Those at which it may run are asked whether they
+    /// are still there.
+    pub(crate) async fn remaining_engines(&mut self) -> Option<Vec<Name>> {
+        if self.runs.allows_another() {
+            return None;
+        }
+        for engine in self.runs.hosts().to_vec() {
+            let state = match self.entry.target(&engine) {
+                Some(target) => self.entry.upstreams.check_host(&target).await,
+                None => seam::HostState::Ended,
+            };
+            if state != seam::HostState::Responding {
+                self.runs.record_unrun(&engine);
+            }
+        }
+        if self.runs.allows_another() {
+            return None;
+        }
+        let engines = self.runs.hosts().to_vec();
+        let line = self.job.log_line("attempts_used");
+        let line = line.with("attempts", self.job.route.max_attempts);
+        line.with("engines", engines.join(",")).info();
+        Some(engines)
+    }
+
     /// Returns whether there is a retry, and another engine that may take it.
     pub(crate) fn can_retry(&self) -> bool {
         let has_retry =
             self.spare.is_some() || SpareRetry::reserve(&self.entry, &self.job.service).is_some();
-        has_retry && self.pool.decode_pool.borrow().engine_count() > 1
+        let has_attempt = self.runs.allows_another();
+        has_retry && has_attempt && self.pool.decode_pool.borrow().engine_count() > 1
     }
 
     fn take_retry(&self) -> bool {
--- a/crates/direct/src/send.rs
+++ b/crates/direct/src/send.rs
@@ -44,6 +44,9 @@
         error: seam::SendError,
     ) -> StartError {
         let now = time::Instant::now();
+        if !error.may_have_run {
+            self.runs.record_unrun(&target.id);
+        }
         if !error.cause.may_have_arrived() {
             self.arrivals.withdraw();
         }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -111,6 +111,8 @@
     pub(crate) silent_kept: rc::Rc<cell::Cell<bool>>,
     /// Engines that were sent the request, or its prompt.
     pub(crate) sent_to: Vec<Name>,
+    /// Engines at which the request may run.
+    pub(crate) runs: pool::RunLimit,
     /// Whether an engine may have executed the request.
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
@@ -135,6 +137,7 @@
             .borrow_mut()
             .take_refusal(job.digest, job.arrived_at);
         Self {
+            runs: pool::RunLimit::new(job.route.max_attempts),
             partial: rc::Rc::new(cell::RefCell::new(entry.memory.hold())),
             entry,
             pool,
@@ -232,9 +235,10 @@
             queued_at: time::Instant::now(),
         };
         let (zone, queued_at) = (self.entry.settings.zone.clone(), queued.queued_at);
+        let engines = self.remaining_engines().await;
         let seat = tokio::select! {
             biased;
-            seat = self.pool.wait_for_seat(self.ticket, queued, &zone) => seat,
+            seat = self.pool.wait_for_seat(self.ticket, queued, engines, &zone) => seat,
             // A stream that may have begun can't be refused any more.
             () = self.pool.all_paused.notified(), if !self.may_have_run => None,
         };
@@ -276,6 +280,7 @@
             priority: None,
             is_repeat: self.record_sending(&target),
         };
+        self.runs.record_send(&engine);
         let sent_at = time::Instant::now();
         self.sent_at.set(Some(sent_at));
         let result = self.send(&target, &options).await;
@@ -288,6 +293,7 @@
             Err(error) => return Err(self.record_unsent(&target, error).await),
         };
         if response.not_executed {
+            self.runs.record_unrun(&engine);
             self.pool
                 .decode_pool
                 .borrow_mut()
--- a/crates/pool/src/engines/decode.rs
+++ b/crates/pool/src/engines/decode.rs
@@ -154,12 +154,25 @@
             let bonus = if same_zone { SAME_ZONE_BONUS } else { 0.0 };
             fill - bonus + RANDOM_SPREAD * random()
         };
-        self.pick_cheapest(need, cost, now)
+        self.pick_cheapest(need, cost, |_| true, now)
     }
 
     /// Picks the engine at which the fewest streams run, for a stream that may crash it.
     pub fn pick_emptiest(&self, need: MemoryForecast, now: time::Instant) -> Option<Name> {
-        self.pick_cheapest(need, |_, load| f64::from(load.streams), now)
+        let streams = |_: &Engine, load: EngineLoad| f64::from(load.streams);
+        self.pick_cheapest(need, streams, |_| true, now)
+    }
+
+    /// Picks the engine at which the fewest streams run among these, for a stream that may
+    /// run at no other.
+    pub fn pick_among(
+        &self,
+        ids: &[Name],
+        need: MemoryForecast,
+        now: time::Instant,
+    ) -> Option<Name> {
+        let streams = |_: &Engine, load: EngineLoad| f64::from(load.streams);
+        self.pick_cheapest(need, streams, |id| ids.contains(id), now)
     }
 
     /// Picks the usable engine with the lowest cost among those with room.
@@ -167,6 +180,7 @@
         &self,
         need: MemoryForecast,
         mut cost: impl FnMut(&Engine, EngineLoad) -> f64,
+        accepts: impl Fn(&Name) -> bool,
         now: time::Instant,
     ) -> Option<Name> {
         let (peer_loads, backed_off) =
@@ -176,7 +190,7 @@
             .engines
             .iter()
             .filter(|(id, e)| e.is_usable(now) && !backed_off.contains(&***id))
-            .filter(|(id, _)| notices.allows(id, now))
+            .filter(|(id, _)| accepts(id) && notices.allows(id, now))
             .filter_map(|(id, e)| {
                 let load = e.own_load + peer_loads.get(&**id).copied().unwrap_or_default();
                 let peak = (load.memory + need).peak();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -12,7 +12,9 @@
 mod peers;
 mod queue;
 
-pub use balance::{Arrivals, AttemptEnd, CallAttempts, HostBalancer, HostFailures, RetryBudget};
+pub use balance::{
+    Arrivals, AttemptEnd, CallAttempts, HostBalancer, HostFailures, RetryBudget, RunLimit,
+};
 pub use crashes::{CrashId, CrashQuarantine, CrashReport, CrashedRun, Element, ElementSet};
 pub use crashes::{Progress, Standing, Verdict, VerdictChanges, VerdictReport};
 pub use engines::{
