Evacuated zones and the pace of hosts that are cold, new or back

Cause: nothing in the product knew an evacuation or a cold host; cold_left_ms was dropped by the adapter.

Change, in effect only where settings or configuration ask for it: - bounds.evacuate_ms: op/ is watched in place of op/config, so that evacuations cost no call but one list at a start. pool::Evacuations holds what is known as complete up to a revision; the newer report of store and peers holds as a whole. Work for hosts of the zone is withheld at the gate of all calls and left out of the pools; what runs there ends there. An entry is ready once it knows. - cold_per_s of a service: pool::HostPaces keeps the declared rate over all entries by three senders for each host, with fixed parts that hold where entries disagree on who is there. - routes of a service with different priorities, or cold hosts: a host that has started or was unreachable has one window of requests in flight for all entries, widened by each good answer and halved by refusals, slow answers and failed connections; parts by an order that changes.

--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -40,6 +40,8 @@
     pub(crate) config: cell::RefCell<Option<rc::Rc<ActiveConfig>>>,
     /// Idle limit of callers' connections, which wakes those that wait when it changes.
     pub(crate) idle_limit: sync::watch::Sender<time::Duration>,
+    /// The zones that are evacuated.
+    pub(crate) evacuations: cell::RefCell<pool::Evacuations>,
     /// The upstream hosts, decoded from the membership list.
     pub(crate) host_list: cell::RefCell<pool::HostList>,
     /// Revision of the last list that was ignored as older than the known one.
@@ -152,6 +154,7 @@
             peer_client,
             config: cell::RefCell::default(),
             idle_limit: sync::watch::Sender::new(seam::Limits::default().idle_timeout),
+            evacuations: cell::RefCell::default(),
             host_list: cell::RefCell::default(),
             outdated_list: cell::Cell::default(),
             odd_records: cell::RefCell::default(),
@@ -191,7 +194,7 @@
     /// Returns whether callers' requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let loaded = self.config.borrow().is_some() && self.member_list.borrow().is_some();
-        loaded && !self.is_stopping()
+        loaded && self.knows_evacuations() && !self.is_stopping()
     }
 
     /// Returns the configuration in force.
@@ -245,6 +248,7 @@
         let idle_limit = config.limits.idle_timeout;
         self.idle_limit
             .send_if_modified(|l| std::mem::replace(l, idle_limit) != idle_limit);
+        self.set_paces(&config);
         *self.config.borrow_mut() = Some(rc::Rc::new(ActiveConfig {
             config,
             raw,
@@ -286,15 +290,21 @@
         let host_list = self.host_list.borrow();
         let accepting = host_list
             .ready(service)
-            .filter(|m| !self.notices.borrow().is_leaving(&m.id) && !self.is_changing_role(m));
+            .filter(|m| self.may_get_work(&m.id) && !self.is_changing_role(m));
         self.pools.update(service, spec, accepting, self.position());
     }
 
+    /// Returns whether a host is neither leaving nor in an evacuated zone.
+    pub(crate) fn may_get_work(&self, id: &Name) -> bool {
+        let notices = self.notices.borrow();
+        !notices.is_leaving(id) && !notices.is_evacuated(id)
+    }
+
     /// Updates a plain service with the hosts that accept requests.
     fn update_hosts(&self, service: &Name) {
         let host_list = self.host_list.borrow();
         let ready = host_list.ready(service);
-        let accepting = ready.filter(|m| !self.notices.borrow().is_leaving(&m.id));
+        let accepting = ready.filter(|m| self.may_get_work(&m.id));
         self.plain_services.update(service, accepting);
     }
 
--- a/crates/direct/src/gate.rs
+++ b/crates/direct/src/gate.rs
@@ -10,6 +10,97 @@
 /// is lost until it starts again.
 const USUAL_PAUSE: time::Duration = time::Duration::from_secs(60);
 
+/// An outcome of a call that shows how its host answered.
+trait Answered {
+    /// Whether the time that the call takes shows how fast the host is.
+    const IS_RUN: bool = false;
+
+    fn quality(&self) -> pool::AnswerQuality {
+        pool::AnswerQuality::Unclear
+    }
+}
+
+impl Answered for () {}
+impl Answered for seam::HostState {}
+impl Answered for seam::OrderOutcome {}
+impl Answered for Option<seam::EngineStatus> {}
+
+impl<B> Answered for Result<seam::Response<B>, seam::SendError> {
+    const IS_RUN: bool = true;
+
+    fn quality(&self) -> pool::AnswerQuality {
+        match self {
+            Ok(response) if response.not_executed => pool::AnswerQuality::Refused,
+            Ok(response) if response.status.is_server_error() => pool::AnswerQuality::Unclear,
+            Ok(_) => pool::AnswerQuality::Good,
+            Err(error) => failure_quality(error.cause),
+        }
+    }
+}
+
+impl Answered for seam::ReserveOutcome {
+    fn quality(&self) -> pool::AnswerQuality {
+        match self {
+            seam::ReserveOutcome::Granted(_) => pool::AnswerQuality::Good,
+            seam::ReserveOutcome::Full => pool::AnswerQuality::Refused,
+            seam::ReserveOutcome::Failed(cause) => failure_quality(*cause),
+        }
+    }
+}
+
+impl Answered for seam::PrefillOutcome {
+    fn quality(&self) -> pool::AnswerQuality {
+        match self {
+            seam::PrefillOutcome::Ready(_) => pool::AnswerQuality::Good,
+            seam::PrefillOutcome::Refused => pool::AnswerQuality::Refused,
+            seam::PrefillOutcome::Failed(cause) => failure_quality(*cause),
+        }
+    }
+}
+
+fn failure_quality(cause: seam::FailureCause) -> pool::AnswerQuality {
+    match cause {
+        seam::FailureCause::ConnectFailed => pool::AnswerQuality::Unreachable,
+        _ => pool::AnswerQuality::Unclear,
+    }
+}
+
+/// A request at a host, which counts as in flight until this is dropped.
+struct PendingAnswer {
+    notices: pool::SharedNotices,
+    host: pool::Incarnation,
+    sent_at: time::Instant,
+    quality: pool::AnswerQuality,
+    took: Option<time::Duration>,
+}
+
+impl PendingAnswer {
+    fn start(notices: pool::SharedNotices, host: pool::Incarnation) -> Self {
+        let now = time::Instant::now();
+        notices.borrow_mut().paces.record_send(&host, now);
+        Self {
+            notices,
+            host,
+            sent_at: now,
+            quality: pool::AnswerQuality::Unclear,
+            took: None,
+        }
+    }
+
+    fn end(&mut self, quality: pool::AnswerQuality, is_run: bool) {
+        self.quality = quality;
+        self.took = is_run.then(|| self.sent_at.elapsed());
+    }
+}
+
+impl Drop for PendingAnswer {
+    fn drop(&mut self) {
+        let now = time::Instant::now();
+        let mut notices = self.notices.borrow_mut();
+        notices.record_answer(&self.host, self.quality, self.took, now);
+    }
+}
+
 /// A client of upstream hosts that heeds what they say of themselves in their answers. All
 /// calls of an entry go through it, so that none reaches a host against its notice.
 pub(crate) struct HostGate<U> {
@@ -23,7 +114,7 @@
     }
 
     /// Makes a call unless the host does not want it; returns `None` then.
-    async fn pass<T>(
+    async fn pass<T: Answered>(
         &self,
         target: &seam::Target,
         kind: pool::CallKind,
@@ -48,8 +139,16 @@
                 return None;
             }
         };
+        let mut answer = (kind != pool::CallKind::Control).then(|| {
+            let host = host.clone();
+            PendingAnswer::start(self.notices.clone(), host)
+        });
         let result = call.await;
         self.apply_notices();
+        if let Some(answer) = &mut answer {
+            let is_run = kind == pool::CallKind::Work && T::IS_RUN;
+            answer.end(result.quality(), is_run);
+        }
         self.notices.borrow_mut().end_call(&host, permit);
         Some(result)
     }
@@ -73,6 +172,8 @@
         pool::Withheld::Leaving => "leaving",
         pool::Withheld::Paused => "paused",
         pool::Withheld::Probed => "probed",
+        pool::Withheld::Evacuated => "evacuated",
+        pool::Withheld::Cold => "cold",
     }
 }
 
@@ -117,7 +218,11 @@
         deadline: time::Instant,
     ) -> Result<seam::Response<U::Body>, seam::SendError> {
         let call = self.upstreams.send(target, request, options, deadline);
-        let sent = self.pass(target, pool::CallKind::Work, call).await;
+        let kind = match options.reservation.is_some() {
+            true => pool::CallKind::Granted,
+            false => pool::CallKind::Work,
+        };
+        let sent = self.pass(target, kind, call).await;
         sent.unwrap_or(Err(seam::SendError {
             may_have_run: false,
             cause: seam::FailureCause::Withheld,
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -75,6 +75,14 @@
     #[serde(default)]
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) leaving: Vec<pool::Incarnation>,
+    /// The evacuated zones, where there may be any.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) evacuations: Option<pool::EvacuationReport>,
+    /// Hosts that get less than their full share of work.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) paces: Vec<pool::PaceReport>,
     /// Engines that are changing their role, with the new role and the milliseconds
     /// after which it is no longer expected.
     #[serde(rename = "shifts")]
@@ -134,6 +142,8 @@
             is_holder: self.is_holder.get(),
             crash_update: self.crash_update(full, now),
             leaving: self.notices.borrow().own_leaving(now),
+            evacuations: self.evacuations.borrow().report().cloned(),
+            paces: self.notices.borrow().paces.reports(),
             role_changes: self.remaining_role_changes(now),
             ..GossipMessage::default()
         };
@@ -251,6 +261,16 @@
         self.apply_crash_update(&message.crash_update, &peer, sent_at);
         self.apply_role_changes(&message, heard);
         self.apply_leaving(&message, now);
+        if let Some(report) = message
+            .evacuations
+            .clone()
+            .filter(|_| self.has_evacuations())
+        {
+            self.apply_evacuations(report, &peer);
+        }
+        let mut notices = self.notices.borrow_mut();
+        notices.apply_paces(&peer, &message.paces, heard);
+        drop(notices);
         self.record_peer(&peer, message, heard);
         true
     }
--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -208,6 +208,8 @@
     pub(crate) answers_cut: CounterSet,
     pub(crate) answers_unproven: CounterSet,
     pub(crate) connections_cut: CounterSet,
+    pub(crate) evacuated_zones: Gauge,
+    pub(crate) paced_hosts: Gauge,
     pub(crate) callers_closed: CounterSet,
     pub(crate) calls_withheld: CounterSet,
     pub(crate) host_notices: CounterSet,
@@ -266,6 +268,8 @@
             answers_cut: set(&metric::ANSWERS_CUT, "cause", CUT_CAUSES),
             answers_unproven: set(&metric::ANSWERS_UNPROVEN, "fault", RESPONSE_FAULTS),
             connections_cut: set(&metric::CONNECTIONS_CUT, "cause", CONNECTION_CAUSES),
+            evacuated_zones: metric::EVACUATED_ZONES.gauge(&[]),
+            paced_hosts: metric::PACED_HOSTS.gauge(&[]),
             callers_closed: set(
                 &metric::CALLERS_CLOSED,
                 "cause",
@@ -274,7 +278,7 @@
             calls_withheld: set(
                 &metric::CALLS_WITHHELD,
                 "why",
-                &["leaving", "paused", "probed"],
+                &["leaving", "paused", "probed", "evacuated", "cold"],
             ),
             host_notices: set(&metric::HOST_NOTICES, "kind", &["leaving", "pause"]),
             crashes: metric::CRASHES.counter(&[]),
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -231,6 +231,21 @@
     "Callers' connections that ended before the answer to a request, by cause.",
 )
 .renamed("connections_cut");
+pub(crate) const EVACUATED_ZONES: Metric = Metric::new(
+    "hornbeampitch_evacuated_zones",
+    Unit::Count,
+    "Availability zones whose hosts get no new work, as the operator asks.",
+);
+pub(crate) const EVACUATED_RUNNING: Metric = Metric::new(
+    "hornbeampitch_evacuated_running",
+    Unit::Count,
+    "This entry's streams and calls that still run in an evacuated zone, by zone.",
+);
+pub(crate) const PACED_HOSTS: Metric = Metric::new(
+    "hornbeampitch_paced_hosts",
+    Unit::Count,
+    "Upstream hosts that get less than their full share of work, as they are cold or came back.",
+);
 pub(crate) const CALLERS_CLOSED: Metric = Metric::new(
     "hornbeampitch_callers_closed_total",
     Unit::Count,
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -181,6 +181,7 @@
             let mut rate_limiter = entry.rate_limiter.borrow_mut();
             rate_limiter.set_peers(peers.keys(), now);
             drop((rate_limiter, peers));
+            entry.update_paces();
             verdict_store::apply_stored(&entry, &page);
         }
         tokio::time::sleep(pool::discovery_interval(entry.reader_position())).await;
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -209,7 +209,7 @@
     let ready = host_list.ready(service);
     let notices = entry.notices.borrow();
     ready
-        .filter(|m| !notices.is_leaving(&m.id))
+        .filter(|m| !notices.is_leaving(&m.id) && !notices.is_evacuated(&m.id))
         .filter_map(|m| {
             let listed_role = m.role?;
             let change = role_changes.get(&m.id).filter(|(_, until)| *until > now);
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -159,6 +159,8 @@
         entry.peer_client.prune_idle();
         entry.pools.report_usage();
         entry.update_pools();
+        entry.update_paces();
+        entry.report_evacuations();
     }
 }
 
--- a/crates/direct/src/store_sync.rs
+++ b/crates/direct/src/store_sync.rs
@@ -36,6 +36,10 @@
                 continue;
             }
         };
+        if let Err(error) = entry.read_evacuations().await {
+            retry.wait_after_failure(error).await;
+            continue;
+        }
         retry.reset();
         let Some(after) = after else {
             tokio::time::sleep(FIRST_RETRY_DELAY).await;
@@ -56,9 +60,14 @@
     let mut after = after;
     loop {
         let wait = pool::watch_timeout(entry.reader_position());
-        match entry.store.watch(P::CONFIG_KEY, after, wait).await? {
+        let prefix = match entry.has_evacuations() {
+            true => P::OPERATOR_PREFIX,
+            false => P::CONFIG_KEY,
+        };
+        match entry.store.watch(prefix, after, wait).await? {
             seam::WatchResult::Compacted => return Ok(()),
             seam::WatchResult::Changes(items, revision) => {
+                entry.watch_evacuations(&items, revision);
                 // A watch tells of all keys that begin with the one that is watched.
                 for item in items.into_iter().filter(|i| i.key == P::CONFIG_KEY) {
                     apply_item(entry, item, "watch");
--- a/crates/pool/benches/placing.rs
+++ b/crates/pool/benches/placing.rs
@@ -32,6 +32,7 @@
             0 => seam::Role::Prefill,
             _ => seam::Role::Decode,
         }),
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     };
     (0..count).map(engine).collect()
--- a/crates/pool/src/balance/host_balancer.rs
+++ b/crates/pool/src/balance/host_balancer.rs
@@ -103,7 +103,8 @@
             let calls = h.own_calls.saturating_add(by_peers);
             let same_zone = h.zone.as_deref() == Some(zone);
             let failures = (h.failure_rate - USUAL_FAILURE_RATE).max(0.0) * FAILURE_COST;
-            let avoid = h.full_until.is_some_and(|f| f > now) || backed_off.contains(&**id);
+            let is_full = h.full_until.is_some_and(|f| f > now) || notices.is_filled(id, now);
+            let avoid = is_full || backed_off.contains(&**id);
             let load = f64::from(calls) / f64::from(h.slots);
             (
                 avoid,
--- a/crates/pool/src/engines/prefill.rs
+++ b/crates/pool/src/engines/prefill.rs
@@ -139,7 +139,7 @@
             .engines
             .iter()
             .filter(|(id, e)| e.ready && !backed_off.contains(&***id))
-            .filter(|(id, _)| notices.allows(id, now))
+            .filter(|(id, _)| notices.allows(id, now) && !notices.is_filled(id, now))
             .map(|(id, e)| {
                 let by_peers = peer_backlogs.get(&**id).copied().unwrap_or_default();
                 let backlog = e.own_backlog.saturating_add(by_peers);
--- a/crates/pool/src/hosts/host_notices.rs
+++ b/crates/pool/src/hosts/host_notices.rs
@@ -7,6 +7,16 @@
 //! a host wants no call, a single call tests whether it takes calls again, so that not all
 //! that wait return together.
 
+use crate::hosts::host_pace::AnswerQuality;
+use crate::hosts::host_pace::ColdRate;
+use crate::hosts::notice_types::CallKind;
+use crate::hosts::notice_types::Incarnation;
+use crate::hosts::notice_types::NoticeEffect;
+use crate::hosts::notice_types::Permit;
+use crate::hosts::notice_types::Withheld;
+use crate::hosts::pace::HostPaces;
+use crate::hosts::pace::PaceReport;
+use crate::peers::heard::Heard;
 use std::cell;
 use std::collections;
 use std::hash;
@@ -36,77 +46,19 @@
 /// The notices as the pools of an entry share them.
 pub type SharedNotices = rc::Rc<cell::RefCell<HostNotices>>;
 
-/// One process of an upstream host, from its start to its end.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct Incarnation {
-    /// Id of the host.
-    pub id: Name,
-    /// Start time in Unix milliseconds.
-    pub started_ms: u64,
-}
-
-impl From<&seam::Target> for Incarnation {
-    fn from(target: &seam::Target) -> Self {
-        Self {
-            id: target.id.clone(),
-            started_ms: target.started_ms,
-        }
-    }
-}
-
-/// What a call asks of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum CallKind {
-    /// New work, which a leaving host must not get.
-    #[display("work")]
-    Work,
-    /// A report, a check, or the release of what the host holds.
-    #[display("control")]
-    Control,
-}
-
-/// Why a call must not be made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
-pub enum Withheld {
-    /// The host is leaving.
-    #[display("leaving")]
-    Leaving,
-    /// The host wants no call yet.
-    #[display("paused")]
-    Paused,
-    /// Another call tests whether the host takes calls again.
-    #[display("probed")]
-    Probed,
-}
-
-/// Permission to make a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Permit {
-    /// Nothing speaks against the call.
-    Usual,
-    /// The call tests whether the host takes calls again. It is told from other tests by
-    /// the time at which it started.
-    Probe(time::Instant),
-}
-
-/// What a notice has changed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct NoticeEffect {
-    /// Whether it was not known yet that the host is leaving.
-    pub leaves: bool,
-    /// How long the host gets no call from the arrival of the notice on.
-    pub pause: Option<time::Duration>,
-}
-
 /// Notices of the upstream hosts of all services.
 #[derive(Clone, Debug, Default)]
 pub struct HostNotices {
     /// Name of this entry; without one, it returns to hosts at the end of their pauses.
     entry: Option<Name>,
-    /// Start times of the hosts in the membership list.
-    listed: collections::BTreeMap<Name, u64>,
+    /// The hosts in the membership list.
+    listed: collections::BTreeMap<Name, seam::Member>,
+    /// Zones that are evacuated.
+    evacuated: collections::BTreeSet<Name>,
+    /// What cold hosts tolerate, by service.
+    cold_rates: collections::BTreeMap<Name, ColdRate>,
+    /// Hosts that have less than their full share of work.
+    pub paces: HostPaces,
     leaving: collections::BTreeMap<Incarnation, Leaving>,
     pauses: collections::BTreeMap<Incarnation, Pause>,
 }
@@ -144,7 +96,7 @@
     /// Returns whether a call has tested whether the host takes work again. A host may
     /// answer a control call although it would refuse work.
     fn is_tested(&self) -> bool {
-        self.probe.is_some_and(|p| p.kind == CallKind::Work)
+        self.probe.is_some_and(|p| p.kind != CallKind::Control)
     }
 }
 
@@ -152,6 +104,7 @@
     /// Creates notices of an entry that shares its hosts with others.
     pub fn new(entry: Name) -> Self {
         Self {
+            paces: HostPaces::new(entry.clone()),
             entry: Some(entry),
             ..Self::default()
         }
@@ -164,18 +117,100 @@
         members: impl Iterator<Item = &'a seam::Member>,
         now: time::Instant,
     ) {
-        self.listed = members.map(|m| (m.id.clone(), m.started_ms)).collect();
+        let before = std::mem::take(&mut self.listed);
+        self.listed = members.map(|m| (m.id.clone(), m.clone())).collect();
+        self.update_paces(&before, now);
         let listed = &self.listed;
+        let is_listed = |host: &Incarnation| is_listed(listed, host);
         self.leaving.retain(|host, leaving| {
             let age = now.saturating_duration_since(leaving.known_at);
-            listed.get(&host.id) == Some(&host.started_ms) || age < LEAVING_EXPIRY
+            is_listed(host) || age < LEAVING_EXPIRY
         });
         self.pauses.retain(|host, pause| {
-            let is_listed = listed.get(&host.id) == Some(&host.started_ms);
-            pause.withheld(now).is_some() || (is_listed && !pause.is_tested())
+            pause.withheld(now).is_some() || (is_listed(host) && !pause.is_tested())
         });
     }
 
+    /// Sets the zones that are evacuated.
+    pub fn set_evacuated(&mut self, zones: collections::BTreeSet<Name>) {
+        self.evacuated = zones;
+    }
+
+    /// Returns whether the zone of a host in the membership list is evacuated.
+    pub fn is_evacuated(&self, id: &str) -> bool {
+        let member = self.listed.get(id);
+        member.is_some_and(|m| self.evacuated.contains(&m.zone))
+    }
+
+    /// Sets what cold hosts tolerate, by service.
+    pub fn set_cold_rates(&mut self, rates: collections::BTreeMap<Name, ColdRate>) {
+        self.cold_rates = rates;
+    }
+
+    /// Returns whether a host in the membership list has as much work from this entry as it
+    /// may have for now.
+    pub fn is_filled(&self, id: &Name, now: time::Instant) -> bool {
+        if self.paces.is_empty() {
+            return false;
+        }
+        let host = self.listed_incarnation(id);
+        host.is_some_and(|h| self.paces.is_filled(&h, now))
+    }
+
+    /// Records how a host answered new work.
+    pub fn record_answer(
+        &mut self,
+        host: &Incarnation,
+        quality: AnswerQuality,
+        took: Option<time::Duration>,
+        now: time::Instant,
+    ) {
+        let member = self.listed.get(&host.id);
+        let member = member.filter(|m| m.started_ms == host.started_ms);
+        self.paces.record_answer(host, member, quality, took, now);
+    }
+
+    /// Applies what a peer tells of paced hosts.
+    pub fn apply_paces(&mut self, peer: &Name, reports: &[PaceReport], heard: Heard) {
+        for report in reports {
+            let member = self.listed.get(&report.host.id);
+            let member = member.filter(|m| m.started_ms == report.host.started_ms);
+            if let Some(member) = member {
+                self.paces.apply_report(peer, report, member, heard);
+            }
+        }
+    }
+
+    /// Paces the hosts that are new in the list or cold, and forgets those that are gone.
+    fn update_paces(
+        &mut self,
+        before: &collections::BTreeMap<Name, seam::Member>,
+        now: time::Instant,
+    ) {
+        for member in self.listed.values() {
+            let host = Incarnation {
+                id: member.id.clone(),
+                started_ms: member.started_ms,
+            };
+            if !is_listed(before, &host) {
+                self.paces.record_new(&host, member, now);
+            }
+            let rate = self.cold_rates.get(&member.service);
+            if let Some(rate) = rate.filter(|_| !member.cold_left.is_zero()) {
+                let left = member.cold_left;
+                self.paces.record_cold(&host, member, left, *rate, now);
+            }
+        }
+        let listed = &self.listed;
+        self.paces.retain(|host| is_listed(listed, host), now);
+    }
+
+    /// Returns whether nothing keeps any host from getting work.
+    fn has_no_bounds(&self) -> bool {
+        let is_quiet = self.leaving.is_empty() && self.pauses.is_empty();
+        is_quiet && self.evacuated.is_empty() && self.paces.is_empty()
+    }
+
     /// Records a notice that this entry has received. A pause counts from its arrival, and
     /// does not shorten a longer one.
     pub fn record(&mut self, notice: &seam::HostNotice) -> NoticeEffect {
@@ -230,7 +265,7 @@
         let own = self.leaving.iter().filter(|(_, l)| l.is_own);
         let told = own.filter(|(host, leaving)| {
             let age = now.saturating_duration_since(leaving.known_at);
-            self.listed.get(&host.id) == Some(&host.started_ms) || age < TELL_TIME
+            is_listed(&self.listed, host) || age < TELL_TIME
         });
         told.map(|(host, _)| host.clone()).collect()
     }
@@ -243,7 +278,7 @@
 
     /// Returns whether a host in the membership list may be picked for new work.
     pub fn allows(&self, id: &Name, now: time::Instant) -> bool {
-        if self.leaving.is_empty() && self.pauses.is_empty() {
+        if self.has_no_bounds() {
             return true;
         }
         let host = self.listed_incarnation(id);
@@ -261,7 +296,7 @@
             return None;
         }
         let mut earliest: Option<time::Instant> = None;
-        for id in ids.filter(|id| !self.is_leaving(id)) {
+        for id in ids.filter(|id| !self.is_leaving(id) && !self.is_evacuated(id)) {
             let host = self.listed_incarnation(id)?;
             let until = self.pauses.get(&host)?.until;
             if until <= now {
@@ -344,15 +379,30 @@
     }
 
     fn withheld(&self, host: &Incarnation, kind: CallKind, now: time::Instant) -> Option<Withheld> {
-        if kind == CallKind::Work && self.leaving.contains_key(host) {
-            return Some(Withheld::Leaving);
+        if kind != CallKind::Control {
+            if self.leaving.contains_key(host) {
+                return Some(Withheld::Leaving);
+            }
+            if is_listed(&self.listed, host) && self.is_evacuated(&host.id) {
+                return Some(Withheld::Evacuated);
+            }
+        }
+        if kind == CallKind::Work && !self.paces.allows(host, now) {
+            return Some(Withheld::Cold);
         }
         self.pauses.get(host)?.withheld(now)
     }
 
     fn listed_incarnation(&self, id: &Name) -> Option<Incarnation> {
-        let started_ms = *self.listed.get(id)?;
+        let started_ms = self.listed.get(id)?.started_ms;
         let id = id.clone();
         Some(Incarnation { id, started_ms })
     }
 }
+
+/// Returns whether a list holds this process of a host.
+fn is_listed(listed: &collections::BTreeMap<Name, seam::Member>, host: &Incarnation) -> bool {
+    listed
+        .get(&host.id)
+        .is_some_and(|m| m.started_ms == host.started_ms)
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,11 +22,12 @@
     OrderLease, PrefillPool, ResponseModel, RoleBalancer, RoleCandidate, RoleChange,
     StreamProgress,
 };
-pub use hosts::{
-    CallKind, DEFAULT_PAUSE, HostList, HostNotices, Incarnation, MAX_PAUSE, NoticeEffect,
-    PROBE_TIMEOUT, Permit, Position, SharedNotices, Withheld, discovery_interval,
-    reads_member_list, shares_member_list, watch_timeout,
-};
+pub use hosts::{AnswerQuality, ColdRate, HostPaces, PaceEvent, PaceReport};
+pub use hosts::{CallKind, Incarnation, NoticeEffect, Permit, Withheld};
+pub use hosts::{DEFAULT_PAUSE, HostNotices, MAX_PAUSE, PROBE_TIMEOUT, SharedNotices};
+pub use hosts::{EvacuationChange, EvacuationReport, Evacuations, HostList};
+pub use hosts::{Position, discovery_interval};
+pub use hosts::{reads_member_list, shares_member_list, watch_timeout};
 pub use limits::{
     Admission, ByteBudget, CallerId, CallerStage, CallerTable, Charge, Eviction, ExcessUse,
     HeavyUse, RateLimiter, SlidingWindow, Tolerance, UsageReport, UsedUnits,
--- a/crates/pool/tests/forecast_tests.rs
+++ b/crates/pool/tests/forecast_tests.rs
@@ -28,6 +28,7 @@
         slots: 128,
         state: seam::MemberState::Ready,
         role: Some(seam::Role::Decode),
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     };
     let spec = seam::EngineSpec {
--- a/crates/pool/tests/host_history_tests.rs
+++ b/crates/pool/tests/host_history_tests.rs
@@ -60,6 +60,7 @@
         slots: 4,
         state: seam::MemberState::Ready,
         role: None,
+        cold_left: std::time::Duration::ZERO,
         started_ms,
     }
 }
--- a/crates/pool/tests/notice_tests.rs
+++ b/crates/pool/tests/notice_tests.rs
@@ -35,6 +35,7 @@
         slots: 8,
         state: seam::MemberState::Ready,
         role: None,
+        cold_left: std::time::Duration::ZERO,
         started_ms,
     }
 }
--- a/crates/pool/tests/number_tests.rs
+++ b/crates/pool/tests/number_tests.rs
@@ -16,6 +16,7 @@
         slots: 4,
         state: seam::MemberState::Ready,
         role: Some(role),
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     }
 }
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -45,6 +45,7 @@
         slots: 6,
         state: seam::MemberState::Ready,
         role,
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     }
 }
--- a/crates/pool/tests/prompt_history_tests.rs
+++ b/crates/pool/tests/prompt_history_tests.rs
@@ -22,6 +22,7 @@
         slots: 4,
         state: seam::MemberState::Ready,
         role: Some(seam::Role::Prefill),
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     }
 }
--- a/crates/pool/tests/restored_list_tests.rs
+++ b/crates/pool/tests/restored_list_tests.rs
@@ -59,6 +59,7 @@
         slots: 4,
         state,
         role: None,
+        cold_left: std::time::Duration::ZERO,
         started_ms,
     }
 }
--- a/crates/pool/tests/seat_history_tests.rs
+++ b/crates/pool/tests/seat_history_tests.rs
@@ -65,6 +65,7 @@
         slots: SLOTS,
         state: seam::MemberState::Ready,
         role: Some(seam::Role::Decode),
+        cold_left: std::time::Duration::ZERO,
         started_ms: 1,
     }
 }
--- a/crates/pool/tests/shared_host_tests.rs
+++ b/crates/pool/tests/shared_host_tests.rs
@@ -76,6 +76,7 @@
             slots: SLOTS as u32,
             state: seam::MemberState::Ready,
             role: None,
+            cold_left: std::time::Duration::ZERO,
             started_ms: 1,
         };
         let entries = (0..ENTRIES).map(|index| {
--- a/crates/seam/src/config.rs
+++ b/crates/seam/src/config.rs
@@ -80,6 +80,9 @@
     pub name: Name,
     /// Maximum number of connections that one host accepts from all clients together.
     pub max_connections: u32,
+    /// Requests a second that a cold host tolerates from all entries; `None` where hosts are
+    /// never cold.
+    pub cold_per_s: Option<f64>,
     /// Properties of the engines; `None` for a plain service, which has none.
     pub engine: Option<EngineSpec>,
 }
@@ -151,6 +154,22 @@
             .max_by_key(|r| r.path_prefix.len())
     }
 
+    /// Returns whether callers compete for hosts by the operator's will: routes of one service
+    /// differ in their priority, or hosts are cold for a time. The decisions on contention are
+    /// made only then; see docs/design/contention.md.
+    pub fn asks_for_sharing(&self) -> bool {
+        let has_cold_hosts = self.services.iter().any(|s| s.cold_per_s.is_some());
+        has_cold_hosts || self.services.iter().any(|s| self.has_ranks(&s.name))
+    }
+
+    /// Returns whether the routes of a service differ in their priority.
+    pub fn has_ranks(&self, service: &str) -> bool {
+        let sends = |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
+        let mut priorities = self.routes.iter().filter(sends).map(|r| r.priority);
+        let first = priorities.next();
+        priorities.any(|p| Some(p) != first)
+    }
+
     /// Returns the service with this name.
     pub fn find_service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|s| &*s.name == name)
--- a/crates/seam/src/lib.rs
+++ b/crates/seam/src/lib.rs
@@ -28,6 +28,8 @@
     ReserveOutcome, Response, ResponseFault, RoleOrder, SendError, SendOptions, Target, Upstreams,
 };
 
+use world::Name;
+
 /// The store, the upstream calls and the message formats of one platform.
 pub trait Platform: 'static {
     /// Client of the platform's metadata store.
@@ -37,6 +39,10 @@
 
     /// Store key of the current configuration.
     const CONFIG_KEY: &'static str;
+    /// Prefix of all store keys that operators write, with that of the configuration.
+    const OPERATOR_PREFIX: &'static str;
+    /// Prefix of the store keys of evacuated zones.
+    const EVACUATION_PREFIX: &'static str;
     /// Prefix of the store keys of upstream hosts.
     const MEMBER_PREFIX: &'static str;
 
@@ -50,6 +56,10 @@
     /// error text says what is wrong.
     fn decode_member(key: &str, raw: &[u8]) -> Result<Member, String>;
 
+    /// Decodes the store key of an evacuated zone into the zone's name. The error text says
+    /// what is wrong.
+    fn decode_evacuation(key: &str) -> Result<Name, String>;
+
     /// Decodes the head of a caller's request and leaves its body empty.
     fn decode_head(head: &http::request::Parts) -> Result<Request, HeadError>;
 
--- a/crates/seam/src/member.rs
+++ b/crates/seam/src/member.rs
@@ -1,6 +1,7 @@
 //! Upstream hosts as the platform's membership list describes them.
 
 use std::net;
+use std::time;
 use world::Name;
 
 /// One process of an upstream host, from its start to its end.
@@ -20,6 +21,8 @@
     pub state: MemberState,
     /// Role of an engine in its model service; `None` for plain services.
     pub role: Option<Role>,
+    /// How long the host stays cold: it tolerates few requests a second until then.
+    pub cold_left: time::Duration,
     /// Start time in Unix milliseconds; 0 where the host does not state it.
     pub started_ms: u64,
 }
--- a/crates/seam/src/settings.rs
+++ b/crates/seam/src/settings.rs
@@ -11,6 +11,8 @@
     pub host: Name,
     /// Availability zone of the host.
     pub zone: Name,
+    /// All availability zones, where they are given.
+    pub zones: Vec<Name>,
     /// IP address of the host.
     pub ip: net::IpAddr,
     /// Address to accept callers' connections on.
@@ -56,6 +58,14 @@
     pub lease_ttl: time::Duration,
     /// Interval at which upstream hosts renew their keys in the store.
     pub heartbeat_interval: time::Duration,
+    /// Factor and number by which the requests to a cold host within a second may pass what
+    /// it tolerates.
+    pub cold_overage: f64,
+    /// The number that is added after the factor.
+    pub cold_slack: f64,
+    /// Time after which the hosts of an evacuated zone must receive no more requests; `None`
+    /// where zones are not evacuated.
+    pub evacuation_timeout: Option<time::Duration>,
 }
 
 /// Resources of the host that a process may use.
