One order of streams over all entries, where routes of a service differ in priority

Change, only for services whose routes differ in priority: - pool::SharedOrder: entries tell each other what arrives, begins and waits, by priority. From it follow the memory that less urgent streams leave free (pool::kept_room: places for one large stream at a few engines that all entries find alike), the expected wait of a new stream, and the pace of returns. A stream that would wait for over half of its time is refused at once. Late streams leave room to those at peers that can still be on time. - WaitQueue puts urgency before lateness. Refused requests are told to the peers, so that a caller who comes back is known, and late, at every entry. - Requests at engines carry the route's priority; urgent streams need room now only. - Reservations ask for a 40th of the engine's memory besides, for what runs. - Several engines change their role at a time, before their speeds are known where four or more are wrong.

What binds is memory of decode engines; returning callers are refused again.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -69,6 +69,11 @@
 }
 
 impl Job {
+    /// Returns what identifies the request among those that were refused, here and at peers.
+    pub(crate) fn refusal_digest(&self) -> u64 {
+        self.digest.0 as u64
+    }
+
     /// Gives back what the organisation was charged, because the request has not run
     /// and won't.
     pub(crate) fn refund(&self, rate_limiter: &cell::RefCell<pool::RateLimiter>) {
@@ -317,8 +322,12 @@
             })?
         }
     };
-    let priority = tenant.and_then(|t| t.priority).unwrap_or(route.priority);
     let service = pick_service(route);
+    let priority = match (tenant.and_then(|t| t.priority), config.has_ranks(&service)) {
+        // The organisation's priority goes first, and the route's orders its own requests.
+        (own, true) => combined_priority(own.unwrap_or(route.priority), route.priority),
+        (own, false) => own.unwrap_or(route.priority),
+    };
     let timeout = route.timeout.saturating_sub(TIMEOUT_MARGIN);
     let wait = request.timeout.unwrap_or(timeout).min(timeout);
     let job = Job {
@@ -343,6 +352,12 @@
     Ok(job)
 }
 
+/// Returns one number that orders requests by the first priority, and by the second where the
+/// first is equal.
+fn combined_priority(first: u8, second: u8) -> u8 {
+    first.min(15) * 16 + second.min(15)
+}
+
 /// Picks a service at random, by the route's weights.
 fn pick_service(route: &seam::Route) -> Name {
     let total: u32 = route.weights.iter().map(|(_, w)| w).sum();
--- a/crates/direct/src/engine_pool.rs
+++ b/crates/direct/src/engine_pool.rs
@@ -43,6 +43,10 @@
     /// Lengths and speeds of the responses.
     pub(crate) responses: cell::RefCell<pool::ResponseModel>,
     pub(crate) queue: cell::RefCell<pool::WaitQueue>,
+    /// What waits at all entries, if they share one order of streams.
+    pub(crate) shared_order: cell::RefCell<Option<pool::SharedOrder>>,
+    /// When the room that is kept for urgent streams was last worked out.
+    pub(crate) kept_at: cell::Cell<Option<time::Instant>>,
     /// Engines of waiting streams that may run at no others.
     restricted: cell::RefCell<collections::BTreeMap<pool::Ticket, Vec<Name>>>,
     /// Channels on which the waiting streams receive their offer.
@@ -199,6 +203,7 @@
         spec: &seam::EngineSpec,
         engines: impl Iterator<Item = &'a seam::Member> + Clone,
         position: (usize, usize),
+        has_ranks: bool,
     ) {
         let pool = self
             .pools
@@ -207,6 +212,7 @@
             .or_insert_with(|| rc::Rc::new(EnginePool::new(spec.clone(), &self.notices)))
             .clone();
         *pool.spec.borrow_mut() = spec.clone();
+        pool.share_order(has_ranks);
         let mut decode_pool = pool.decode_pool.borrow_mut();
         decode_pool.set_engines(engines.clone(), spec);
         drop(decode_pool);
@@ -226,6 +232,8 @@
             prefill_pool: cell::RefCell::new(pool::PrefillPool::new(notices.clone())),
             responses: cell::RefCell::default(),
             queue: cell::RefCell::default(),
+            shared_order: cell::RefCell::default(),
+            kept_at: cell::Cell::new(None),
             restricted: cell::RefCell::default(),
             waiters: cell::RefCell::default(),
             zone: cell::RefCell::new(Name::from("")),
@@ -294,6 +302,7 @@
         for ticket in expired {
             self.offer(ticket, Offer::Expired);
         }
+        self.keep_room(now);
         let order = self.queue.borrow().ordered(now);
         let zone = self.zone.borrow().clone();
         for (ticket, stream) in order {
@@ -304,8 +313,12 @@
             if self.prefill_is_backlogged(now) {
                 return;
             }
+            if self.yields_to_peers(&stream, now) {
+                continue;
+            }
             if stream.is_late(now)
                 && !stream.is_retry
+                && !stream.is_urgent
                 && self.decode_pool.borrow().fill_ratio(now) > MAX_LATE_FILL
             {
                 continue;
@@ -316,6 +329,10 @@
             let picked = match (&restricted, stream.is_suspect) {
                 (Some(engines), _) => decode_pool.pick_among(engines, stream.memory, now),
                 (None, true) => decode_pool.pick_emptiest(stream.memory, now),
+                (None, false) if self.is_shared() => {
+                    let rank = (stream.priority, stream.is_urgent);
+                    decode_pool.pick_ranked(stream.memory, rank, &zone, random, now)
+                }
                 (None, false) => decode_pool.pick(stream.memory, &zone, random, now),
             };
             drop(decode_pool);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -71,7 +71,7 @@
     /// Asks for a message to the own zone ahead of time.
     pub(crate) relay_due: sync::Notify,
     /// Recently refused requests, to recognise their retries.
-    pub(crate) refusals: cell::RefCell<pool::RecentRefusals<route::Digest>>,
+    pub(crate) refusals: cell::RefCell<pool::RecentRefusals<u64>>,
     /// Demand of this entry's callers, by service.
     pub(crate) demand: cell::RefCell<collections::BTreeMap<Name, pool::Demand>>,
     pub(crate) role_changes: cell::RefCell<RoleChanges>,
@@ -242,6 +242,7 @@
             .with("from", from)
             .with("version", config.version)
             .with("routes", config.routes.len())
+            .with("priorities", config.tenant_priorities())
             .info();
         meters::meters().config_version.set(config.version as f64);
         self.config_fetch.borrow_mut().record_applied();
@@ -291,7 +292,11 @@
         let accepting = host_list
             .ready(service)
             .filter(|m| self.may_get_work(&m.id) && !self.is_changing_role(m));
-        self.pools.update(service, spec, accepting, self.position());
+        let active = self.active_config();
+        let has_ranks = active.is_some_and(|a| a.config.has_ranks(service));
+        let position = self.position();
+        self.pools
+            .update(service, spec, accepting, position, has_ranks);
     }
 
     /// Returns whether a host is neither leaving nor in an evacuated zone.
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -83,6 +83,16 @@
     #[serde(default)]
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) paces: Vec<pool::PaceReport>,
+    /// Requests for streams that the sender has refused a moment ago, with the milliseconds
+    /// since their callers asked first, where entries keep streams in one order.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) refused: Vec<(u64, u64)>,
+    /// The sender's streams by priority, for each service whose streams all entries keep in one
+    /// order.
+    #[serde(default)]
+    #[serde(skip_serializing_if = "collections::BTreeMap::is_empty")]
+    pub(crate) bands: collections::BTreeMap<Name, Vec<pool::BandReport>>,
     /// Engines that are changing their role, with the new role and the milliseconds
     /// after which it is no longer expected.
     #[serde(rename = "shifts")]
@@ -144,10 +154,15 @@
             leaving: self.notices.borrow().own_leaving(now),
             evacuations: self.evacuations.borrow().report().cloned(),
             paces: self.notices.borrow().paces.reports(),
+            refused: self.recent_refusals(now),
             role_changes: self.remaining_role_changes(now),
             ..GossipMessage::default()
         };
-        for (_, pool) in self.pools.all() {
+        for (service, pool) in self.pools.all() {
+            let bands = pool.band_reports(now);
+            if !bands.is_empty() {
+                message.bands.insert(service, bands);
+            }
             let decode_pool = pool.decode_pool.borrow();
             message.decode_loads.extend(decode_pool.own_loads());
             message
@@ -234,7 +249,11 @@
         }
         let (now, sent_at) = (heard.received_at, heard.sent_at);
         let peer = message.entry.clone();
-        for (_, pool) in self.pools.all() {
+        for (service, pool) in self.pools.all() {
+            if let Some(order) = pool.shared_order.borrow_mut().as_mut() {
+                let bands = message.bands.get(&service).map_or(&[][..], |b| b);
+                order.update_peer(&peer, bands, heard);
+            }
             let mut decode_pool = pool.decode_pool.borrow_mut();
             decode_pool.update_peer(&peer, message.decode_loads.clone(), heard);
             decode_pool
@@ -268,6 +287,7 @@
         {
             self.apply_evacuations(report, &peer);
         }
+        self.apply_refusals(&message.refused, now);
         let mut notices = self.notices.borrow_mut();
         notices.apply_paces(&peer, &message.paces, heard);
         drop(notices);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -44,6 +44,7 @@
 mod role_orders;
 mod send;
 mod serve;
+mod shared_order;
 mod shutdown;
 mod stopping;
 mod store_sync;
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -70,6 +70,7 @@
         let options = seam::SendOptions {
             tenant: self.job.tenant.clone(),
             timeout: Some(self.job.time_left()),
+            priority: self.engine_priority(),
             is_repeat: self.record_sending(&target),
             ..seam::SendOptions::default()
         };
--- a/crates/direct/src/role_orders.rs
+++ b/crates/direct/src/role_orders.rs
@@ -52,30 +52,30 @@
             let engines = role_candidates(&entry, &service, &pool, now);
             let (prefill, decode) = total_demand(&entry, &service, &pool, &engines, now);
             let balancer = balancers.entry(service.clone()).or_default();
-            let change = balancer.decide(&engines, prefill, decode, now);
-            let Some(change) = change else {
-                continue;
-            };
-            if !entry.is_accepting(&change.id) {
-                continue;
-            }
-            trace::LogLine::new("shift_wanted")
-                .with("service", &service)
-                .with("engine", &change.id)
-                .with("part", telemetry::role_label(Some(change.role)))
-                .with("prefill", format!("{prefill:.2}"))
-                .with("decode", format!("{decode:.2}"))
-                .with("fence", fence)
-                .info();
-            let switch_time = pool.spec.borrow().switch_time;
-            let ordered = give_order(&entry, &mut lease_state, &change, fence).await;
-            balancer.record_order(time::Instant::now());
-            if ordered {
-                let until = time::Instant::now() + switch_time + ORDER_MARGIN;
-                let mut role_changes = entry.role_changes.borrow_mut();
-                role_changes.insert(change.id, (change.role, until));
-                drop(role_changes);
-                entry.update_pools();
+            let several = entry.is_sharing();
+            let changes = balancer.decide_all(&engines, prefill, decode, several, now);
+            for change in changes {
+                if !entry.is_accepting(&change.id) {
+                    continue;
+                }
+                trace::LogLine::new("shift_wanted")
+                    .with("service", &service)
+                    .with("engine", &change.id)
+                    .with("part", telemetry::role_label(Some(change.role)))
+                    .with("prefill", format!("{prefill:.2}"))
+                    .with("decode", format!("{decode:.2}"))
+                    .with("fence", fence)
+                    .info();
+                let switch_time = pool.spec.borrow().switch_time;
+                let ordered = give_order(&entry, &mut lease_state, &change, fence).await;
+                balancer.record_order(time::Instant::now());
+                if ordered {
+                    let until = time::Instant::now() + switch_time + ORDER_MARGIN;
+                    let mut role_changes = entry.role_changes.borrow_mut();
+                    role_changes.insert(change.id, (change.role, until));
+                    drop(role_changes);
+                    entry.update_pools();
+                }
             }
         }
     }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::meters;
 use crate::plain_service;
 use crate::retries::SpareRetry;
+use crate::telemetry;
 use crate::trials;
 use crate::trials::TrialGuard;
 use crate::unstarted;
@@ -30,6 +31,9 @@
 /// that were full, or gave notice before they were sent the request.
 pub(crate) const MAX_ATTEMPTS: u32 = 6;
 
+/// The lowest priority that engines know.
+const MAX_ENGINE_PRIORITY: u8 = 9;
+
 /// A stream that an engine has started.
 pub(crate) struct StartedStream<S> {
     pub(crate) response: seam::Response<S>,
@@ -78,7 +82,7 @@
                 (StartError::Abandoned | StartError::NotExecuted(_), Some(at)) => {
                     plain_service::refusal_response(&entry, &job, &job.paused_reply(at, now))
                 }
-                (error, _) => unstarted::failure_response(&entry, &job, &error),
+                (error, _) => unstarted::failure_response(&entry, &job, &error, runner.first_asked),
             };
         }
     };
@@ -117,8 +121,12 @@
     pub(crate) may_have_run: bool,
     /// When the current attempt sent the request, as long as it has got no response.
     pub(crate) sent_at: rc::Rc<cell::Cell<Option<time::Instant>>>,
-    /// Whether this request is a retry after a recent refusal.
-    is_retry: bool,
+    /// When its caller asked first, if this request is a retry after a recent refusal.
+    pub(crate) first_asked: Option<time::Instant>,
+    /// Whether no stream of the service can be more urgent, where entries share one order.
+    pub(crate) is_urgent: bool,
+    /// Whether it has waited for an engine.
+    has_queued: bool,
     /// The prompt's KV cache, until it is sent to a decode engine.
     pub(crate) cache: Option<KvCacheGuard<P>>,
     /// Keeps similar requests back while this one may crash its engine.
@@ -132,11 +140,14 @@
 impl<P: seam::Platform> StreamRunner<P> {
     fn new(entry: rc::Rc<Entry<P>>, pool: rc::Rc<EnginePool>, job: rc::Rc<Job>) -> Self {
         let ticket = entry.pools.next_ticket();
-        let is_retry = entry
+        let first_asked = entry
             .refusals
             .borrow_mut()
-            .take_refusal(job.digest, job.arrived_at);
+            .take_first(job.refusal_digest(), job.arrived_at);
+        let is_urgent = pool.is_shared() && entry.is_most_urgent(&job.service, job.route.priority);
         Self {
+            is_urgent,
+            has_queued: false,
             runs: pool::RunLimit::new(job.route.max_attempts),
             partial: rc::Rc::new(cell::RefCell::new(entry.memory.hold())),
             entry,
@@ -149,7 +160,7 @@
             sent_to: Vec::new(),
             may_have_run: false,
             sent_at: rc::Rc::default(),
-            is_retry,
+            first_asked,
             cache: None,
             trial: None,
             spare: None,
@@ -223,17 +234,25 @@
         let (memory, need) = self.needed_memory(last_event, None);
         let queued = pool::QueuedStream {
             memory,
-            due: job.arrived_at + job.route.latency_target,
+            due: self.asked_at() + job.route.latency_target,
             caller_deadline: self.caller_deadline(last_event),
-            is_retry: self.is_retry || last_event.is_some(),
+            is_retry: self.first_asked.is_some() || last_event.is_some(),
             is_suspect: self.is_trial(),
-            priority: if last_event.is_some() {
-                0
-            } else {
-                job.priority
+            is_urgent: self.is_urgent,
+            priority: match last_event.is_some() {
+                true => 0,
+                false => job.priority,
             },
             queued_at: time::Instant::now(),
         };
+        let is_first = !std::mem::replace(&mut self.has_queued, true);
+        if is_first && let Some(wait) = self.pool.check_wait(&queued, queued.queued_at) {
+            job.log_line("refused_early")
+                .with("priority", queued.priority)
+                .with("wait_ms", telemetry::millis(wait))
+                .info();
+            return Err(StartError::Abandoned);
+        }
         let (zone, queued_at) = (self.entry.settings.zone.clone(), queued.queued_at);
         let engines = self.remaining_engines().await;
         let seat = tokio::select! {
@@ -277,7 +296,7 @@
             reservation: reservation.name(),
             kv_source: cache.as_ref().and_then(KvCacheGuard::source),
             last_event,
-            priority: None,
+            priority: self.engine_priority(),
             is_repeat: self.record_sending(&target),
         };
         self.runs.record_send(&engine);
@@ -303,6 +322,9 @@
         }
         reservation.disarm();
         seat.has_run = true;
+        if let Some(order) = self.pool.shared_order.borrow_mut().as_mut() {
+            order.record_start(queued.priority, now);
+        }
         if let Some(cache) = &mut cache {
             cache.disarm();
         }
@@ -341,6 +363,19 @@
         Err(StartError::NotExecuted("draining"))
     }
 
+    /// Returns the priority at engines, where streams of a service differ in it.
+    pub(crate) fn engine_priority(&self) -> Option<u8> {
+        let priority = self.job.route.priority.min(MAX_ENGINE_PRIORITY);
+        self.pool.is_shared().then_some(priority)
+    }
+
+    /// Returns from when on the caller waits for its first event. Entries that share one order
+    /// count from its first request.
+    fn asked_at(&self) -> time::Instant {
+        let first = self.first_asked.filter(|_| self.pool.is_shared());
+        first.unwrap_or(self.job.arrived_at)
+    }
+
     /// Returns whether this request runs apart because it is suspected.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some() || self.job.is_test
--- a/crates/direct/src/stream_memory.rs
+++ b/crates/direct/src/stream_memory.rs
@@ -8,6 +8,10 @@
 
 /// A reservation includes what the stream makes in this time.
 const RESERVED_TIME: time::Duration = time::Duration::from_millis(500);
+/// Part of an engine's memory that a reservation asks for besides, where entries compete for
+/// the last room: what running streams make until one of them ends. An engine that grants all
+/// it has preempts a stream soon after.
+const GROWTH_PART: f64 = 0.025;
 /// Time between two forecasts of a stream's memory.
 const FORECAST_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
@@ -29,7 +33,11 @@
         let made = last_event.unwrap_or_default() as f64 * responses.tokens_per_event();
         let begun = (made + rate * RESERVED_TIME.as_secs_f64()).min(length.max);
         let memory = pool::MemoryForecast::of_stream(prompt, made, rate, &length);
-        (memory, prompt + begun as u64)
+        let growth = match self.pool.is_shared() && !self.is_urgent {
+            true => self.pool.spec.borrow().capacity_tokens as f64 * GROWTH_PART,
+            false => 0.0,
+        };
+        (memory, prompt + (begun + growth) as u64)
     }
 
     /// Updates what a running stream is expected to need, now and then.
--- a/crates/direct/src/unstarted.rs
+++ b/crates/direct/src/unstarted.rs
@@ -32,7 +32,8 @@
     } = started;
     let body = forward::collect_body(job, &engine, &mut response.body, &entry.memory).await;
     let Some(body) = body else {
-        return failure_response(entry, job, &StartError::Unknown("body_incomplete"));
+        let error = StartError::Unknown("body_incomplete");
+        return failure_response(entry, job, &error, None);
     };
     job.meter.fail();
     let mut forwarded = hyper::Response::new(exchange.hold_answer(body));
@@ -46,13 +47,24 @@
     entry: &Entry<P>,
     job: &Job,
     error: &StartError,
+    first_asked: Option<time::Instant>,
 ) -> hyper::Response<Body> {
     let reply = match error {
         StartError::Abandoned | StartError::NotExecuted(_) => {
             let mut refusals = entry.refusals.borrow_mut();
             let now = time::Instant::now();
+            let digest = job.refusal_digest();
+            let pool = entry.pools.get(&job.service);
+            let pace = pool.and_then(|p| p.return_pace(job.priority, entry.entry_count(), now));
             let retry_after = (job.time_left() > MIN_RETRY_TIME).then(|| {
-                refusals.record_refusal(job.digest, job.time_left() / admit::RETURN_DIVISOR, now)
+                let patience = job.time_left() / admit::RETURN_DIVISOR;
+                match pace {
+                    Some(pace) => {
+                        let first_at = first_asked.unwrap_or(job.arrived_at);
+                        refusals.record_paced(digest, first_at, pace, patience, now)
+                    }
+                    None => refusals.record_refusal(digest, patience, now),
+                }
             });
             job.reply(StatusCode::SERVICE_UNAVAILABLE, retry_after, "no_seat")
         }
--- a/crates/pool/src/engines/decode.rs
+++ b/crates/pool/src/engines/decode.rs
@@ -79,6 +79,9 @@
     /// What the engines have said of themselves.
     notices: SharedNotices,
     peer_loads: PeerLoads<EngineLoad>,
+    /// Memory that engines keep free for more urgent streams, by the priority of streams that
+    /// leave it free.
+    kept: collections::BTreeMap<u8, collections::BTreeMap<Name, u64>>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -100,6 +103,7 @@
             failures: HostFailures::new(FIRST_BACKOFF),
             notices: SharedNotices::default(),
             peer_loads: PeerLoads::new(PEER_EXPIRY),
+            kept: collections::BTreeMap::new(),
         }
     }
 }
@@ -154,13 +158,59 @@
             let bonus = if same_zone { SAME_ZONE_BONUS } else { 0.0 };
             fill - bonus + RANDOM_SPREAD * random()
         };
-        self.pick_cheapest(need, cost, |_| true, now)
+        let fits = |id: &Name, engine: &Engine, load| engine.fits(load, need, self.kept_at(id, 0));
+        self.pick_cheapest(cost, fits, now)
+    }
+
+    /// Does the same for a stream of a priority, which leaves room for more urgent ones. The
+    /// most urgent need no room for what others may need later: these yield.
+    pub fn pick_ranked(
+        &self,
+        need: MemoryForecast,
+        (priority, is_urgent): (u8, bool),
+        zone: &str,
+        mut random: impl FnMut() -> f64,
+        now: time::Instant,
+    ) -> Option<Name> {
+        let cost = |engine: &Engine, load: EngineLoad| {
+            let held = match is_urgent {
+                true => (load.memory + need).now(),
+                false => (load.memory + need).peak(),
+            };
+            let same_zone = engine.zone.as_deref() == Some(zone);
+            let bonus = if same_zone { SAME_ZONE_BONUS } else { 0.0 };
+            held as f64 / engine.capacity_tokens.max(1) as f64 - bonus + RANDOM_SPREAD * random()
+        };
+        let fits = |id: &Name, engine: &Engine, load: EngineLoad| match is_urgent {
+            true => engine.has_room_now(load, need),
+            false => engine.fits(load, need, self.kept_at(id, priority)),
+        };
+        self.pick_cheapest(cost, fits, now)
+    }
+
+    /// Sets the memory that engines keep free from streams of a priority.
+    pub fn set_kept(&mut self, priority: u8, kept: collections::BTreeMap<Name, u64>) {
+        self.kept.insert(priority, kept);
+    }
+
+    /// Returns the ids of the engines that accept streams, and the memory of each.
+    pub fn ready_engines(&self) -> (Vec<Name>, u64) {
+        let ready = self.engines.iter().filter(|(_, e)| e.ready);
+        let capacity = ready.clone().map(|(_, e)| e.capacity_tokens).max();
+        let ids = ready.map(|(id, _)| id.clone()).collect();
+        (ids, capacity.unwrap_or_default())
+    }
+
+    fn kept_at(&self, id: &Name, priority: u8) -> u64 {
+        let kept = self.kept.get(&priority);
+        kept.and_then(|k| k.get(id)).copied().unwrap_or_default()
     }
 
     /// Picks the engine at which the fewest streams run, for a stream that may crash it.
     pub fn pick_emptiest(&self, need: MemoryForecast, now: time::Instant) -> Option<Name> {
         let streams = |_: &Engine, load: EngineLoad| f64::from(load.streams);
-        self.pick_cheapest(need, streams, |_| true, now)
+        let fits = |_: &Name, engine: &Engine, load| engine.fits(load, need, 0);
+        self.pick_cheapest(streams, fits, now)
     }
 
     /// Picks the engine at which the fewest streams run among these, for a stream that may
@@ -172,15 +222,16 @@
         now: time::Instant,
     ) -> Option<Name> {
         let streams = |_: &Engine, load: EngineLoad| f64::from(load.streams);
-        self.pick_cheapest(need, streams, |id| ids.contains(id), now)
+        let fits =
+            |id: &Name, engine: &Engine, load| ids.contains(id) && engine.fits(load, need, 0);
+        self.pick_cheapest(streams, fits, now)
     }
 
     /// Picks the usable engine with the lowest cost among those with room.
     fn pick_cheapest(
         &self,
-        need: MemoryForecast,
         mut cost: impl FnMut(&Engine, EngineLoad) -> f64,
-        accepts: impl Fn(&Name) -> bool,
+        fits: impl Fn(&Name, &Engine, EngineLoad) -> bool,
         now: time::Instant,
     ) -> Option<Name> {
         let (peer_loads, backed_off) =
@@ -190,13 +241,10 @@
             .engines
             .iter()
             .filter(|(id, e)| e.is_usable(now) && !backed_off.contains(&***id))
-            .filter(|(id, _)| accepts(id) && notices.allows(id, now))
+            .filter(|(id, _)| notices.allows(id, now))
             .filter_map(|(id, e)| {
                 let load = e.own_load + peer_loads.get(&**id).copied().unwrap_or_default();
-                let peak = (load.memory + need).peak();
-                // A new stream would go ahead of a paused one, which was preempted.
-                let fits = peak <= e.capacity_tokens && load.streams < e.slots && load.paused == 0;
-                fits.then(|| (cost(e, load), id))
+                fits(id, e, load).then(|| (cost(e, load), id))
             });
         let best = usable.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, id)| id.clone())
@@ -328,6 +376,21 @@
 }
 
 impl Engine {
+    /// Returns whether a stream fits for its whole time beside the load, with so much memory
+    /// kept free.
+    fn fits(&self, load: EngineLoad, need: MemoryForecast, kept: u64) -> bool {
+        let peak = (load.memory + need).peak();
+        let has_room = peak.saturating_add(kept) <= self.capacity_tokens;
+        // A new stream would go ahead of a paused one, which was preempted.
+        has_room && load.streams < self.slots && load.paused == 0
+    }
+
+    /// Returns whether a stream can begin beside the load. The engine preempts less urgent
+    /// streams if memory runs out later.
+    fn has_room_now(&self, load: EngineLoad, need: MemoryForecast) -> bool {
+        (load.memory + need).now() <= self.capacity_tokens && load.streams < self.slots
+    }
+
     fn is_usable(&self, now: time::Instant) -> bool {
         self.ready && self.full_until.is_none_or(|f| f <= now)
     }
--- a/crates/pool/src/engines/roles.rs
+++ b/crates/pool/src/engines/roles.rs
@@ -26,6 +26,11 @@
 /// A change is wanted only if the target number of prefill engines differs from the
 /// present one by more than this.
 const HYSTERESIS: f64 = 0.6;
+/// Where roles may change several at a time, one more does for each so many engines that have
+/// the wrong role.
+const ENGINES_PER_ORDER: f64 = 2.0;
+/// With so many engines too many in prefill, some change before their speeds are known.
+const MIN_EXCESS: f64 = 4.0;
 /// Factor on the measured prefill load that reserves room for bursts; 1 reserves
 /// none.
 const HEADROOM: f64 = 1.0;
@@ -81,9 +86,23 @@
         decode: f64,
         now: time::Instant,
     ) -> Option<RoleChange> {
+        self.decide_all(engines, prefill, decode, false, now).pop()
+    }
+
+    /// Returns the next orders. Where `several` may change at a time, their number follows from
+    /// how far the roles are from what they should be: one at a time takes too long in a pool
+    /// of many engines.
+    pub fn decide_all(
+        &mut self,
+        engines: &[RoleCandidate],
+        prefill: f64,
+        decode: f64,
+        several: bool,
+        now: time::Instant,
+    ) -> Vec<RoleChange> {
         let count = engines.len();
         if count < 2 {
-            return None;
+            return Vec::new();
         }
         let prefill_count = with_role(engines, seam::Role::Prefill).count();
         let target = prefill_target(count, prefill, decode);
@@ -92,7 +111,7 @@
             excess if excess < -HYSTERESIS && prefill_count + 1 < count => seam::Role::Prefill,
             _ => {
                 self.wanted = None;
-                return None;
+                return Vec::new();
             }
         };
         let urgent = prefill_count == 0;
@@ -105,9 +124,25 @@
         let interval_passed = self
             .last_order
             .is_none_or(|o| now.saturating_duration_since(o) >= ORDER_INTERVAL);
-        let due = urgent || (stable && interval_passed);
-        let id = due.then(|| choose_engine(engines, role)).flatten()?;
-        Some(RoleChange { id, role })
+        if !urgent && !(stable && interval_passed) {
+            return Vec::new();
+        }
+        let distance = (prefill_count as f64 - target).abs();
+        let orders = match several {
+            true => (distance / ENGINES_PER_ORDER).max(1.0) as usize,
+            false => 1,
+        };
+        let is_unmeasured = several && distance >= MIN_EXCESS;
+        let mut left = engines.to_vec();
+        let mut changes = Vec::new();
+        for _ in 0..orders {
+            let Some(id) = choose_engine(&left, role, is_unmeasured) else {
+                break;
+            };
+            left.retain(|e| e.id != id);
+            changes.push(RoleChange { id, role });
+        }
+        changes
     }
 
     /// Records that an order was given, or was tried in vain. The next one must be
@@ -143,7 +178,7 @@
 /// Picks the engine that takes the given role. Speed counts most in prefill, so
 /// the fastest engine joins it and the slowest leaves it; among equals, the one
 /// with the least load changes.
-fn choose_engine(engines: &[RoleCandidate], role: seam::Role) -> Option<Name> {
+fn choose_engine(engines: &[RoleCandidate], role: seam::Role, is_unmeasured: bool) -> Option<Name> {
     let chosen = match role {
         seam::Role::Prefill => {
             let candidates = with_role(engines, seam::Role::Decode).filter(|e| e.accepts_calls);
@@ -156,6 +191,7 @@
             // While some speeds are unknown, the fastest engine might be picked, so
             // none is.
             let all_known = with_role(engines, seam::Role::Prefill).all(|e| e.speed.is_some());
+            let all_known = all_known || is_unmeasured;
             let candidates =
                 with_role(engines, seam::Role::Prefill).filter(|e| all_known && e.accepts_calls);
             candidates.min_by(|a, b| {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,7 +20,7 @@
 pub use engines::{
     DecodePool, Demand, DemandRate, EngineLoad, LeaseStep, LengthEstimate, MemoryForecast,
     OrderLease, PrefillPool, ResponseModel, RoleBalancer, RoleCandidate, RoleChange,
-    StreamProgress,
+    StreamProgress, kept_room,
 };
 pub use hosts::{AnswerQuality, ColdRate, HostPaces, PaceEvent, PaceReport};
 pub use hosts::{CallKind, Incarnation, NoticeEffect, Permit, Withheld};
@@ -36,4 +36,5 @@
     ConfigFetch, ConfigVersion, Forwarding, GossipPaths, Heard, KnownPeer, RELAY_DELAY, RelayQueue,
     UpdateId, UpdateOrder,
 };
+pub use queue::{BandReport, SharedOrder};
 pub use queue::{QueuedStream, RecentRefusals, StopPlan, Ticket, WaitQueue};
--- a/crates/pool/src/queue/wait_queue.rs
+++ b/crates/pool/src/queue/wait_queue.rs
@@ -18,6 +18,10 @@
 /// large streams don't wait forever. It is well below a typical latency target,
 /// which is most of a second.
 const MAX_OVERTAKING_TIME: time::Duration = time::Duration::from_millis(300);
+/// How long a late stream whose caller has retried stays queued, where entries share one order.
+const MAX_RETRY_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// The same for a late stream whose caller has not retried, after its due time.
+const SHARED_LATENESS: time::Duration = time::Duration::from_millis(150);
 /// How long after its due time a late stream stays queued, unless its caller
 /// has retried.
 const MAX_LATENESS: time::Duration = time::Duration::from_millis(500);
@@ -41,6 +45,8 @@
     pub is_suspect: bool,
     /// Its priority; 0 is served first.
     pub priority: u8,
+    /// Whether no stream of the service can be more urgent, where entries share one order.
+    pub is_urgent: bool,
     /// When it was queued.
     pub queued_at: time::Instant,
 }
@@ -48,10 +54,17 @@
 /// Streams of one service that are queued at one entry.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
+    /// Whether entries share one order, in which urgency goes before lateness.
+    is_shared: bool,
     streams: collections::BTreeMap<Ticket, QueuedStream>,
 }
 
 impl WaitQueue {
+    /// Sets whether entries share one order of streams.
+    pub fn set_shared(&mut self, is_shared: bool) {
+        self.is_shared = is_shared;
+    }
+
     /// Adds a stream, or adds one again that has lost its engine. Tickets must be
     /// numbered in the order of arrival.
     pub fn insert(&mut self, ticket: Ticket, stream: QueuedStream) {
@@ -67,7 +80,12 @@
     pub fn ordered(&self, now: time::Instant) -> Vec<(Ticket, QueuedStream)> {
         let mut all: Vec<_> = self.streams.iter().map(|(t, s)| (*t, *s)).collect();
         all.sort_by_key(|(ticket, stream)| {
+            let priority = match self.is_shared {
+                true => stream.priority,
+                false => 0,
+            };
             (
+                priority,
                 stream.is_late(now),
                 stream.priority,
                 !stream.is_retry,
@@ -79,10 +97,24 @@
 
     /// Returns the streams that can no longer be served and must be refused.
     pub fn expired(&self, now: time::Instant) -> Vec<Ticket> {
-        let expired = self.streams.iter().filter(|(_, s)| s.is_expired(now));
+        let is_shared = self.is_shared;
+        let expired = self.streams.iter();
+        let expired = expired.filter(|(_, s)| s.is_expired(is_shared, now));
         expired.map(|(t, _)| *t).collect()
     }
 
+    /// Returns the number of queued streams that can still be on time and the memory of all,
+    /// by priority.
+    pub fn waiting_by_priority(&self, now: time::Instant) -> collections::BTreeMap<u8, (u32, u64)> {
+        let mut waiting: collections::BTreeMap<u8, (u32, u64)> = collections::BTreeMap::new();
+        for stream in self.streams.values() {
+            let (count, tokens) = waiting.entry(stream.priority).or_default();
+            *count += u32::from(!stream.is_late(now));
+            *tokens = tokens.saturating_add(stream.memory.now());
+        }
+        waiting
+    }
+
     /// Returns the number of queued streams.
     pub fn len(&self) -> usize {
         self.streams.len()
@@ -111,10 +143,14 @@
         self.is_late(now) || now.saturating_duration_since(self.queued_at) < MAX_OVERTAKING_TIME
     }
 
-    fn is_expired(&self, now: time::Instant) -> bool {
-        let end = match self.is_retry {
-            true => self.caller_deadline,
-            false => self.caller_deadline.min(self.due + MAX_LATENESS),
+    fn is_expired(&self, is_shared: bool, now: time::Instant) -> bool {
+        let end = match (self.is_retry, is_shared) {
+            _ if self.is_urgent => self.caller_deadline,
+            (true, true) => self.caller_deadline.min(self.queued_at + MAX_RETRY_WAIT),
+            (true, false) => self.caller_deadline,
+            // Others that can still be on time go before it.
+            (false, true) => self.caller_deadline.min(self.due + SHARED_LATENESS),
+            (false, false) => self.caller_deadline.min(self.due + MAX_LATENESS),
         };
         now + START_LATENCY > end
     }
--- a/crates/pool/tests/pool_tests.rs
+++ b/crates/pool/tests/pool_tests.rs
@@ -251,6 +251,7 @@
         caller_deadline: queued_at + MS * 3_600,
         is_retry,
         is_suspect: false,
+        is_urgent: false,
         priority: 1,
         queued_at,
     }
--- a/crates/pool/tests/seat_history_tests.rs
+++ b/crates/pool/tests/seat_history_tests.rs
@@ -207,6 +207,7 @@
                     caller_deadline: now + MILLI * 3_000,
                     is_retry,
                     is_suspect: false,
+                    is_urgent: false,
                     priority,
                     queued_at: now,
                 };
--- a/crates/seam/src/config.rs
+++ b/crates/seam/src/config.rs
@@ -162,6 +162,13 @@
         has_cold_hosts || self.services.iter().any(|s| self.has_ranks(&s.name))
     }
 
+    /// Returns the priority of the most urgent route of a service, if they differ in it.
+    pub fn first_priority(&self, service: &str) -> Option<u8> {
+        let sends = |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
+        let priorities = self.routes.iter().filter(sends).map(|r| r.priority);
+        priorities.min().filter(|_| self.has_ranks(service))
+    }
+
     /// Returns whether the routes of a service differ in their priority.
     pub fn has_ranks(&self, service: &str) -> bool {
         let sends = |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
@@ -175,6 +182,14 @@
         self.services.iter().find(|s| &*s.name == name)
     }
 
+    /// Returns the priorities of organisations that have one of their own, for the log.
+    pub fn tenant_priorities(&self) -> String {
+        let tenants = self.tenants.iter().flatten();
+        let priorities: collections::BTreeSet<u8> = tenants.filter_map(|t| t.priority).collect();
+        let texts: Vec<String> = priorities.iter().map(u8::to_string).collect();
+        texts.join(",")
+    }
+
     /// Returns the organisation that an API key belongs to.
     pub fn tenant_for_key(&self, key: &str) -> Option<&Tenant> {
         let tenants = self.tenants.as_ref()?;
