--- a/crates/pool/src/engines/roles.rs
+++ b/crates/pool/src/engines/roles.rs
@@ -124,7 +124,8 @@
         let interval_passed = self
             .last_order
             .is_none_or(|o| now.saturating_duration_since(o) >= ORDER_INTERVAL);
-        if !urgent && !(stable && interval_passed) {
+        let is_due = urgent || (stable && interval_passed);
+        if !is_due {
             return Vec::new();
         }
         let distance = (prefill_count as f64 - target).abs();
