--- a/crates/direct/src/meters.rs
+++ b/crates/direct/src/meters.rs
@@ -80,6 +80,7 @@
     "encoded",
     "framing",
     "refusal_status",
+    "status",
 ];
 const ENDS: &[&str] = &[
     "whole",
--- a/crates/fake/src/tracks/raw_worker.rs
+++ b/crates/fake/src/tracks/raw_worker.rs
@@ -18,6 +18,7 @@
 ///
 /// The last segment of a request's path says how: `STATUS-LENGTH-fin` ends the answer
 /// after so many bytes of [`RAW_BODY`], and `STATUS-LENGTH-reset` resets the connection.
+/// `STATUS-LENGTH-early-MILLIS` does so after that time, and reads nothing of the request's body.
 pub struct RawWorker {
     /// Id in the platform's list of hosts.
     pub id: String,
@@ -58,7 +59,11 @@
 /// Answers the calls on one connection until an answer ends it.
 fn serve(mut stream: net::TcpStream) -> io::Result<()> {
     static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
-    while let Some(call) = RawCall::read(&mut stream)? {
+    while let Some(call) = RawCall::read_head(&mut stream)? {
+        if call.path.contains("-early-") {
+            return answer(stream, &call);
+        }
+        let call = call.read_body(&mut stream)?;
         if !call.path.starts_with(names::INTERNAL_PREFIX) {
             return answer(stream, &call);
         }
@@ -89,8 +94,19 @@
         id = call.id,
     );
     stream.write_all((head + &RAW_BODY[..length]).as_bytes())?;
-    if words.next() == Some("reset") {
-        socket2::SockRef::from(&stream).set_linger(Some(time::Duration::ZERO))?;
+    match (words.next(), words.next()) {
+        (Some("reset"), _) => reset(&stream)?,
+        (Some("early"), millis) => {
+            let millis = millis.and_then(|m| m.parse().ok()).unwrap_or(0);
+            thread::sleep(time::Duration::from_millis(millis));
+            reset(&stream)?;
+        }
+        _ => {}
     }
     Ok(())
 }
+
+/// Makes the connection be reset when it is closed.
+fn reset(stream: &net::TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO))
+}
--- a/crates/pool/tests/shared_order_tests.rs
+++ b/crates/pool/tests/shared_order_tests.rs
@@ -159,7 +159,7 @@
             }
         }
         for sender in 0..ENTRIES {
-            if (step + sender as u32) % GOSSIP != 0 {
+            if !(step + sender as u32).is_multiple_of(GOSSIP) {
                 continue;
             }
             let waiting = entries[sender].queue.waiting_by_priority(now);
--- a/crates/seam/src/upstreams.rs
+++ b/crates/seam/src/upstreams.rs
@@ -121,6 +121,8 @@
     Framing,
     /// It says that the request was not run, with a status that doesn't.
     RefusalStatus,
+    /// Its status is none of the protocol.
+    Status,
 }
 
 impl ResponseFault {
@@ -134,6 +136,7 @@
             ResponseFault::Encoded => "encoded",
             ResponseFault::Framing => "framing",
             ResponseFault::RefusalStatus => "refusal_status",
+            ResponseFault::Status => "status",
         }
     }
 }
