A queue of calls while plain hosts are full, the pace of shared machines, files in rooms

Change: - pool::CallQueue: while plain hosts are full, calls wait at their entry in one order, for as long as they can be on time. A full host has a window of two calls for each slot for all entries (pool::HostPaces). Only where streams of a service differ in priority or hosts are cold. - pool::MachinePaces: prompts and streams go less to engines on slow machines; entries tell each other of these.

--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -32,7 +32,7 @@
 const OLD_GAUGES: [&str; 1] = ["verdicts_in_force"];
 
 /// Labels of each metric; the bucket's bound is left out.
-const LABELS: [(&str, &[&str]); 28] = [
+const LABELS: [(&str, &[&str]); 32] = [
     (
         "hornbeampitch_requests_total",
         &["cause", "kind", "outcome"],
@@ -55,6 +55,10 @@
     ("hornbeampitch_answers_cut_total", &["cause"]),
     ("hornbeampitch_answers_unproven_total", &["fault"]),
     ("hornbeampitch_connections_cut_total", &["cause"]),
+    ("hornbeampitch_callers_closed_total", &["cause"]),
+    ("hornbeampitch_evacuated_zones", &[]),
+    ("hornbeampitch_paced_hosts", &[]),
+    ("hornbeampitch_calls_waiting", &["service"]),
     ("hornbeampitch_calls_withheld_total", &["why"]),
     ("hornbeampitch_host_notices_total", &["kind"]),
     ("hornbeampitch_crashes_total", &[]),
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -4,7 +4,7 @@
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::EnginePools;
 use crate::gate::HostGate;
-use crate::gossip::GossipMessage;
+use crate::gossip_message::GossipMessage;
 use crate::held_bytes::MemoryAccount;
 use crate::members::MemberList;
 use crate::metered_store::MeteredStore;
@@ -242,7 +242,7 @@
             .with("from", from)
             .with("version", config.version)
             .with("routes", config.routes.len())
-            .with("priorities", config.tenant_priorities())
+            .with("ranks", config.route_priorities())
             .info();
         meters::meters().config_version.set(config.version as f64);
         self.config_fetch.borrow_mut().record_applied();
@@ -310,7 +310,8 @@
         let host_list = self.host_list.borrow();
         let ready = host_list.ready(service);
         let accepting = ready.filter(|m| self.may_get_work(&m.id));
-        self.plain_services.update(service, accepting);
+        let has_queue = self.is_sharing();
+        self.plain_services.update(service, accepting, has_queue);
     }
 
     /// Records a requested stream with its number of prompt tokens.
--- a/crates/direct/src/gossip_sender.rs
+++ b/crates/direct/src/gossip_sender.rs
@@ -1,8 +1,8 @@
 //! Sends this entry's gossip: to its own zone directly, and to other zones by relays.
 
 use crate::entry::Entry;
-use crate::gossip::GossipMessage;
-use crate::gossip::GossipReply;
+use crate::gossip_message::GossipMessage;
+use crate::gossip_message::GossipReply;
 use crate::peers::CONFIG_PATH;
 use crate::peers::GOSSIP_PATH;
 use crate::peers::MAX_MESSAGE_BYTES;
--- a/crates/direct/src/metric.rs
+++ b/crates/direct/src/metric.rs
@@ -241,6 +241,11 @@
     Unit::Count,
     "This entry's streams and calls that still run in an evacuated zone, by zone.",
 );
+pub(crate) const CALLS_WAITING: Metric = Metric::new(
+    "hornbeampitch_calls_waiting",
+    Unit::Count,
+    "Calls to a plain service that wait while all of its hosts are full, by service.",
+);
 pub(crate) const PACED_HOSTS: Metric = Metric::new(
     "hornbeampitch_paced_hosts",
     Unit::Count,
--- a/crates/direct/src/paces.rs
+++ b/crates/direct/src/paces.rs
@@ -13,12 +13,13 @@
         });
         let mut notices = self.notices.borrow_mut();
         notices.set_cold_rates(rates.collect());
-        notices.paces.set_learning(config.asks_for_sharing());
     }
 
     /// Tells the paces who the other entries are, and logs what has changed.
     pub(crate) fn update_paces(&self) {
+        let is_sharing = self.is_sharing();
         let mut notices = self.notices.borrow_mut();
+        notices.paces.set_learning(is_sharing);
         notices.paces.set_peers(self.peers.borrow().keys());
         meters::meters()
             .paced_hosts
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::body::Body;
 use crate::entry::Entry;
 use crate::entry::Peer;
-use crate::gossip::GossipMessage;
+use crate::gossip_message::GossipMessage;
 use crate::gossip_sender;
 use crate::gossip_sender::ConfigSource;
 use crate::odd_records::OddRecord;
--- a/crates/direct/src/plain_attempt.rs
+++ b/crates/direct/src/plain_attempt.rs
@@ -110,6 +110,9 @@
             .record_refusal(&target.id, now);
         return AttemptOutcome::NotExecuted("refused");
     }
+    if let Some(queue) = service.queue.borrow_mut().as_mut() {
+        queue.record_end(now);
+    }
     let failed = upstream.status.is_server_error();
     service
         .balancer
--- a/crates/direct/src/plain_call.rs
+++ b/crates/direct/src/plain_call.rs
@@ -3,7 +3,10 @@
 //! An attempt that takes long stays pending while another is made beside it, since its host
 //! may still answer. The first success is the answer; the other attempt is then dropped.
 
+use crate::admit;
 use crate::admit::Job;
+use crate::call_place::QueuePlace;
+use crate::call_place::Turn;
 use crate::entry::Entry;
 use crate::forward::Answer;
 use crate::meters;
@@ -12,6 +15,7 @@
 use crate::plain_service;
 use crate::plain_service::PlainService;
 use crate::stopping;
+use http::StatusCode;
 use seam::Upstreams;
 use std::future;
 use std::future::Future;
@@ -23,6 +27,8 @@
 
 /// Time between two looks whether a host takes calls again.
 const PROBE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
+/// Shortest time after which a caller comes back whose call would have waited too long.
+const MIN_FULL_DELAY: time::Duration = time::Duration::from_millis(300);
 /// With an answer in prospect, another attempt needs this part of the route's latency
 /// target.
 const MIN_TIME_DIVISOR: u32 = 4;
@@ -63,13 +69,14 @@
             pool::CallAttempts::new(route.retry, route.max_attempts, route.latency_target);
         let mut pending = Vec::new();
         let mut failure = None;
+        let mut place = QueuePlace::new(self.service);
         let mut stopped = pin::pin!(self.entry.wait_for_last_refusal());
         loop {
             let now = time::Instant::now();
             let mut due_at = self.due_at(&attempts, failure.is_some(), now);
             if due_at.is_some_and(|at| at <= now) {
                 let has_prospect = failure.is_some() || !pending.is_empty();
-                match self.next_step(&attempts, has_prospect, now) {
+                match self.next_step(&mut attempts, &mut place, has_prospect, now) {
                     NextStep::Send(target) => {
                         self.record_late(&mut pending, now);
                         attempts.start(&target.id, now);
@@ -145,7 +152,8 @@
     /// answer without it, or may be.
     fn next_step(
         &self,
-        attempts: &pool::CallAttempts,
+        attempts: &mut pool::CallAttempts,
+        place: &mut QueuePlace<'_>,
         has_prospect: bool,
         now: time::Instant,
     ) -> NextStep {
@@ -162,11 +170,21 @@
         if has_prospect && time_left <= job.route.latency_target / MIN_TIME_DIVISOR {
             return NextStep::Stop(no_host());
         }
-        let picked =
-            self.service
-                .balancer
-                .borrow()
-                .pick(&entry.settings.zone, attempts.tried(), now);
+        if !has_prospect && !may_have_run {
+            match place.turn(self.job, attempts, now) {
+                Turn::Now => {}
+                Turn::Later => return NextStep::Wait,
+                Turn::Never(delay) => return NextStep::Stop(self.full_reply(delay)),
+            }
+        }
+        let balancer = self.service.balancer.borrow();
+        let (zone, tried) = (&entry.settings.zone, attempts.tried());
+        let open = match self.service.queue.borrow().is_some() {
+            true => balancer.pick_open(zone, tried, now),
+            false => None,
+        };
+        let picked = open.or_else(|| balancer.pick(zone, tried, now));
+        drop(balancer);
         let Some(target) = picked.and_then(|id| entry.target(&id)) else {
             let balancer = self.service.balancer.borrow();
             return match !has_prospect && balancer.is_probing(attempts.tried(), now) {
@@ -189,6 +207,14 @@
         }
     }
 
+    /// Returns the reply to a call whose turn would come too late.
+    fn full_reply(&self, delay: time::Duration) -> seam::Reply {
+        let longest = self.job.time_left() / admit::RETURN_DIVISOR;
+        let delay = delay.max(MIN_FULL_DELAY).min(longest);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        self.job.reply(status, Some(delay), "no_host")
+    }
+
     /// Returns the reply to a call whose attempts have all ended without an answer.
     fn last_reply(&self, may_have_run: bool) -> seam::Reply {
         match may_have_run && !self.job.time_left().is_zero() {
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -7,6 +7,7 @@
 use crate::exchange::Exchange;
 use crate::forward;
 use crate::meters;
+use crate::metric;
 use crate::plain_call::PlainCall;
 use crate::telemetry;
 use http::StatusCode;
@@ -30,6 +31,9 @@
 #[derive(Debug)]
 pub(crate) struct PlainService {
     pub(crate) balancer: cell::RefCell<pool::HostBalancer>,
+    /// Calls that wait while all hosts are full; none are kept where callers don't compete for
+    /// hosts.
+    pub(crate) queue: cell::RefCell<Option<pool::CallQueue>>,
 }
 
 impl PlainServices {
@@ -41,14 +45,25 @@
     }
 
     /// Updates a service with its current hosts.
-    pub(crate) fn update<'a>(&self, name: &Name, hosts: impl Iterator<Item = &'a seam::Member>) {
+    pub(crate) fn update<'a>(
+        &self,
+        name: &Name,
+        hosts: impl Iterator<Item = &'a seam::Member>,
+        has_queue: bool,
+    ) {
         let mut services = self.services.borrow_mut();
         let service = services.entry(name.clone()).or_insert_with(|| {
             let balancer = pool::HostBalancer::new(self.notices.clone());
             rc::Rc::new(PlainService {
                 balancer: cell::RefCell::new(balancer),
+                queue: cell::RefCell::default(),
             })
         });
+        let mut queue = service.queue.borrow_mut();
+        if queue.is_some() != has_queue {
+            *queue = has_queue.then(pool::CallQueue::new);
+        }
+        drop(queue);
         service.balancer.borrow_mut().set_hosts(hosts);
     }
 
@@ -56,6 +71,19 @@
         self.services.borrow().get(service).cloned()
     }
 
+    /// Updates the metrics of waiting calls.
+    pub(crate) fn report_waiting(&self) {
+        for (name, service) in self.all() {
+            let waiting = service
+                .queue
+                .borrow()
+                .as_ref()
+                .map_or(0, pool::CallQueue::len);
+            let gauge = metric::CALLS_WAITING.gauge(&[("service", &*name)]);
+            gauge.set(waiting as f64);
+        }
+    }
+
     /// Returns all services with their names.
     pub(crate) fn all(&self) -> Vec<(Name, rc::Rc<PlainService>)> {
         let services = self.services.borrow();
--- a/crates/direct/src/prefill.rs
+++ b/crates/direct/src/prefill.rs
@@ -1,8 +1,8 @@
 //! Has prompts processed by prefill engines.
 
-use crate::engine_pool::PendingPrefill;
 use crate::guards::KvCacheGuard;
 use crate::meters;
+use crate::seat::PendingPrefill;
 use crate::stream::StartError;
 use crate::stream::StreamRunner;
 use crate::telemetry;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -158,6 +158,7 @@
         seam::Upstreams::close_idle(&entry.upstreams);
         entry.peer_client.prune_idle();
         entry.pools.report_usage();
+        entry.plain_services.report_waiting();
         entry.update_pools();
         entry.update_paces();
         entry.report_evacuations();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,7 +4,6 @@
 use crate::admit::Job;
 use crate::body::Body;
 use crate::engine_pool::EnginePool;
-use crate::engine_pool::Seat;
 use crate::entry::Entry;
 use crate::exchange::Exchange;
 use crate::guards::KvCacheGuard;
@@ -12,8 +11,8 @@
 use crate::meters;
 use crate::plain_service;
 use crate::retries::SpareRetry;
+use crate::seat::Seat;
 use crate::telemetry;
-use crate::trials;
 use crate::trials::TrialGuard;
 use crate::unstarted;
 use http::StatusCode;
@@ -23,17 +22,10 @@
 use std::time;
 use world::Name;
 
-/// How long callers wait for an event before they disconnect: the longest of this
-/// number of the route's latency targets, this number of its targets for the pause
-/// between two events, and this time.
-const CALLER_TIMEOUT: (u32, u32, time::Duration) = (4, 8, time::Duration::from_secs(2));
 /// Maximum number of failed attempts for one request, without those at engines
 /// that were full, or gave notice before they were sent the request.
 pub(crate) const MAX_ATTEMPTS: u32 = 6;
 
-/// The lowest priority that engines know.
-const MAX_ENGINE_PRIORITY: u8 = 9;
-
 /// A stream that an engine has started.
 pub(crate) struct StartedStream<S> {
     pub(crate) response: seam::Response<S>,
@@ -362,49 +354,4 @@
         self.failed_attempts = self.failed_attempts.saturating_sub(1);
         Err(StartError::NotExecuted("draining"))
     }
-
-    /// Returns the priority at engines, where streams of a service differ in it.
-    pub(crate) fn engine_priority(&self) -> Option<u8> {
-        let priority = self.job.route.priority.min(MAX_ENGINE_PRIORITY);
-        self.pool.is_shared().then_some(priority)
-    }
-
-    /// Returns from when on the caller waits for its first event. Entries that share one order
-    /// count from its first request.
-    fn asked_at(&self) -> time::Instant {
-        let first = self.first_asked.filter(|_| self.pool.is_shared());
-        first.unwrap_or(self.job.arrived_at)
-    }
-
-    /// Returns whether this request runs apart because it is suspected.
-    pub(crate) fn is_trial(&self) -> bool {
-        self.trial.is_some() || self.job.is_test
-    }
-
-    /// Waits until this request may run beside others that hold the same suspected
-    /// elements, at most until its caller would leave.
-    async fn enter_trial(
-        &self,
-        last_event: Option<u64>,
-    ) -> Result<Option<TrialGuard<P>>, StartError> {
-        let end = self.caller_deadline(last_event);
-        let entered = trials::enter(&self.entry, &self.job);
-        let entered = tokio::time::timeout_at(end.into(), entered).await;
-        entered.map_err(|_| StartError::Abandoned)
-    }
-
-    /// Returns when the caller disconnects if it receives no event.
-    fn caller_deadline(&self, last_event: Option<u64>) -> time::Instant {
-        let (targets, gaps, minimum) = CALLER_TIMEOUT;
-        let route = &self.job.route;
-        let timeout = (route.latency_target * targets)
-            .max(route.max_gap * gaps)
-            .max(minimum);
-        // The caller of an interrupted stream waits for the next event from now on.
-        let from = match last_event {
-            Some(_) => time::Instant::now(),
-            None => self.job.arrived_at,
-        };
-        (from + timeout).min(self.job.deadline)
-    }
 }
--- a/crates/direct/src/stream_memory.rs
+++ b/crates/direct/src/stream_memory.rs
@@ -1,8 +1,8 @@
 //! What engine memory a stream is expected to need, by its request and its progress.
 
-use crate::engine_pool::Seat;
 use crate::events::EventSplitter;
 use crate::meters;
+use crate::seat::Seat;
 use crate::stream::StreamRunner;
 use std::time;
 
--- a/crates/pool/src/balance/call_attempts.rs
+++ b/crates/pool/src/balance/call_attempts.rs
@@ -66,6 +66,14 @@
         &self.tried
     }
 
+    /// Forgets the hosts that were tried, none of which may have executed the call, so that it
+    /// may wait for one of them.
+    pub fn forget_refused(&mut self) {
+        if !self.may_have_run() {
+            self.tried.clear();
+        }
+    }
+
     /// Returns whether the next attempt repeats one that reached a host.
     pub fn is_retry(&self) -> bool {
         self.sent > 0
--- a/crates/pool/src/balance/host_balancer.rs
+++ b/crates/pool/src/balance/host_balancer.rs
@@ -17,6 +17,10 @@
 const FIRST_BACKOFF: time::Duration = time::Duration::from_millis(500);
 /// How long a host that was full receives no calls.
 const FULL_BACKOFF: time::Duration = time::Duration::from_millis(80);
+/// Longest time for which a host that was full again and again gets no test call.
+const MAX_TEST_DELAY: time::Duration = time::Duration::from_millis(320);
+/// A host that was full has no bound any more once it may have so many calls of this entry.
+const MAX_WINDOW: f64 = 12.0;
 /// A host in another zone is picked only if its load per slot is lower by this.
 const OTHER_ZONE_COST: f64 = 0.35;
 /// Weight of the newest response in a host's average failure rate.
@@ -48,6 +52,12 @@
     /// Average fraction of recent responses that report a failure.
     failure_rate: f64,
     full_until: Option<time::Instant>,
+    /// Refusals in a row.
+    refusals: u32,
+    /// Whether a call tests if the host has room again.
+    is_tested: bool,
+    /// Calls of this entry that the host may have at a time after it was full.
+    window: Option<f64>,
     ready: bool,
 }
 
@@ -118,6 +128,30 @@
         best.map(|(id, _)| id.clone())
     }
 
+    /// Does the same, and picks no host that is full or backed off. One that was full gets a
+    /// single call, and after an answer one more at a time.
+    pub fn pick_open(&self, zone: &str, tried: &[Name], now: time::Instant) -> Option<Name> {
+        let notices = self.notices.borrow();
+        let is_closed = |id: &Name, h: &Host| !h.is_open(now) || notices.is_filled(id, now);
+        let closed = self.hosts.iter().filter(|(id, h)| is_closed(id, h));
+        let mut passed_over: Vec<Name> = closed.map(|(id, _)| id.clone()).collect();
+        drop(notices);
+        passed_over.extend(tried.iter().cloned());
+        let picked = self.pick(zone, &passed_over, now)?;
+        let is_backed_off = self.failures.is_backed_off(&picked, now);
+        (!is_backed_off).then_some(picked)
+    }
+
+    /// Returns whether one of the hosts that want calls is full, so that waiting helps.
+    pub fn has_full_host(&self, now: time::Instant) -> bool {
+        let notices = self.notices.borrow();
+        let mut hosts = self.hosts.iter().filter(|(_, h)| h.ready);
+        hosts.any(|(id, h)| {
+            let is_closed = !h.is_open(now) || notices.is_filled(id, now);
+            is_closed && notices.allows(id, now)
+        })
+    }
+
     /// Returns when the first host takes calls again, if all of them want none now.
     pub fn retry_at(&self, now: time::Instant) -> Option<time::Instant> {
         let ready = self.hosts.iter().filter(|(_, h)| h.ready);
@@ -136,6 +170,7 @@
     pub fn start_call(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.own_calls += 1;
+            host.is_tested |= host.full_until.is_some();
         }
     }
 
@@ -143,6 +178,7 @@
     pub fn end_call(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.own_calls = host.own_calls.saturating_sub(1);
+            host.is_tested &= host.own_calls > 0;
         }
     }
 
@@ -154,6 +190,9 @@
             host.failure_rate =
                 (1.0 - FAILURE_WEIGHT) * host.failure_rate + FAILURE_WEIGHT * outcome;
             host.full_until = None;
+            host.refusals = 0;
+            host.is_tested = false;
+            host.window = host.window.map(|w| w + 1.0 / w).filter(|w| *w < MAX_WINDOW);
             self.failures.record_success(id);
         }
     }
@@ -162,6 +201,10 @@
     pub fn record_refusal(&mut self, id: &str, now: time::Instant) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.full_until = Some(now + FULL_BACKOFF);
+            host.refusals = host.refusals.saturating_add(1);
+            host.is_tested = false;
+            let half = f64::from(host.own_calls) / 2.0;
+            host.window = Some(host.window.map_or(half, |w| w.min(half)).max(1.0));
         }
     }
 
@@ -189,3 +232,14 @@
         self.peer_calls.update(peer, calls, heard.into());
     }
 }
+
+impl Host {
+    /// Returns whether the host is likely to have room for a call.
+    fn is_open(&self, now: time::Instant) -> bool {
+        let has_room = self.window.is_none_or(|w| f64::from(self.own_calls) < w);
+        let delay = FULL_BACKOFF.saturating_mul(1 << self.refusals.saturating_sub(1).min(2));
+        let longer = delay.min(MAX_TEST_DELAY).saturating_sub(FULL_BACKOFF);
+        let is_due = self.full_until.is_none_or(|at| at + longer <= now);
+        has_room && is_due && !self.is_tested
+    }
+}
--- a/crates/pool/src/engines/decode.rs
+++ b/crates/pool/src/engines/decode.rs
@@ -33,6 +33,8 @@
 const RANDOM_SPREAD: f64 = 0.2;
 /// A peer's report of its streams is valid for this time.
 const PEER_EXPIRY: time::Duration = time::Duration::from_secs(2);
+/// Fill ratio that an engine may have more than one on whose machine work takes twice as long.
+const SLOWNESS_COST: f64 = 0.1;
 
 /// Number of streams at one engine and the memory they hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -243,8 +245,9 @@
             .filter(|(id, e)| e.is_usable(now) && !backed_off.contains(&***id))
             .filter(|(id, _)| notices.allows(id, now))
             .filter_map(|(id, e)| {
+                let slowness = notices.machines.factor(id, now) - 1.0;
                 let load = e.own_load + peer_loads.get(&**id).copied().unwrap_or_default();
-                fits(id, e, load).then(|| (cost(e, load), id))
+                fits(id, e, load).then(|| (cost(e, load) + SLOWNESS_COST * slowness, id))
             });
         let best = usable.min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, id)| id.clone())
--- a/crates/pool/src/engines/prefill.rs
+++ b/crates/pool/src/engines/prefill.rs
@@ -161,6 +161,7 @@
                     true => FILLED_SECONDS,
                     false => 0.0,
                 };
+                let seconds = seconds * notices.machines.factor(id, now);
                 let cost = seconds + zone_cost + preference_cost + pace_cost;
                 (seconds, cost, id)
             });
--- a/crates/pool/src/hosts/host_notices.rs
+++ b/crates/pool/src/hosts/host_notices.rs
@@ -7,16 +7,14 @@
 //! a host wants no call, a single call tests whether it takes calls again, so that not all
 //! that wait return together.
 
-use crate::hosts::host_pace::AnswerQuality;
 use crate::hosts::host_pace::ColdRate;
+use crate::hosts::machine_pace::MachinePaces;
 use crate::hosts::notice_types::CallKind;
 use crate::hosts::notice_types::Incarnation;
 use crate::hosts::notice_types::NoticeEffect;
 use crate::hosts::notice_types::Permit;
 use crate::hosts::notice_types::Withheld;
 use crate::hosts::pace::HostPaces;
-use crate::hosts::pace::PaceReport;
-use crate::peers::heard::Heard;
 use std::cell;
 use std::collections;
 use std::hash;
@@ -52,13 +50,15 @@
     /// Name of this entry; without one, it returns to hosts at the end of their pauses.
     entry: Option<Name>,
     /// The hosts in the membership list.
-    listed: collections::BTreeMap<Name, seam::Member>,
+    pub(crate) listed: collections::BTreeMap<Name, seam::Member>,
     /// Zones that are evacuated.
-    evacuated: collections::BTreeSet<Name>,
+    pub(crate) evacuated: collections::BTreeSet<Name>,
     /// What cold hosts tolerate, by service.
-    cold_rates: collections::BTreeMap<Name, ColdRate>,
+    pub(crate) cold_rates: collections::BTreeMap<Name, ColdRate>,
     /// Hosts that have less than their full share of work.
     pub paces: HostPaces,
+    /// How fast the machines of hosts are.
+    pub machines: MachinePaces,
     leaving: collections::BTreeMap<Incarnation, Leaving>,
     pauses: collections::BTreeMap<Incarnation, Pause>,
 }
@@ -131,80 +131,6 @@
         });
     }
 
-    /// Sets the zones that are evacuated.
-    pub fn set_evacuated(&mut self, zones: collections::BTreeSet<Name>) {
-        self.evacuated = zones;
-    }
-
-    /// Returns whether the zone of a host in the membership list is evacuated.
-    pub fn is_evacuated(&self, id: &str) -> bool {
-        let member = self.listed.get(id);
-        member.is_some_and(|m| self.evacuated.contains(&m.zone))
-    }
-
-    /// Sets what cold hosts tolerate, by service.
-    pub fn set_cold_rates(&mut self, rates: collections::BTreeMap<Name, ColdRate>) {
-        self.cold_rates = rates;
-    }
-
-    /// Returns whether a host in the membership list has as much work from this entry as it
-    /// may have for now.
-    pub fn is_filled(&self, id: &Name, now: time::Instant) -> bool {
-        if self.paces.is_empty() {
-            return false;
-        }
-        let host = self.listed_incarnation(id);
-        host.is_some_and(|h| self.paces.is_filled(&h, now))
-    }
-
-    /// Records how a host answered new work.
-    pub fn record_answer(
-        &mut self,
-        host: &Incarnation,
-        quality: AnswerQuality,
-        took: Option<time::Duration>,
-        now: time::Instant,
-    ) {
-        let member = self.listed.get(&host.id);
-        let member = member.filter(|m| m.started_ms == host.started_ms);
-        self.paces.record_answer(host, member, quality, took, now);
-    }
-
-    /// Applies what a peer tells of paced hosts.
-    pub fn apply_paces(&mut self, peer: &Name, reports: &[PaceReport], heard: Heard) {
-        for report in reports {
-            let member = self.listed.get(&report.host.id);
-            let member = member.filter(|m| m.started_ms == report.host.started_ms);
-            if let Some(member) = member {
-                self.paces.apply_report(peer, report, member, heard);
-            }
-        }
-    }
-
-    /// Paces the hosts that are new in the list or cold, and forgets those that are gone.
-    fn update_paces(
-        &mut self,
-        before: &collections::BTreeMap<Name, seam::Member>,
-        now: time::Instant,
-    ) {
-        for member in self.listed.values() {
-            let host = Incarnation {
-                id: member.id.clone(),
-                started_ms: member.started_ms,
-            };
-            if !is_listed(before, &host) {
-                self.paces.record_new(&host, member, now);
-            }
-            let rate = self.cold_rates.get(&member.service);
-            if let Some(rate) = rate.filter(|_| !member.cold_left.is_zero()) {
-                let left = member.cold_left;
-                self.paces.record_cold(&host, member, left, *rate, now);
-            }
-        }
-        let listed = &self.listed;
-        self.paces.retain(|host| is_listed(listed, host), now);
-    }
-
     /// Returns whether nothing keeps any host from getting work.
     fn has_no_bounds(&self) -> bool {
         let is_quiet = self.leaving.is_empty() && self.pauses.is_empty();
@@ -216,6 +142,9 @@
     pub fn record(&mut self, notice: &seam::HostNotice) -> NoticeEffect {
         let host = Incarnation::from(&notice.host);
         let mut effect = NoticeEffect::default();
+        if let Some(pace) = notice.pace {
+            self.machines.record(&host.id, pace, notice.received_at);
+        }
         if notice.leaving {
             let known = self.leaving.get(&host).copied();
             effect.leaves = known.is_none();
@@ -403,7 +332,7 @@
         self.pauses.get(host)?.withheld(now)
     }
 
-    fn listed_incarnation(&self, id: &Name) -> Option<Incarnation> {
+    pub(crate) fn listed_incarnation(&self, id: &Name) -> Option<Incarnation> {
         let started_ms = self.listed.get(id)?.started_ms;
         let id = id.clone();
         Some(Incarnation { id, started_ms })
@@ -411,7 +340,10 @@
 }
 
 /// Returns whether a list holds this process of a host.
-fn is_listed(listed: &collections::BTreeMap<Name, seam::Member>, host: &Incarnation) -> bool {
+pub(crate) fn is_listed(
+    listed: &collections::BTreeMap<Name, seam::Member>,
+    host: &Incarnation,
+) -> bool {
     listed
         .get(&host.id)
         .is_some_and(|m| m.started_ms == host.started_ms)
--- a/crates/pool/src/hosts/host_pace.rs
+++ b/crates/pool/src/hosts/host_pace.rs
@@ -45,8 +45,10 @@
     pub(crate) began_at: time::Instant,
     /// When it started, or a connection to it last failed.
     pub(crate) lost_at: time::Instant,
-    /// Requests in flight at which the host has its full share.
-    pub(crate) full: f64,
+    /// Requests in flight at which the host has its full share; none if only time ends its pace.
+    pub(crate) full: Option<f64>,
+    /// The most requests in flight that all entries together may have.
+    pub(crate) most: f64,
     /// Requests in flight that all entries together may have; none where only the declared
     /// bound holds.
     pub(crate) window: Option<f64>,
@@ -74,7 +76,8 @@
         Self {
             began_at: now,
             lost_at: now,
-            full: f64::from(member.slots.max(1)),
+            full: Some(f64::from(member.slots.max(1))),
+            most: f64::from(member.slots.max(1)),
             window,
             cut_at: None,
             in_flight: 0,
@@ -89,7 +92,7 @@
 
     pub(crate) fn widen(&mut self, by: f64) {
         if let Some(window) = self.window.as_mut().filter(|_| by > 0.0) {
-            *window = (*window + by).min(self.full);
+            *window = (*window + by).min(self.most);
         }
     }
 
@@ -110,7 +113,8 @@
     pub(crate) fn is_kept(&self, now: time::Instant) -> bool {
         let is_cold = self.cold.is_some_and(|c| c.until > now);
         let is_recent = now.saturating_duration_since(self.lost_at) < MAX_PACE;
-        is_cold || is_recent && self.window.is_some_and(|w| w < self.full)
+        let is_partial = |window: f64| self.full.is_none_or(|full| window < full);
+        is_cold || is_recent && self.window.is_some_and(is_partial)
     }
 }
 
--- a/crates/pool/src/hosts/pace.rs
+++ b/crates/pool/src/hosts/pace.rs
@@ -24,6 +24,9 @@
 
 /// Requests in flight with which a window begins, on hosts with at least twice as many slots.
 const FIRST_WINDOW: f64 = 4.0;
+/// Requests in flight at a full host for each of its slots: those that run and as many that wait,
+/// so that none of its slots is left idle.
+const FULL_WINDOW: f64 = 2.0;
 /// How long after its end a peer's report doesn't begin the pace of a host anew.
 const MAX_REPORT_DELAY: time::Duration = time::Duration::from_secs(10);
 /// Time after which the entries take their parts of a window in another order.
@@ -47,6 +50,9 @@
     /// Reductions of the window for which the sender had a cause.
     #[serde(rename = "c")]
     pub cuts: u64,
+    /// Whether the host is paced because it was full.
+    #[serde(default, rename = "f", skip_serializing_if = "std::ops::Not::not")]
+    pub is_full: bool,
 }
 
 /// A change that is worth a log line.
@@ -219,6 +225,12 @@
         {
             self.begin(host, member, "unreachable", now);
         }
+        if let (AnswerQuality::Refused, Some(member)) = (quality, member)
+            && self.is_learning
+            && member.role.is_none()
+        {
+            self.begin_full(host, member, now);
+        }
         let Some(pace) = self.hosts.get_mut(host) else {
             return;
         };
@@ -247,6 +259,7 @@
             host: host.clone(),
             good: pace.good,
             cuts: pace.cuts,
+            is_full: pace.full.is_none(),
         });
         reports.collect()
     }
@@ -268,7 +281,10 @@
         let is_over =
             ended_at.is_some_and(|at| now.saturating_duration_since(*at) < MAX_REPORT_DELAY);
         if !self.hosts.contains_key(&report.host) && !is_over {
-            self.begin(&report.host, member, "peer", now);
+            match report.is_full {
+                true => self.begin_full(&report.host, member, now),
+                false => self.begin(&report.host, member, "peer", now),
+            }
         }
         let Some(pace) = self.hosts.get_mut(&report.host) else {
             return;
@@ -321,6 +337,20 @@
         self.events.push(PaceEvent::Began(host.clone(), cause));
     }
 
+    /// Begins to bound what all entries send to a host that is full, so that calls wait at the
+    /// entries in their order and not in the host's queue.
+    fn begin_full(&mut self, host: &Incarnation, member: &seam::Member, now: time::Instant) {
+        let most = f64::from(member.slots.max(1)) * FULL_WINDOW;
+        if let Some(pace) = self.hosts.get_mut(host) {
+            pace.lost_at = now;
+            return;
+        }
+        let mut pace = HostPace::new(member, Some(most), now);
+        (pace.full, pace.most) = (None, most);
+        self.hosts.insert(host.clone(), pace);
+        self.events.push(PaceEvent::Began(host.clone(), "full"));
+    }
+
     /// Records the time of an answer, and returns whether it was slow.
     fn record_time(&mut self, service: &Name, took: time::Duration) -> bool {
         let seconds = took.as_secs_f64();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,7 +22,7 @@
     OrderLease, PrefillPool, ResponseModel, RoleBalancer, RoleCandidate, RoleChange,
     StreamProgress, kept_room,
 };
-pub use hosts::{AnswerQuality, ColdRate, HostPaces, PaceEvent, PaceReport};
+pub use hosts::{AnswerQuality, ColdRate, HostPaces, MachinePaces, PaceEvent, PaceReport};
 pub use hosts::{CallKind, Incarnation, NoticeEffect, Permit, Withheld};
 pub use hosts::{DEFAULT_PAUSE, HostNotices, MAX_PAUSE, PROBE_TIMEOUT, SharedNotices};
 pub use hosts::{EvacuationChange, EvacuationReport, Evacuations, HostList};
@@ -36,5 +36,5 @@
     ConfigFetch, ConfigVersion, Forwarding, GossipPaths, Heard, KnownPeer, RELAY_DELAY, RelayQueue,
     UpdateId, UpdateOrder,
 };
-pub use queue::{BandReport, SharedOrder};
+pub use queue::{BandReport, CallQueue, CallTicket, SharedOrder, WaitingCall};
 pub use queue::{QueuedStream, RecentRefusals, StopPlan, Ticket, WaitQueue};
--- a/crates/pool/tests/notice_tests.rs
+++ b/crates/pool/tests/notice_tests.rs
@@ -53,6 +53,7 @@
         host: target(id, started_ms),
         leaving: true,
         retry_after: None,
+        pace: None,
         received_at,
     }
 }
@@ -62,6 +63,7 @@
         host: target(id, 1),
         leaving: false,
         retry_after: Some(seam::RetryAfter::Delay(delay)),
+        pace: None,
         received_at,
     }
 }
--- a/crates/pool/tests/probe_tests.rs
+++ b/crates/pool/tests/probe_tests.rs
@@ -22,6 +22,7 @@
         host: target(),
         leaving: false,
         retry_after: Some(seam::RetryAfter::Delay(SECOND)),
+        pace: None,
         received_at,
     }
 }
--- a/crates/pool/tests/shared_host_tests.rs
+++ b/crates/pool/tests/shared_host_tests.rs
@@ -167,6 +167,7 @@
         host: target.clone(),
         leaving: false,
         retry_after: Some(seam::RetryAfter::Delay(pause)),
+        pace: None,
         received_at,
     }
 }
--- a/crates/seam/src/config.rs
+++ b/crates/seam/src/config.rs
@@ -154,7 +154,7 @@
             .max_by_key(|r| r.path_prefix.len())
     }
 
-    /// Returns whether callers compete for hosts by the operator's will: routes of one service
+    /// Returns whether callers compete for hosts by the operator's will: streams of one service
     /// differ in their priority, or hosts are cold for a time. The decisions on contention are
     /// made only then; see docs/design/contention.md.
     pub fn asks_for_sharing(&self) -> bool {
@@ -164,17 +164,20 @@
 
     /// Returns the priority of the most urgent route of a service, if they differ in it.
     pub fn first_priority(&self, service: &str) -> Option<u8> {
-        let sends = |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
-        let priorities = self.routes.iter().filter(sends).map(|r| r.priority);
-        priorities.min().filter(|_| self.has_ranks(service))
+        let first = self.stream_priorities(service).min();
+        first.filter(|_| self.has_ranks(service))
     }
 
-    /// Returns whether the routes of a service differ in their priority.
+    /// Returns whether the streams of a service differ in their priority.
     pub fn has_ranks(&self, service: &str) -> bool {
-        let sends = |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
-        let mut priorities = self.routes.iter().filter(sends).map(|r| r.priority);
-        let first = priorities.next();
-        priorities.any(|p| Some(p) != first)
+        let first = self.stream_priorities(service).next();
+        self.stream_priorities(service).any(|p| Some(p) != first)
+    }
+
+    fn stream_priorities(&self, service: &str) -> impl Iterator<Item = u8> {
+        let streams = self.routes.iter().filter(|r| r.retry.is_stream());
+        let sends = move |r: &&Route| r.weights.iter().any(|(name, _)| &**name == service);
+        streams.filter(sends).map(|r| r.priority)
     }
 
     /// Returns the service with this name.
@@ -182,12 +185,16 @@
         self.services.iter().find(|s| &*s.name == name)
     }
 
-    /// Returns the priorities of organisations that have one of their own, for the log.
-    pub fn tenant_priorities(&self) -> String {
-        let tenants = self.tenants.iter().flatten();
-        let priorities: collections::BTreeSet<u8> = tenants.filter_map(|t| t.priority).collect();
-        let texts: Vec<String> = priorities.iter().map(u8::to_string).collect();
-        texts.join(",")
+    /// Returns the priorities of each service's routes with the number of routes, for the log.
+    pub fn route_priorities(&self) -> String {
+        let mut counts: collections::BTreeMap<(&str, u8), usize> = collections::BTreeMap::new();
+        for route in &self.routes {
+            for (service, _) in &route.weights {
+                *counts.entry((service, route.priority)).or_default() += 1;
+            }
+        }
+        let texts = counts.iter().map(|((s, p), n)| format!("{s}:{p}x{n}"));
+        texts.collect::<Vec<String>>().join(",")
     }
 
     /// Returns the organisation that an API key belongs to.
--- a/crates/seam/src/notice.rs
+++ b/crates/seam/src/notice.rs
@@ -6,7 +6,7 @@
 
 /// A notice in the answer of an upstream host, on any call. An answer without one says
 /// nothing and gives no notice.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostNotice {
     /// Process that answered.
     pub host: Target,
@@ -14,6 +14,9 @@
     pub leaving: bool,
     /// How long the host wants no call, where it has refused one.
     pub retry_after: Option<RetryAfter>,
+    /// Time that work takes on the host's machine at the moment, against the usual one, where
+    /// the host shares its machine.
+    pub pace: Option<f64>,
     /// When the head of the answer arrived.
     pub received_at: time::Instant,
 }
