--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -33,6 +33,8 @@
 /// Replies of the entry itself are sent this long before the route's timeout
 /// ends.
 const TIMEOUT_MARGIN: time::Duration = time::Duration::from_millis(10);
+/// Number of priorities that are told apart; what is beyond counts as the last one.
+const PRIORITIES: u8 = 16;
 /// Longest time that a caller may take for a request, whatever it says.
 const MAX_UPLOAD_TIME: time::Duration = time::Duration::from_secs(3_600);
 /// A request that exceeds its organisation's limit is held for at most its latency
@@ -355,7 +357,7 @@
 /// Returns one number that orders requests by the first priority, and by the second where the
 /// first is equal.
 fn combined_priority(first: u8, second: u8) -> u8 {
-    first.min(15) * 16 + second.min(15)
+    first.min(PRIORITIES - 1) * PRIORITIES + second.min(PRIORITIES - 1)
 }
 
 /// Picks a service at random, by the route's weights.
--- a/crates/pool/src/hosts/pace.rs
+++ b/crates/pool/src/hosts/pace.rs
@@ -4,8 +4,8 @@
 //! that came back gets a test call from each of them. Here the entries share one window of
 //! requests in flight at such a host. Each good answer widens it by one, a refusal, a slow
 //! answer or a lost connection halves it. The entries take parts of the window in an order that
-//! changes with the host and over time, so that no counter is shared. A rate that the
-//! configuration declares for cold hosts is kept by few entries, each with a fixed part of it.
+//! changes with the host and over time, so that no counter is shared. Of a rate that the
+//! configuration declares for cold hosts, each entry has a fixed part.
 //! See docs/design/pace.md.
 
 use crate::hosts::host_pace::AnswerQuality;
@@ -35,7 +35,7 @@
 const SLOW_FACTOR: f64 = 3.0;
 /// Weight of the newest answer in the usual time of a service's answers.
 const USUAL_WEIGHT: f64 = 0.05;
-/// How long after the start of this process hosts count as known that it hears of.
+/// Hosts that a process hears of within this time after its start have run before.
 const SETTLING_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// What an entry tells its peers of a host that is paced.
--- a/crates/pool/tests/pace_tests.rs
+++ b/crates/pool/tests/pace_tests.rs
@@ -202,6 +202,17 @@
             paces.retain(|h| *h == host(), now);
         }
     }
+    let mut reports = all.iter().flat_map(HostPaces::reports);
+    assert!(
+        !is_learning || reports.all(|report| report.is_full),
+        "it isn't paced as a new one any more"
+    );
+    // The window of a host that has refused ends once it has refused nothing for a time.
+    for step in 1_200..2_300_u32 {
+        for paces in &mut all {
+            paces.retain(|h| *h == host(), start + STEP * step);
+        }
+    }
     assert!(
         !is_learning || all.iter().all(HostPaces::is_empty),
         "it has its full share"
