--- a/crates/daemon/tests/late_request_tests.rs
+++ b/crates/daemon/tests/late_request_tests.rs
@@ -2,6 +2,7 @@
 //! unrun, so that it can go elsewhere, instead of being cut at the end.
 
 use fake::tracks::TracksCluster;
+use fake::tracks::names;
 use std::io::Read;
 use std::io::Write;
 use std::net;
@@ -36,9 +37,12 @@
         let length = BODY.len();
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: agency.example\r\nApi-Key: key-a\r\n\
-             Hornbeampitch-Request-Id: 5f1c\r\nHornbeampitch-Model: m\r\n\
-             Hornbeampitch-Token-Counts: 1000,100\r\nHornbeampitch-Deadline-Ms: 14000\r\n\
-             Content-Length: {length}\r\n\r\n"
+             {}: 5f1c\r\n{}: m\r\n{}: 1000,100\r\n{}: 14000\r\n\
+             Content-Length: {length}\r\n\r\n",
+            names::REQUEST_ID,
+            names::MODEL,
+            names::TOKEN_COUNTS,
+            names::DEADLINE_MS,
         );
         let sent = stream.write_all(head.as_bytes());
         sent.and_then(|()| stream.write_all(&BODY.as_bytes()[..3]))
