A zone whose evacuation ended counts no running work

Cause: hornbeampitch_evacuated_running was written for zones that are evacuated only, so that it kept its last value once the evacuation was taken back. Change: it is set to 0 at the end.

--- a/crates/daemon/tests/metric_tests.rs
+++ b/crates/daemon/tests/metric_tests.rs
@@ -12,6 +12,8 @@
 use std::path;
 use std::process;
 use std::sync::atomic;
+use std::thread;
+use std::time;
 
 /// The names before the prefix, which are served until 0.2.
 const OLD_NAMES: [&str; 12] = [
@@ -98,6 +100,33 @@
     cluster
 }
 
+/// What runs in a zone is told for as long as the zone is evacuated.
+#[test]
+fn evacuation_that_was_taken_back_leaves_nothing_running() {
+    let address = own_address();
+    let program = path::Path::new(env!("CARGO_BIN_EXE_hornbeampitchd"));
+    let mut cluster = TracksCluster::new(program, &["prefill", "decode"], 0, 1);
+    let ip = format!("ip = \"{address}\"");
+    let entry = &cluster.entries[0];
+    entry.edit_settings("ip = \"127.0.0.1\"", &ip);
+    entry.edit_settings("lease_ms = 3000", "lease_ms = 3000\nevacuate_ms = 5000");
+    cluster.engines[1].set_behaviour(|b| {
+        b.event_interval = time::Duration::from_millis(250);
+        b.event_count = 40;
+    });
+    cluster.start();
+    let sum = |name: &str| MetricScrape::read(address).sum(name, &[]);
+    thread::scope(|scope| {
+        scope.spawn(|| cluster.request_stream(0, "/once/a", &[]));
+        cluster.wait_until(|c| !c.engines[1].received_under("/once/").is_empty());
+        cluster.store.put("op/evacuate/ruahine", b"{}");
+        cluster.wait_until(|_| sum("hornbeampitch_evacuated_running") > 0.0);
+        cluster.store.remove("op/evacuate/ruahine");
+        cluster.wait_until(|_| sum("hornbeampitch_evacuated_zones") == 0.0);
+        assert_eq!(sum("hornbeampitch_evacuated_running"), 0.0);
+    });
+}
+
 /// Returns how a request ended for its caller. Only workers answer with status 500 here.
 fn outcome(response: &EntryResponse) -> &'static str {
     match (response.status, response.complete) {
--- a/crates/direct/src/evacuation.rs
+++ b/crates/direct/src/evacuation.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::Entry;
 use crate::meters;
+use crate::metric;
 use crate::odd_records::OddRecord;
 use seam::Store;
 use std::collections;
@@ -69,6 +70,10 @@
         meters::meters().evacuated_zones.set(zones.len() as f64);
         self.notices.borrow_mut().set_evacuated(zones);
         self.update_pools();
+        for zone in &change.ended {
+            let running = metric::EVACUATED_RUNNING.gauge(&[("zone", &**zone)]);
+            running.set(0.0);
+        }
         let begun = change.begun.iter().map(|z| (z, "begun"));
         let ended = change.ended.iter().map(|z| (z, "ended"));
         for (zone, state) in begun.chain(ended) {
@@ -106,7 +111,7 @@
     pub(crate) fn report_evacuations(&self) {
         for zone in self.evacuations.borrow().zones() {
             let running = self.running_in(&zone);
-            crate::metric::EVACUATED_RUNNING
+            metric::EVACUATED_RUNNING
                 .gauge(&[("zone", &*zone)])
                 .set(running as f64);
             if running > 0 {
