What follows from a configuration is worked out once, when it is applied

Cause: each request looked through all routes up to four times for whether streams of its service differ in priority, and for the most urgent one; each message between entries asked whether callers compete. The limits of callers were read in the same three lines at three places. Change: ActiveConfig holds both; Entry::limits. No decision changes. Conclusion: the cost of a request no longer grows with the number of routes by this.

--- a/crates/direct/src/admit.rs
+++ b/crates/direct/src/admit.rs
@@ -173,9 +173,7 @@
     let id = request.id.clone();
     exchange.set_id(&id);
     exchange.set_stage(pool::CallerStage::Uploading);
-    let limits = entry
-        .active_config()
-        .map_or(seam::Limits::default(), |c| c.config.limits);
+    let limits = entry.limits();
     let upload = UploadLimits {
         bytes: limits.body_bytes,
         pause: limits.idle_timeout,
@@ -325,7 +323,7 @@
         }
     };
     let service = pick_service(route);
-    let priority = match (tenant.and_then(|t| t.priority), config.has_ranks(&service)) {
+    let priority = match (tenant.and_then(|t| t.priority), active.has_ranks(&service)) {
         // The organisation's priority goes first, and the route's orders its own requests.
         (own, true) => combined_priority(own.unwrap_or(route.priority), route.priority),
         (own, false) => own.unwrap_or(route.priority),
--- a/crates/direct/src/caller.rs
+++ b/crates/direct/src/caller.rs
@@ -109,11 +109,7 @@
     let mut idle_limit = entry.idle_limit.subscribe();
     let mut is_ending = false;
     loop {
-        let config = entry.active_config();
-        let head_timeout = config
-            .map_or(seam::Limits::default(), |c| c.config.limits)
-            .head_timeout;
-        let patience = activity.patience(head_timeout);
+        let patience = activity.patience(entry.limits().head_timeout);
         if let Some((_, cause)) = patience.filter(|(left, _)| left.is_zero()) {
             activity.cause.set(cause);
             return;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -1,5 +1,6 @@
 //! State of an entry, which its tasks share.
 
+use crate::active_config::ActiveConfig;
 use crate::callers::Callers;
 use crate::engine_pool::EnginePool;
 use crate::engine_pool::EnginePools;
@@ -100,15 +101,6 @@
 /// How long a peer's message that it holds the lease for role orders is valid.
 const HOLDER_MESSAGE_TTL: time::Duration = time::Duration::from_millis(1_000);
 
-/// The configuration in force, decoded and in its original bytes.
-#[derive(Debug)]
-pub(crate) struct ActiveConfig {
-    pub(crate) config: seam::Config,
-    pub(crate) raw: bytes::Bytes,
-    /// The latest era in which the store was seen to have it.
-    pub(crate) era: cell::Cell<seam::Era>,
-}
-
 /// Another entry.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -202,6 +194,12 @@
         self.config.borrow().clone()
     }
 
+    /// Returns the limits of callers' requests.
+    pub(crate) fn limits(&self) -> seam::Limits {
+        let active = self.config.borrow();
+        active.as_ref().map(|a| a.config.limits).unwrap_or_default()
+    }
+
     /// Returns the number of entries that share allowances and retry budgets,
     /// including this one.
     pub(crate) fn entry_count(&self) -> usize {
@@ -250,11 +248,8 @@
         self.idle_limit
             .send_if_modified(|l| std::mem::replace(l, idle_limit) != idle_limit);
         self.set_paces(&config);
-        *self.config.borrow_mut() = Some(rc::Rc::new(ActiveConfig {
-            config,
-            raw,
-            era: cell::Cell::new(era),
-        }));
+        let active = ActiveConfig::new(config, raw, era);
+        *self.config.borrow_mut() = Some(rc::Rc::new(active));
         self.update_pools();
     }
 
@@ -293,7 +288,7 @@
             .ready(service)
             .filter(|m| self.may_get_work(&m.id) && !self.is_changing_role(m));
         let active = self.active_config();
-        let has_ranks = active.is_some_and(|a| a.config.has_ranks(service));
+        let has_ranks = active.is_some_and(|a| a.has_ranks(service));
         let position = self.position();
         self.pools
             .update(service, spec, accepting, position, has_ranks);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! of [`pool`], and everything specific to the platform is behind [`seam`].
 //! docs/PLATFORM.md shows the path of a request.
 
+mod active_config;
 mod admit;
 mod body;
 mod call_place;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -109,9 +109,7 @@
     let slot = match kind {
         ListenerKind::Probes => None,
         ListenerKind::Callers => {
-            let config = entry.active_config();
-            let limits = config.map_or(seam::Limits::default(), |c| c.config.limits);
-            let slot = entry.callers.admit(limits.head_bytes).await;
+            let slot = entry.callers.admit(entry.limits().head_bytes).await;
             if slot.is_none() {
                 return;
             }
--- a/crates/direct/src/shared_order.rs
+++ b/crates/direct/src/shared_order.rs
@@ -114,7 +114,7 @@
     /// on contention are made.
     pub(crate) fn is_sharing(&self) -> bool {
         let active = self.active_config();
-        active.is_some_and(|a| a.config.asks_for_sharing())
+        active.is_some_and(|a| a.is_sharing)
     }
 
     /// Returns the requests that this entry refused a moment ago, if callers who come back are
@@ -144,6 +144,6 @@
     /// Returns whether no route of a service is more urgent than this priority.
     pub(crate) fn is_most_urgent(&self, service: &str, priority: u8) -> bool {
         let active = self.active_config();
-        active.is_some_and(|a| a.config.first_priority(service) == Some(priority))
+        active.is_some_and(|a| a.first_priority(service) == Some(priority))
     }
 }
