--- a/crates/direct/src/call_place.rs
+++ b/crates/direct/src/call_place.rs
@@ -4,10 +4,12 @@
 use crate::plain_service::PlainService;
 use std::rc;
 use std::time;
+use world::Name;
 
 /// Whether a call may be sent.
 pub(crate) enum Turn {
-    Now,
+    /// At this host, if one is known to have room.
+    Now(Option<Name>),
     /// Others go first, or no host has room.
     Later,
     /// Its turn would come too late; its caller may come back after this time.
@@ -33,12 +35,13 @@
     pub(crate) fn turn(
         &mut self,
         job: &Job,
+        zone: &str,
         attempts: &mut pool::CallAttempts,
         now: time::Instant,
     ) -> Turn {
         let mut queue = self.service.queue.borrow_mut();
         let Some(queue) = queue.as_mut() else {
-            return Turn::Now;
+            return Turn::Now(None);
         };
         let is_first = match self.ticket {
             Some(ticket) => queue.is_first(ticket, now),
@@ -50,13 +53,14 @@
             return Turn::Never(time::Duration::ZERO);
         }
         let balancer = self.service.balancer.borrow();
-        if is_first && balancer.pick_open("", attempts.tried(), now).is_some() {
+        let open = || balancer.pick_open(zone, attempts.tried(), now);
+        if is_first && let Some(host) = open() {
             self.ticket.take().into_iter().for_each(|t| queue.leave(t));
-            return Turn::Now;
+            return Turn::Now(Some(host));
         }
         if self.ticket.is_none() {
             if !balancer.has_full_host(now) {
-                return Turn::Now;
+                return Turn::Now(open());
             }
             let call = pool::WaitingCall {
                 priority: job.priority,
--- a/crates/direct/src/plain_call.rs
+++ b/crates/direct/src/plain_call.rs
@@ -170,20 +170,17 @@
         if has_prospect && time_left <= job.route.latency_target / MIN_TIME_DIVISOR {
             return NextStep::Stop(no_host());
         }
-        if !has_prospect && !may_have_run {
-            match place.turn(self.job, attempts, now) {
-                Turn::Now => {}
+        let zone = &entry.settings.zone;
+        let open = match !has_prospect && !may_have_run {
+            true => match place.turn(self.job, zone, attempts, now) {
+                Turn::Now(open) => open,
                 Turn::Later => return NextStep::Wait,
                 Turn::Never(delay) => return NextStep::Stop(self.full_reply(delay)),
-            }
-        }
-        let balancer = self.service.balancer.borrow();
-        let (zone, tried) = (&entry.settings.zone, attempts.tried());
-        let open = match self.service.queue.borrow().is_some() {
-            true => balancer.pick_open(zone, tried, now),
-            false => None,
+            },
+            false => self.service.pick_open(zone, attempts.tried(), now),
         };
-        let picked = open.or_else(|| balancer.pick(zone, tried, now));
+        let balancer = self.service.balancer.borrow();
+        let picked = open.or_else(|| balancer.pick(zone, attempts.tried(), now));
         drop(balancer);
         let Some(target) = picked.and_then(|id| entry.target(&id)) else {
             let balancer = self.service.balancer.borrow();
--- a/crates/direct/src/plain_service.rs
+++ b/crates/direct/src/plain_service.rs
@@ -36,6 +36,15 @@
     pub(crate) queue: cell::RefCell<Option<pool::CallQueue>>,
 }
 
+impl PlainService {
+    /// Picks a host that has room, where calls wait for one.
+    pub(crate) fn pick_open(&self, zone: &str, tried: &[Name], now: time::Instant) -> Option<Name> {
+        let has_queue = self.queue.borrow().is_some();
+        let balancer = self.balancer.borrow();
+        has_queue.then(|| balancer.pick_open(zone, tried, now))?
+    }
+}
+
 impl PlainServices {
     pub(crate) fn new(notices: pool::SharedNotices) -> Self {
         Self {
--- a/crates/pool/src/engines/decode.rs
+++ b/crates/pool/src/engines/decode.rs
@@ -150,18 +150,10 @@
         &self,
         need: MemoryForecast,
         zone: &str,
-        mut random: impl FnMut() -> f64,
+        random: impl FnMut() -> f64,
         now: time::Instant,
     ) -> Option<Name> {
-        let cost = |engine: &Engine, load: EngineLoad| {
-            let peak = (load.memory + need).peak();
-            let fill = peak as f64 / engine.capacity_tokens.max(1) as f64;
-            let same_zone = engine.zone.as_deref() == Some(zone);
-            let bonus = if same_zone { SAME_ZONE_BONUS } else { 0.0 };
-            fill - bonus + RANDOM_SPREAD * random()
-        };
-        let fits = |id: &Name, engine: &Engine, load| engine.fits(load, need, self.kept_at(id, 0));
-        self.pick_cheapest(cost, fits, now)
+        self.pick_ranked(need, (0, false), zone, random, now)
     }
 
     /// Does the same for a stream of a priority, which leaves room for more urgent ones. The
@@ -179,9 +171,10 @@
                 true => (load.memory + need).now(),
                 false => (load.memory + need).peak(),
             };
+            let fill = held as f64 / engine.capacity_tokens.max(1) as f64;
             let same_zone = engine.zone.as_deref() == Some(zone);
             let bonus = if same_zone { SAME_ZONE_BONUS } else { 0.0 };
-            held as f64 / engine.capacity_tokens.max(1) as f64 - bonus + RANDOM_SPREAD * random()
+            fill - bonus + RANDOM_SPREAD * random()
         };
         let fits = |id: &Name, engine: &Engine, load: EngineLoad| match is_urgent {
             true => engine.has_room_now(load, need),
--- a/crates/pool/src/hosts/host_notices.rs
+++ b/crates/pool/src/hosts/host_notices.rs
@@ -333,18 +333,23 @@
     }
 
     pub(crate) fn listed_incarnation(&self, id: &Name) -> Option<Incarnation> {
-        let started_ms = self.listed.get(id)?.started_ms;
-        let id = id.clone();
-        Some(Incarnation { id, started_ms })
+        self.listed.get(id).map(Incarnation::from)
     }
 }
 
+/// Returns the member of a list that is this process of a host.
+pub(crate) fn listed_member<'a>(
+    listed: &'a collections::BTreeMap<Name, seam::Member>,
+    host: &Incarnation,
+) -> Option<&'a seam::Member> {
+    let member = listed.get(&host.id);
+    member.filter(|m| m.started_ms == host.started_ms)
+}
+
 /// Returns whether a list holds this process of a host.
 pub(crate) fn is_listed(
     listed: &collections::BTreeMap<Name, seam::Member>,
     host: &Incarnation,
 ) -> bool {
-    listed
-        .get(&host.id)
-        .is_some_and(|m| m.started_ms == host.started_ms)
+    listed_member(listed, host).is_some()
 }
--- a/crates/pool/src/hosts/notice_types.rs
+++ b/crates/pool/src/hosts/notice_types.rs
@@ -23,6 +23,15 @@
     }
 }
 
+impl From<&seam::Member> for Incarnation {
+    fn from(member: &seam::Member) -> Self {
+        Self {
+            id: member.id.clone(),
+            started_ms: member.started_ms,
+        }
+    }
+}
+
 /// What a call asks of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum CallKind {
--- a/crates/pool/src/hosts/pace.rs
+++ b/crates/pool/src/hosts/pace.rs
@@ -220,16 +220,14 @@
         let is_slow = member.zip(took).is_some_and(|(member, took)| {
             quality == AnswerQuality::Good && self.record_time(&member.service, took)
         });
-        if let (AnswerQuality::Unreachable, Some(member)) = (quality, member)
-            && self.is_learning
-        {
-            self.begin(host, member, "unreachable", now);
-        }
-        if let (AnswerQuality::Refused, Some(member)) = (quality, member)
-            && self.is_learning
-            && member.role.is_none()
-        {
-            self.begin_full(host, member, now);
+        if let Some(member) = member.filter(|_| self.is_learning) {
+            match quality {
+                AnswerQuality::Unreachable => self.begin(host, member, "unreachable", now),
+                AnswerQuality::Refused if member.role.is_none() => {
+                    self.begin_full(host, member, now);
+                }
+                _ => {}
+            }
         }
         let Some(pace) = self.hosts.get_mut(host) else {
             return;
--- a/crates/pool/src/hosts/work_share.rs
+++ b/crates/pool/src/hosts/work_share.rs
@@ -3,6 +3,7 @@
 
 use crate::hosts::host_notices::HostNotices;
 use crate::hosts::host_notices::is_listed;
+use crate::hosts::host_notices::listed_member;
 use crate::hosts::host_pace::AnswerQuality;
 use crate::hosts::host_pace::ColdRate;
 use crate::hosts::notice_types::Incarnation;
@@ -47,17 +48,14 @@
         took: Option<time::Duration>,
         now: time::Instant,
     ) {
-        let member = self.listed.get(&host.id);
-        let member = member.filter(|m| m.started_ms == host.started_ms);
+        let member = listed_member(&self.listed, host);
         self.paces.record_answer(host, member, quality, took, now);
     }
 
     /// Applies what a peer tells of paced hosts.
     pub fn apply_paces(&mut self, peer: &Name, reports: &[PaceReport], heard: Heard) {
         for report in reports {
-            let member = self.listed.get(&report.host.id);
-            let member = member.filter(|m| m.started_ms == report.host.started_ms);
-            if let Some(member) = member {
+            if let Some(member) = listed_member(&self.listed, &report.host) {
                 self.paces.apply_report(peer, report, member, heard);
             }
         }
@@ -70,10 +68,7 @@
         now: time::Instant,
     ) {
         for member in self.listed.values() {
-            let host = Incarnation {
-                id: member.id.clone(),
-                started_ms: member.started_ms,
-            };
+            let host = Incarnation::from(member);
             if !is_listed(before, &host) {
                 self.paces.record_new(&host, member, now);
             }
--- a/crates/pool/src/queue/refusals.rs
+++ b/crates/pool/src/queue/refusals.rs
@@ -93,8 +93,8 @@
         self.record_paced(digest, now, pace, max_delay, now)
     }
 
-    /// Does the same for a caller that asked first at `first_at`, where the earliest return and the time between two returns to this entry
-    /// are known from what waits at all entries.
+    /// Does the same for a caller that asked first at `first_at`, where the earliest return and
+    /// the time between two returns to this entry are known from what waits at all entries.
     pub fn record_paced(
         &mut self,
         digest: D,
--- a/crates/pool/src/queue/shared_order.rs
+++ b/crates/pool/src/queue/shared_order.rs
@@ -66,6 +66,27 @@
     tokens: u64,
 }
 
+/// The streams of all entries that are more urgent than a priority.
+#[derive(Clone, Copy, Debug, Default)]
+struct UrgentStreams {
+    /// Streams that arrive in a second.
+    arrivals: f64,
+    /// Memory that those of a second need, in tokens.
+    memory: f64,
+    /// Memory that waiting ones need, in tokens.
+    waiting_tokens: u64,
+}
+
+impl UrgentStreams {
+    /// Returns the memory that a stream needs in the mean, in tokens; 0 if none arrive.
+    fn mean_memory(self) -> f64 {
+        match self.arrivals > 0.0 {
+            true => self.memory / self.arrivals,
+            false => 0.0,
+        }
+    }
+}
+
 impl Band {
     fn new(tokens: u64) -> Self {
         Self {
@@ -129,28 +150,27 @@
     /// Returns the memory in tokens that streams of a priority leave free for more urgent ones:
     /// for those that are likely to come before it is free again, and those that wait.
     pub fn kept_tokens(&mut self, priority: u8, now: time::Instant) -> u64 {
-        let (mut arrivals, mut memory, mut waiting) = (0.0, 0.0, 0_u64);
-        for report in self.all(now).filter(|r| r.priority < priority) {
-            arrivals += report.arrivals;
-            memory += report.arrivals * report.memory;
-            waiting = waiting.saturating_add(report.tokens);
-        }
-        if arrivals <= 0.0 {
-            return waiting;
-        }
-        let expected = arrivals * REFILL_TIME.as_secs_f64();
+        let urgent = self.more_urgent(priority, now);
+        let expected = urgent.arrivals * REFILL_TIME.as_secs_f64();
         let streams = expected + DEVIATIONS * expected.sqrt();
-        waiting.saturating_add((streams * memory / arrivals) as u64)
+        let tokens = (streams * urgent.mean_memory()) as u64;
+        urgent.waiting_tokens.saturating_add(tokens)
     }
 
     /// Returns the mean memory of the streams that are more urgent, in tokens.
     pub fn urgent_memory(&mut self, priority: u8, now: time::Instant) -> u64 {
-        let (mut arrivals, mut memory) = (0.0, 0.0);
+        self.more_urgent(priority, now).mean_memory() as u64
+    }
+
+    /// Sums the streams of all entries that are more urgent than a priority.
+    fn more_urgent(&mut self, priority: u8, now: time::Instant) -> UrgentStreams {
+        let mut urgent = UrgentStreams::default();
         for report in self.all(now).filter(|r| r.priority < priority) {
-            arrivals += report.arrivals;
-            memory += report.arrivals * report.memory;
+            urgent.arrivals += report.arrivals;
+            urgent.memory += report.arrivals * report.memory;
+            urgent.waiting_tokens = urgent.waiting_tokens.saturating_add(report.tokens);
         }
-        (memory / f64::max(arrivals, f64::MIN_POSITIVE)) as u64
+        urgent
     }
 
     /// Returns how long a new stream would wait behind all that go before it: those that are
