--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -829,6 +829,10 @@
         let Ok(child) = child else {
             finish(2, "target/release/hornbeampitchd does not start");
         };
+        // Whatever ends this program, `run.sh` ends what it has started.
+        let pids = std::env::var("WORK").map(|w| format!("{w}/pids")).unwrap_or_default();
+        let pids = fs::OpenOptions::new().create(true).append(true).open(pids);
+        let _ = pids.and_then(|mut file| writeln!(file, "{}", child.id()));
         let child = Arc::new(Mutex::new(child));
         PIDS.lock().unwrap().push(child.clone());
         self.child = Some(child);
