--- a/review/stand-2/stand.rs
+++ b/review/stand-2/stand.rs
@@ -842,9 +842,13 @@
         self.child.as_ref().map_or(0, |c| c.lock().unwrap().id())
     }
 
-    /// Sends a signal to the process, such as `KILL`, `TERM`, `STOP` or `CONT`.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.pid().to_string()]).status();
+    /// Ends the process as the platform does, and waits until it has ended.
+    pub fn kill(&self) {
+        if let Some(child) = &self.child {
+            let mut child = child.lock().unwrap();
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 
     /// Returns whether the process has ended.
